--- /dev/null
+++ b/cmd/croftlock/config.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"steplb/brain"
+	"steplb/internal/cluster"
+	"steplb/internal/proxy"
+	"steplb/internal/wire"
+)
+
+// config is what a proxy is told at its start.
+type config struct {
+	name, listen, discovery string
+	seed                    int64
+	limits                  limits
+	known                   proxy.Change
+	settings                brain.Config
+}
+
+type limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// loadConfig reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN and NODE_DISCOVERY, where set, win over
+// it: they say the same unless an operator means them to differ.
+func loadConfig(env func(string) string) (*config, error) {
+	path := env("NODE_CONFIG")
+	if path == "" {
+		return nil, errors.New("NODE_CONFIG is not set: it names the configuration file")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %v", err)
+	}
+	c, err := parseConfig(data, env)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %v", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(data []byte, env func(string) string) (*config, error) {
+	var f struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    limits          `json:"limits"`
+		Known     json.RawMessage `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(data, &f); err != nil {
+		return nil, err
+	}
+	c := &config{name: f.Name, listen: f.Listen, discovery: f.Discovery, limits: f.Limits}
+	for _, v := range []struct {
+		to   *string
+		name string
+	}{{&c.name, "NODE_NAME"}, {&c.listen, "NODE_LISTEN"}, {&c.discovery, "NODE_DISCOVERY"}} {
+		if s := env(v.name); s != "" {
+			*v.to = s
+		}
+	}
+	for what, addr := range map[string]string{"listen": c.listen, "discovery": c.discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s %q is no address with a port", what, addr)
+		}
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed %q is no hexadecimal number", f.Seed)
+	}
+	c.seed = int64(seed)
+	if len(f.Settings) == 0 {
+		return nil, errors.New("no settings")
+	}
+	if c.settings, err = wire.Config(f.Settings); err != nil {
+		return nil, err
+	}
+	if len(f.Known) > 0 {
+		if c.known, err = cluster.Parse(f.Known); err != nil {
+			return nil, fmt.Errorf("known: %v", err)
+		}
+	}
+	c.known.Kind = brain.ListCached
+	return c, nil
+}
+
+// spare is how many descriptors are kept for all that is no session: the listener, the poller, discovery, dials that
+// are being given up, and clients that are being refused.
+const spare = 64
+
+// sessions is how many clients fit the limit on descriptors: each may need one more, to its upstream host.
+func (c *config) sessions() int {
+	if c.limits.Sockets <= 0 {
+		return 1 << 20
+	}
+	return max(1, (c.limits.Sockets-spare)/2)
+}
+
+// procs is how many threads may run Go code: more than the cores only adds switching.
+func (c *config) procs() int { return max(1, int(c.limits.Cores)) }
+
+// memoryLimit is what the garbage collector works towards: past it the platform kills the proxy, and stacks, the
+// runtime's own structures and the files of a private $TMPDIR count too.
+func (c *config) memoryLimit() int64 {
+	if c.limits.MemoryMB <= 0 {
+		return 1 << 40
+	}
+	return int64(c.limits.MemoryMB * 0.7 * (1 << 20))
+}
--- /dev/null
+++ b/internal/cluster/client.go
@@ -0,0 +1,225 @@
+package cluster
+
+import (
+	"fmt"
+	"log"
+	"time"
+
+	"steplb/brain"
+	"steplb/internal/netio"
+	"steplb/internal/proxy"
+)
+
+const (
+	path = "/discovery/hosts"
+	// hold is how long discovery may keep a watch waiting. News counts as told 2 s past the end of the wait, so a
+	// call that has gone silent is given up, and made anew, before that; and the shorter the wait, the sooner a
+	// watch that has died unseen is replaced. A call each 4 s is a tenth of what discovery can do for a fleet of
+	// this size.
+	hold = 4 * time.Second
+	// answerWithin is how long past its wait a call may take. Discovery works through calls in turn and gives up
+	// on one after 2 s; waiting that long would let the moment pass at which its news counts as told.
+	answerWithin  = 1200 * time.Millisecond
+	connectWithin = time.Second
+	inputLimit    = maxHead + 2*maxBody
+	fetchWithin   = 2500 * time.Millisecond
+)
+
+// Client keeps a watch while it is wanted, one call after the other on one connection, and fetches the whole list
+// when asked. All its methods belong to the loop.
+type Client struct {
+	loop   *netio.Loop
+	dialer *netio.Dialer
+	addr   string
+	tell   func(proxy.Change)
+
+	rev     int64
+	wanted  bool  // the watch goes on
+	first   bool  // its first answer is awaited, which is told even if it is empty
+	watch   *call // the call under way
+	fetch   *call
+	idle    *netio.Conn // a connection whose last response is complete
+	lastErr string
+}
+
+// call is one request on its way.
+type call struct {
+	client *Client
+	target string
+	dial   *netio.Dial
+	conn   *netio.Conn
+	timer  *netio.Timer
+	reused bool
+	done   func(ch proxy.Change, err error)
+}
+
+// NewClient makes a client that holds the list up to rev and gives news to tell.
+func NewClient(l *netio.Loop, d *netio.Dialer, addr string, rev int64, tell func(proxy.Change)) *Client {
+	return &Client{loop: l, dialer: d, addr: addr, rev: rev, tell: tell}
+}
+
+// Watch begins or ends the watch. Asked for again while it goes on, it changes nothing.
+func (c *Client) Watch(on bool) {
+	if !on {
+		c.wanted = false
+		if c.watch != nil {
+			c.watch.drop()
+			c.watch = nil
+		}
+		return
+	}
+	if c.wanted {
+		return
+	}
+	c.wanted, c.first = true, true
+	c.next()
+}
+
+// next makes the watch's next call. The watch goes on only if that comes within 200 ms of the last answer.
+func (c *Client) next() {
+	target := fmt.Sprintf("%s?from=%d&hold_ms=%d", path, c.rev, hold.Milliseconds())
+	c.watch = c.start(target, hold+answerWithin, func(ch proxy.Change, err error) {
+		c.watch = nil
+		if err != nil {
+			// The module decides when to ask again; it backs off.
+			c.wanted = false
+			c.failed(err)
+			return
+		}
+		c.next()
+		if c.first || len(ch.Hosts) > 0 || ch.Kind == brain.ListFull {
+			c.first = false
+			c.tell(ch)
+		}
+	})
+}
+
+// Fetch asks for the whole list once.
+func (c *Client) Fetch() {
+	if c.fetch != nil {
+		return
+	}
+	c.fetch = c.start(path, fetchWithin, func(ch proxy.Change, err error) {
+		c.fetch = nil
+		if err != nil {
+			c.failed(err)
+			return
+		}
+		c.tell(ch)
+	})
+}
+
+func (c *Client) failed(err error) {
+	if c.lastErr != err.Error() {
+		c.lastErr = err.Error()
+		log.Printf("event=discovery_failed reason=%q", err)
+	}
+	c.tell(proxy.Change{Kind: brain.ListFailed})
+}
+
+func (c *Client) start(target string, within time.Duration, done func(proxy.Change, error)) *call {
+	q := &call{client: c, target: target, done: done}
+	q.timer = c.loop.After(within, func() { q.finish(nil, fmt.Errorf("no answer in %v", within)) })
+	if c.idle != nil && !c.idle.Over() {
+		q.conn, q.reused, c.idle = c.idle, true, nil
+		q.conn.SetHandler(q)
+		q.send()
+		return q
+	}
+	q.connect()
+	return q
+}
+
+func (q *call) connect() {
+	c := q.client
+	q.dial = c.dialer.Dial(c.addr, connectWithin, inputLimit, q, func(conn *netio.Conn, err *netio.Error) {
+		q.dial = nil
+		if err != nil {
+			q.finish(nil, err)
+			return
+		}
+		q.conn = conn
+		q.send()
+	})
+}
+
+func (q *call) send() {
+	q.conn.Write([]byte("GET " + q.target + " HTTP/1.1\r\nHost: " + q.client.addr + "\r\nAccept: application/json\r\n\r\n"))
+}
+
+// Data looks whether the response is complete.
+func (q *call) Data(c *netio.Conn) { q.look(false) }
+
+func (q *call) look(ended bool) {
+	r, err := parseResponse(q.conn.Input().Bytes(), ended)
+	if r != nil || err != nil {
+		q.finish(r, err)
+	}
+}
+
+// Writable is nothing to a call: its request is one short write.
+func (q *call) Writable(*netio.Conn) {}
+
+// Closed comes when discovery ends the connection, which may complete a response.
+func (q *call) Closed(c *netio.Conn, err *netio.Error) {
+	if q.reused && c.Input().Len() == 0 {
+		// It was closed for being idle before this call reached it: that is no failure of discovery's.
+		q.reused = false
+		q.connect()
+		return
+	}
+	if err.Cause == netio.Ended {
+		q.look(true)
+		return
+	}
+	q.finish(nil, err)
+}
+
+func (q *call) finish(r *response, err error) {
+	if q.done == nil {
+		return
+	}
+	var ch proxy.Change
+	if err == nil && r.status != 200 {
+		err = fmt.Errorf("status %d", r.status)
+	}
+	if err == nil {
+		ch, err = Parse(r.body)
+	}
+	done := q.done
+	if err == nil && !r.last && !q.conn.Over() {
+		q.conn.Input().Consume(r.length)
+		q.client.idle = q.conn
+		q.conn.SetHandler(unused{q.client})
+		q.conn = nil
+	}
+	q.drop()
+	if err == nil {
+		q.client.rev = ch.Version
+		if q.client.lastErr != "" {
+			q.client.lastErr = ""
+			log.Printf("event=discovery_back rev=%d", ch.Version)
+		}
+	}
+	done(ch, err)
+}
+
+// drop ends a call without telling.
+func (q *call) drop() {
+	q.done = nil
+	q.timer.Stop()
+	q.dial.Drop()
+	if q.conn != nil {
+		q.conn.Close()
+	}
+}
+
+// unused handles a connection that waits for the next call.
+type unused struct{ client *Client }
+
+func (u unused) Data(c *netio.Conn) {
+	// Nothing was asked, so nothing can be meant.
+	c.Close()
+}
+func (u unused) Writable(*netio.Conn)             {}
+func (u unused) Closed(*netio.Conn, *netio.Error) {}
--- /dev/null
+++ b/internal/cluster/list.go
@@ -0,0 +1,57 @@
+// Package cluster is the client of discovery: it keeps a watch on the list of upstream hosts.
+package cluster
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"steplb/brain"
+	"steplb/internal/proxy"
+)
+
+type list struct {
+	Rev     *int64  `json:"rev"`
+	All     bool    `json:"all"`
+	Targets []entry `json:"targets"`
+}
+
+type entry struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Model    string  `json:"model"`
+	Group    int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Weight   float64 `json:"capacity_hint"`
+	BootMS   int64   `json:"boot_ms"`
+}
+
+var states = map[string]brain.State{"up": brain.Ready, "draining": brain.Draining, "removed": brain.Departed}
+
+// Parse reads a list or a change of it, as discovery and the configuration's known give it.
+func Parse(data []byte) (proxy.Change, error) {
+	var l list
+	if err := json.Unmarshal(data, &l); err != nil {
+		return proxy.Change{}, fmt.Errorf("list: %v", err)
+	}
+	if l.Rev == nil {
+		return proxy.Change{}, errors.New("list without rev")
+	}
+	ch := proxy.Change{Kind: brain.ListDelta, Version: *l.Rev}
+	if l.All {
+		ch.Kind = brain.ListFull
+	}
+	for i, e := range l.Targets {
+		state, ok := states[e.State]
+		if !ok {
+			return proxy.Change{}, fmt.Errorf("list entry %d: state %q, which is unknown", i, e.State)
+		}
+		if e.UID == "" || e.Endpoint == "" && state != brain.Departed {
+			return proxy.Change{}, fmt.Errorf("list entry %d: no uid or endpoint", i)
+		}
+		ch.Hosts = append(ch.Hosts, proxy.HostEntry{Endpoint: e.Endpoint, Entry: brain.Entry{ID: e.UID, State: state,
+			Zone: e.Zone, Kind: e.Model, Cell: e.Group, Weight: e.Weight, Since: e.BootMS * 1e6}})
+	}
+	return ch, nil
+}
--- /dev/null
+++ b/internal/line/conns.go
@@ -0,0 +1,277 @@
+package line
+
+import (
+	"time"
+
+	"steplb/internal/netio"
+	"steplb/internal/proxy"
+)
+
+// firstLine is how long a downstream may stay without a first line: each one holds a descriptor.
+const firstLine = 30 * time.Second
+
+// inputLimit bounds what a connection may have sent that nobody has taken: some lines of the longest kind.
+const inputLimit = 64 << 10
+
+// Front takes in clients. It turns their lines into the core's terms.
+type Front struct {
+	loop *netio.Loop
+	core *proxy.Core
+}
+
+// NewFront serves clients of the line protocol on addr.
+func NewFront(l *netio.Loop, core *proxy.Core, addr string) (*Front, error) {
+	f := &Front{loop: l, core: core}
+	return f, netio.Listen(l, addr, inputLimit, f.accept)
+}
+
+func (f *Front) accept(c *netio.Conn) netio.Handler {
+	d := &downstream{front: f, conn: c}
+	if !f.core.Admit() {
+		d.Refuse(0)
+		return d
+	}
+	d.counted = true
+	d.idle = f.loop.After(firstLine, d.close)
+	return d
+}
+
+// downstream is a client's connection.
+type downstream struct {
+	front   *Front
+	conn    *netio.Conn
+	req     *proxy.Request
+	idle    *netio.Timer
+	counted bool
+	served  bool
+}
+
+var _ proxy.Downstream = (*downstream)(nil)
+
+func (d *downstream) Data(c *netio.Conn) {
+	if d.req == nil && !d.greet() {
+		return
+	}
+	d.Pump()
+}
+
+// greet reads lines up to the one that opens a request, and tells whether it has come.
+func (d *downstream) greet() bool {
+	for !d.conn.Over() {
+		in := d.conn.Input()
+		line, err := Cut(in.Bytes())
+		if err != nil {
+			d.reject(err)
+			return false
+		}
+		if line == nil {
+			return false
+		}
+		if string(text(line)) == "PING" {
+			in.Consume(len(line))
+			// A proxy that is on its way out must not be taken in by the front.
+			if !d.front.core.Ready() || !d.conn.Write(pong) {
+				d.close()
+			}
+			continue
+		}
+		o, err := ParseOpen(line)
+		in.Consume(len(line))
+		if err != nil {
+			d.reject(err)
+			return false
+		}
+		d.idle.Stop()
+		d.req = d.front.core.Open(d, &o.Opening, o)
+		return d.req != nil
+	}
+	return false
+}
+
+// reject answers what is no request: a failure, nothing upstream.
+func (d *downstream) reject(err error) {
+	d.front.core.Rejected(err)
+	d.Fail()
+}
+
+// Pump hands the client's lines on, as far as the other side takes them.
+func (d *downstream) Pump() {
+	for d.served && !d.conn.Over() {
+		line, err := Cut(d.conn.Input().Bytes())
+		if err != nil {
+			d.conn.Close()
+			d.req.DownstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.Dropped, Detail: err})
+			return
+		}
+		if line == nil || !d.req.FromDownstream(proxy.Message{Text: line}) {
+			return
+		}
+		d.conn.Input().Consume(len(line))
+	}
+}
+
+func (d *downstream) Writable(c *netio.Conn) {
+	if d.req != nil {
+		d.req.DownstreamReady()
+	}
+}
+
+func (d *downstream) Closed(c *netio.Conn, err *netio.Error) {
+	d.forget()
+	if d.req != nil {
+		d.req.DownstreamEnded(err)
+	}
+}
+
+func (d *downstream) forget() {
+	d.idle.Stop()
+	if d.counted {
+		d.counted = false
+		d.front.core.Left()
+	}
+}
+
+func (d *downstream) close() {
+	d.forget()
+	d.conn.Close()
+}
+
+// Serve passes the host's own acceptance on.
+func (d *downstream) Serve(receipt proxy.Message) {
+	d.conn.Write(receipt.Text)
+	d.served = true
+	// What the client sent along with its first line waits in the buffer.
+	d.front.loop.Post(d.Pump)
+}
+
+// Pass hands on a line of the host's; false: not now.
+func (d *downstream) Pass(m proxy.Message) bool { return d.conn.Write(m.Text) }
+
+func (d *downstream) Refuse(after time.Duration) { d.last(busy(after)) }
+func (d *downstream) Fail()                      { d.last(fault) }
+func (d *downstream) Move()                      { d.last(move) }
+
+func (d *downstream) last(p []byte) {
+	d.conn.Write(p)
+	d.close()
+}
+
+// End ends the client's connection as the host's ended.
+func (d *downstream) End(cause netio.Cause) {
+	d.forget()
+	end(d.conn, cause)
+}
+
+func end(c *netio.Conn, cause netio.Cause) {
+	if cause == netio.Broke {
+		c.Abort()
+		return
+	}
+	c.Close()
+}
+
+// Hosts opens connections to upstream hosts.
+type Hosts struct {
+	loop   *netio.Loop
+	dialer *netio.Dialer
+}
+
+// NewHosts uses the given dialers.
+func NewHosts(l *netio.Loop, d *netio.Dialer) *Hosts { return &Hosts{loop: l, dialer: d} }
+
+// Start begins one upstream request.
+func (h *Hosts) Start(endpoint string, first proxy.First, until int64, connect time.Duration,
+	ev proxy.UpstreamEvents) proxy.Upstream {
+	u := &upstream{loop: h.loop, events: ev, first: first, until: until}
+	u.dial = h.dialer.Dial(endpoint, connect, inputLimit, u, u.connected)
+	return u
+}
+
+// upstream is the connection of one upstream request.
+type upstream struct {
+	loop   *netio.Loop
+	events proxy.UpstreamEvents
+	first  proxy.First
+	until  int64
+	dial   *netio.Dial
+	conn   *netio.Conn
+	stage  netio.Stage
+	done   bool
+}
+
+var _ proxy.Upstream = (*upstream)(nil)
+
+func (u *upstream) connected(c *netio.Conn, err *netio.Error) {
+	u.dial = nil
+	if err != nil {
+		u.finish(err)
+		return
+	}
+	u.conn, u.stage = c, netio.Sending
+	c.Write(u.first.WithWait(time.Duration(u.until - u.loop.Now())))
+	if !c.Blocked() {
+		u.stage = netio.Sent
+	}
+}
+
+func (u *upstream) Data(c *netio.Conn) { u.Pump() }
+
+// Pump hands the host's lines on, as far as the other side takes them.
+func (u *upstream) Pump() {
+	for !u.done && u.conn != nil && !u.conn.Over() {
+		line, err := Cut(u.conn.Input().Bytes())
+		if err != nil {
+			u.conn.Close()
+			u.finish(&netio.Error{Stage: u.stage, Cause: netio.Dropped, Detail: err})
+			return
+		}
+		if line == nil {
+			return
+		}
+		m := ParseHost(line)
+		if m.Kind == proxy.Receipt && u.stage < netio.Up {
+			u.stage = netio.Up
+		}
+		if !u.events.FromUpstream(m) {
+			return
+		}
+		if !u.conn.Over() {
+			u.conn.Input().Consume(len(line))
+		}
+	}
+}
+
+func (u *upstream) Writable(c *netio.Conn) {
+	if u.stage == netio.Sending {
+		u.stage = netio.Sent
+		return
+	}
+	u.events.UpstreamReady()
+}
+
+func (u *upstream) Closed(c *netio.Conn, err *netio.Error) {
+	// The connection knows that it stood; how far the request on it had come is known here.
+	u.finish(&netio.Error{Stage: u.stage, Cause: err.Cause, Detail: err.Detail})
+}
+
+func (u *upstream) finish(err *netio.Error) {
+	if !u.done {
+		u.done = true
+		u.events.UpstreamEnded(err)
+	}
+}
+
+// Pass hands on a line of the client's; false: not now.
+func (u *upstream) Pass(m proxy.Message) bool { return u.conn.Write(m.Text) }
+
+// Stage is how far the request has come.
+func (u *upstream) Stage() netio.Stage { return u.stage }
+
+// End gives the request up, or ends the connection as the client's ended. Nothing more is told.
+func (u *upstream) End(cause netio.Cause) {
+	u.done = true
+	u.dial.Drop()
+	if u.conn != nil {
+		end(u.conn, cause)
+	}
+}
--- /dev/null
+++ b/internal/line/line.go
@@ -0,0 +1,178 @@
+// Package line speaks the platform's protocol: lines of text that end with CRLF. It parses and writes them and
+// holds the connections on both sides that carry them. It decides nothing.
+package line
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"steplb/internal/proxy"
+)
+
+// Max is the longest line there is, its CRLF included.
+const Max = 4096
+
+// What can be wrong with a line.
+var (
+	ErrTooLong   = errors.New("line over 4 KiB")
+	ErrMalformed = errors.New("malformed line")
+)
+
+// Cut finds the first line in b. It gives the line with its CRLF, or nil while its end has not come yet.
+func Cut(b []byte) ([]byte, error) {
+	i := bytes.IndexByte(b[:min(len(b), Max)], '\n')
+	switch {
+	case i >= 1 && b[i-1] == '\r':
+		return b[:i+1], nil
+	case i >= 0:
+		return nil, ErrMalformed // a lone line feed ends no line of this protocol
+	case len(b) >= Max:
+		return nil, ErrTooLong
+	}
+	return nil, nil
+}
+
+// text is a line without its CRLF.
+func text(line []byte) []byte { return bytes.TrimSuffix(line, []byte("\r\n")) }
+
+// word splits off the first word of a line.
+func word(line []byte) (string, string) {
+	first, rest, _ := strings.Cut(string(text(line)), " ")
+	return first, rest
+}
+
+// Open is a client's first line.
+type Open struct {
+	proxy.Opening
+	line     []byte // as it came, CRLF included
+	from, to int    // where the value of d stands in it; to is 0 where there is none
+}
+
+// ParseOpen reads a client's first line. It copies what it keeps.
+func ParseOpen(line []byte) (*Open, error) {
+	for _, c := range text(line) {
+		if c < ' ' || c == 0x7f {
+			return nil, ErrMalformed
+		}
+	}
+	o := &Open{line: bytes.Clone(line)}
+	s := string(text(line))
+	parts := strings.Split(s, " ")
+	if len(parts) < 3 || len(parts) > 4 || parts[0] != "OPEN" || parts[1] == "" || parts[2] == "" {
+		return nil, ErrMalformed
+	}
+	o.ID, o.Key = parts[1], parts[2]
+	if len(parts) == 3 || parts[3] == "" {
+		return o, nil
+	}
+	at := len(s) - len(parts[3])
+	for _, pair := range strings.Split(parts[3], ",") {
+		name, value, found := strings.Cut(pair, "=")
+		if !found || name == "" {
+			return nil, ErrMalformed
+		}
+		if err := o.set(name, value, at+len(name)+1); err != nil {
+			return nil, err
+		}
+		at += len(pair) + 1
+	}
+	return o, nil
+}
+
+// set takes one named value; at is where it stands in the line. Names that mean nothing here pass: the platform may
+// add some, and the upstream host gets the line as it is.
+func (o *Open) set(name, value string, at int) error {
+	switch name {
+	case "c":
+		o.Class = value
+	case "t":
+		o.Tenant = value
+	case "g":
+		o.Group = value
+	case "at":
+		o.At = value
+	case "r":
+		o.Repeat = value == "1"
+	case "again":
+		o.Returned = value == "1"
+	case "h":
+		h, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(h >= 0 && h < 1e18) {
+			return ErrMalformed
+		}
+		o.Hint = h
+	case "d":
+		ms, err := strconv.ParseUint(value, 10, 31)
+		if err != nil || o.to > 0 {
+			return ErrMalformed
+		}
+		o.Wait, o.HasWait = time.Duration(ms)*time.Millisecond, true
+		o.from, o.to = at, at+len(value)
+	}
+	return nil
+}
+
+// WithWait is the line for an upstream host: as the client sent it, but with d telling how long this proxy waits.
+func (o *Open) WithWait(wait time.Duration) []byte {
+	ms := strconv.AppendInt(nil, max(1, wait.Milliseconds()), 10)
+	out := make([]byte, 0, len(o.line)+len(ms)+3)
+	if o.to > 0 {
+		out = append(out, o.line[:o.from]...)
+		out = append(out, ms...)
+		return append(out, o.line[o.to:]...)
+	}
+	body := text(o.line)
+	out = append(out, body...)
+	switch {
+	case body[len(body)-1] == ' ':
+	case bytes.Count(body, []byte(" ")) >= 3:
+		out = append(out, ',')
+	default:
+		out = append(out, ' ')
+	}
+	out = append(out, "d="...)
+	out = append(out, ms...)
+	return append(out, "\r\n"...)
+}
+
+// ParseHost reads a line of an upstream host.
+func ParseHost(line []byte) proxy.Message {
+	m := proxy.Message{Text: line}
+	first, rest := word(line)
+	switch first {
+	case "UP":
+		m.Kind = proxy.Receipt
+	case "BUSY":
+		m.Kind = proxy.Busy
+	case "ERR":
+		m.Kind = proxy.Fault
+	case "BYE":
+		m.Kind = proxy.Farewell
+	case "MOVE":
+		m.Kind = proxy.MoveAway
+	case "LOAD":
+		if x, err := strconv.ParseFloat(strings.TrimSpace(rest), 64); err == nil && x >= 0 && x < 1e15 {
+			m.Kind, m.Load = proxy.LoadTold, x
+		}
+	}
+	return m
+}
+
+// The lines that a proxy says in its own name.
+var (
+	pong  = []byte("PONG\r\n")
+	fault = []byte("ERR\r\n")
+	move  = []byte("MOVE\r\n")
+)
+
+// busy is a refusal. Advice below a millisecond is still advice.
+func busy(after time.Duration) []byte {
+	if after <= 0 {
+		return []byte("BUSY\r\n")
+	}
+	ms := (after + time.Millisecond - 1).Milliseconds()
+	return append(strconv.AppendInt([]byte("BUSY "), ms, 10), "\r\n"...)
+}
--- /dev/null
+++ b/internal/netio/conn.go
@@ -0,0 +1,303 @@
+package netio
+
+import (
+	"context"
+	"errors"
+	"log"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+)
+
+// Handler takes what happens on a connection. All calls come on the loop.
+type Handler interface {
+	// Data says that Input has grown.
+	Data(c *Conn)
+	// Writable says that a peer which had stopped taking bytes takes them again.
+	Writable(c *Conn)
+	// Closed says that the connection is over for a reason that did not come from this side. It is the last call.
+	// It tells of a panic of the handler's own as well.
+	Closed(c *Conn, err *Error)
+}
+
+// How long to wait before a peer that takes no bytes is offered them again.
+const (
+	firstRetry = 2 * time.Millisecond
+	lastRetry  = 64 * time.Millisecond
+)
+
+// lingering is how long a closed connection may still take to deliver the rest of its last line.
+const lingering = time.Second
+
+// Conn is one connection. It has one buffer, for what has come in; what goes out is handed to the kernel at once,
+// and of a line that the kernel takes only in part the rest is kept until it takes that too. Until then Write
+// refuses, so the source keeps its own bytes and stops reading: that is the back-pressure.
+type Conn struct {
+	loop    *Loop
+	handler Handler
+	np      netpoll.Connection
+	in      Buffer
+	rest    []byte // of the one line that is partly written
+	retry   *Timer
+	pause   time.Duration
+	over    bool  // Closed was called, or this side closed
+	until   int64 // over with a line still partly written: the moment at which its rest is given up
+
+	// netpoll may close the descriptor on a goroutine of its own, after which its number can belong to another
+	// connection. Whoever uses the number holds mu.
+	mu sync.Mutex
+	fd int
+}
+
+// current is where netpoll's tasks run. netpoll has one set of pollers for a process, hence one runner.
+var current struct {
+	sync.Mutex
+	loop *Loop
+}
+
+// Attach makes l the loop on which netpoll runs the callbacks of this process. One poller suits a machine of one
+// core, and it only reads: nothing that blocks happens on it.
+func Attach(l *Loop) error {
+	current.Lock()
+	current.loop = l
+	current.Unlock()
+	return netpoll.Configure(netpoll.Config{
+		PollerNum:  1,
+		BufferSize: 1024,
+		Runner: func(_ context.Context, f func()) {
+			current.Lock()
+			to := current.loop
+			current.Unlock()
+			to.Post(f)
+		},
+		LoggerOutput: netpollLog{},
+	})
+}
+
+// netpollLog brings netpoll's own complaints into the form of this program's log.
+type netpollLog struct{}
+
+func (netpollLog) Write(p []byte) (int, error) {
+	log.Printf("event=netpoll text=%q", p)
+	return len(p), nil
+}
+
+// newConn wraps a connection of netpoll's that stands. limit bounds the input buffer.
+func newConn(l *Loop, np netpoll.Connection, limit int) *Conn {
+	c := &Conn{loop: l, np: np, in: NewBuffer(limit), fd: -1}
+	if d, ok := np.(netpoll.Conn); ok {
+		c.fd = d.Fd()
+	}
+	return c
+}
+
+// start begins delivery to h. It is called on the loop.
+func (c *Conn) start(h Handler) {
+	c.handler = h
+	c.np.AddCloseCallback(c.closed)
+	c.np.SetOnRequest(func(context.Context, netpoll.Connection) error {
+		c.read()
+		return nil
+	})
+	if !c.np.IsActive() {
+		// The peer was gone before the callbacks were in place; closing makes netpoll call the one above.
+		c.np.Close()
+	}
+}
+
+// SetHandler gives the connection another handler, on the loop.
+func (c *Conn) SetHandler(h Handler) { c.handler = h }
+
+// Input is what has come in. The handler consumes from it.
+func (c *Conn) Input() *Buffer { return &c.in }
+
+// Over tells whether the connection has ended, from either side.
+func (c *Conn) Over() bool { return c.over }
+
+// read takes over what netpoll holds. netpoll calls it on the loop.
+func (c *Conn) read() {
+	for c.np.Reader().Len() > 0 {
+		n := c.np.Reader().Len()
+		if c.over {
+			c.np.Reader().Skip(n)
+			continue
+		}
+		space := c.in.Reserve(n)
+		if len(space) == 0 {
+			c.np.Reader().Skip(n)
+			c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errors.New("more input than the limit")})
+			continue
+		}
+		got, err := c.np.Read(space)
+		if err != nil {
+			break
+		}
+		c.in.Extend(got)
+		c.deliver()
+	}
+	c.np.Reader().Release()
+}
+
+func (c *Conn) deliver() {
+	if !c.over {
+		c.guard(func() { c.handler.Data(c) })
+	}
+}
+
+// guard stops a panic at the connection it came from, and tells the handler so that a request waiting on it still
+// gets its answer.
+func (c *Conn) guard(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=connection reason=%q stack=%q", p, debug.Stack())
+			c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errors.New("panic")})
+		}
+	}()
+	f()
+}
+
+// closed is netpoll's word that the connection is closed. It may come on a goroutine of netpoll's.
+func (c *Conn) closed(np netpoll.Connection) error {
+	cause := Ended
+	c.mu.Lock()
+	if c.fd >= 0 {
+		cause = c.howEnded()
+		c.fd = -1 // the number is another's from here on
+	}
+	c.mu.Unlock()
+	var tail []byte
+	if n := np.Reader().Len(); n > 0 {
+		// Bytes that came right before the end, with no task of netpoll's left to bring them.
+		tail = make([]byte, n)
+		np.Read(tail)
+	}
+	c.loop.Post(func() {
+		if c.over {
+			return
+		}
+		if len(tail) > 0 {
+			c.in.Append(tail)
+			c.deliver()
+		}
+		c.fail(&Error{Stage: Up, Cause: cause})
+	})
+	return nil
+}
+
+// howEnded asks the kernel whether the peer ended in order: netpoll reports a reset as an end. mu is held.
+func (c *Conn) howEnded() Cause {
+	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	const tcpClose = 7
+	if err != nil || info.State == tcpClose {
+		return Broke
+	}
+	return Ended
+}
+
+// fail closes the connection and tells the handler why.
+func (c *Conn) fail(err *Error) {
+	if c.over {
+		return
+	}
+	held := c.in
+	c.Close()
+	c.in = held // the handler may still want what came before the end
+	defer func() {
+		c.in = Buffer{}
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=close reason=%q stack=%q", p, debug.Stack())
+		}
+	}()
+	c.handler.Closed(c, err)
+}
+
+// Write hands one line to the kernel. It tells false, and takes nothing, while the rest of an earlier one waits;
+// Writable says when to come again.
+func (c *Conn) Write(p []byte) bool {
+	if c.over {
+		return true // its end is on the way to the handler, or came from it
+	}
+	if len(c.rest) > 0 {
+		return false
+	}
+	if n := c.send(p); n < len(p) {
+		c.rest = append(c.rest, p[n:]...)
+		c.pause = firstRetry
+		c.retry = c.loop.After(c.pause, c.flush)
+	}
+	return true
+}
+
+// Blocked tells whether the rest of a line waits for the peer.
+func (c *Conn) Blocked() bool { return len(c.rest) > 0 }
+
+// flush offers the peer the rest of a line again. netpoll's own Flush would block the loop until a slow reader has
+// taken everything, and its poller watches for writing only inside that call; so the offer is renewed by a timer,
+// more and more seldom.
+func (c *Conn) flush() {
+	n := c.send(c.rest)
+	c.rest = c.rest[:copy(c.rest, c.rest[n:])]
+	switch {
+	case len(c.rest) > 0 && !(c.over && c.loop.Now() > c.until):
+		c.pause = min(2*c.pause, lastRetry)
+		c.retry = c.loop.After(c.pause, c.flush)
+	case c.over:
+		c.np.Close()
+	default:
+		c.rest = nil
+		c.guard(func() { c.handler.Writable(c) })
+	}
+}
+
+// send gives the kernel what it takes right now. A connection that is broken takes everything: its end is reported
+// by netpoll, in its own time.
+func (c *Conn) send(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	done := 0
+	for c.fd >= 0 && done < len(p) {
+		n, err := unix.SendmsgN(c.fd, p[done:], nil, nil, unix.MSG_NOSIGNAL|unix.MSG_DONTWAIT)
+		switch {
+		case err == nil:
+			done += n
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			return done
+		default:
+			return len(p)
+		}
+	}
+	return len(p)
+}
+
+// Close ends the connection in order: what was written goes out, then the end.
+func (c *Conn) Close() {
+	if c.over {
+		return
+	}
+	c.over, c.in = true, Buffer{}
+	if len(c.rest) > 0 {
+		c.until = c.loop.Now() + int64(lingering)
+		return // flush closes: a line must not end in its middle because its reader is slow
+	}
+	c.np.Close()
+}
+
+// Abort ends it with a reset.
+func (c *Conn) Abort() {
+	if c.over {
+		return
+	}
+	c.mu.Lock()
+	if c.fd >= 0 {
+		unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
+	c.mu.Unlock()
+	c.retry.Stop()
+	c.rest = nil
+	c.Close()
+}
--- /dev/null
+++ b/internal/netio/dial.go
@@ -0,0 +1,153 @@
+package netio
+
+import (
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Dialer opens connections. netpoll's dial blocks its caller until the peer answers or time runs out, so a fixed
+// set of dialers does the waiting. No address may keep more than a quarter of them: a host that has vanished takes
+// the whole time limit for each dial, and must not hold up the dials to all others.
+type Dialer struct {
+	loop *Loop
+
+	mu      sync.Mutex
+	ready   *sync.Cond
+	waiting []*Dial
+	busy    map[string]int
+	share   int
+}
+
+// Dial is one connection being opened.
+type Dial struct {
+	dialer   *Dialer
+	addr     string
+	limit    int
+	deadline int64
+	handler  Handler
+	done     func(*Conn, *Error)
+	dropped  bool // guarded by the dialer's mu
+	expiry   *Timer
+}
+
+// NewDialer starts n dialers.
+func NewDialer(l *Loop, n int) *Dialer {
+	d := &Dialer{loop: l, busy: map[string]int{}, share: max(1, n/4)}
+	d.ready = sync.NewCond(&d.mu)
+	for range n {
+		go d.work()
+	}
+	return d
+}
+
+// Dial opens a connection to addr within the time given, waiting for a dialer included, and calls done on the loop,
+// once, unless Drop comes first. h handles the connection; limit bounds its input.
+func (d *Dialer) Dial(addr string, within time.Duration, limit int, h Handler, done func(*Conn, *Error)) *Dial {
+	q := &Dial{dialer: d, addr: addr, limit: limit, deadline: d.loop.Now() + int64(within), handler: h, done: done}
+	// The limit holds on the loop's own clock too: a dial still queued when it passes is over.
+	q.expiry = d.loop.After(within, func() {
+		q.finish(nil, &Error{Stage: Connecting, Cause: Expired})
+	})
+	d.mu.Lock()
+	d.waiting = append(d.waiting, q)
+	d.mu.Unlock()
+	d.ready.Signal()
+	return q
+}
+
+// Drop gives the dial up; done is not called any more. A nil Dial is none.
+func (q *Dial) Drop() {
+	if q != nil {
+		q.settle()
+	}
+}
+
+// settle makes sure that a dial ends once, and tells whether this was the time.
+func (q *Dial) settle() bool {
+	q.expiry.Stop()
+	q.dialer.mu.Lock()
+	defer q.dialer.mu.Unlock()
+	was := q.dropped
+	q.dropped = true
+	return !was
+}
+
+func (q *Dial) finish(np netpoll.Connection, err *Error) {
+	if !q.settle() {
+		if np != nil {
+			np.Close()
+		}
+		return
+	}
+	if err != nil {
+		q.done(nil, err)
+		return
+	}
+	c := newConn(q.dialer.loop, np, q.limit)
+	c.handler = q.handler
+	c.guard(func() { q.done(c, nil) })
+	if !c.Over() {
+		c.start(q.handler)
+	}
+}
+
+// next is the oldest dial that may begin; those dropped while they waited are never begun.
+func (d *Dialer) next() *Dial {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for {
+		kept := d.waiting[:0]
+		var found *Dial
+		for _, q := range d.waiting {
+			switch {
+			case q.dropped:
+			case found == nil && d.busy[q.addr] < d.share:
+				found = q
+			default:
+				kept = append(kept, q)
+			}
+		}
+		clear(d.waiting[len(kept):])
+		d.waiting = kept
+		if found != nil {
+			d.busy[found.addr]++
+			return found
+		}
+		d.ready.Wait()
+	}
+}
+
+func (d *Dialer) work() {
+	for {
+		q := d.next()
+		var np netpoll.Connection
+		fault := error(errors.New("no time left"))
+		if left := time.Duration(q.deadline - d.loop.Now()); left > 0 {
+			np, fault = netpoll.DialConnection("tcp", q.addr, left)
+		}
+		d.mu.Lock()
+		if d.busy[q.addr]--; d.busy[q.addr] == 0 {
+			delete(d.busy, q.addr)
+		}
+		d.mu.Unlock()
+		d.ready.Signal()
+		d.loop.Post(func() {
+			if fault != nil {
+				q.finish(nil, &Error{Stage: Connecting, Cause: causeOf(fault), Detail: fault})
+				return
+			}
+			q.finish(np, nil)
+		})
+	}
+}
+
+func causeOf(err error) Cause {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		return Refused
+	}
+	return Expired
+}
--- /dev/null
+++ b/internal/netio/errors.go
@@ -0,0 +1,52 @@
+package netio
+
+import "fmt"
+
+// Stage is how far an attempt to reach a peer has come. What a failure means for a request depends on it alone: up
+// to Sending the peer cannot have acted on it, from Sent on it may have.
+type Stage int
+
+// The stages, in order.
+const (
+	Connecting Stage = iota // the connection does not stand yet
+	Sending                 // it stands, the first line is not wholly written
+	Sent                    // the first line's last byte is written
+	Up                      // the peer has accepted
+)
+
+var stageNames = [...]string{"connecting", "sending", "sent", "up"}
+
+func (s Stage) String() string { return stageNames[s] }
+
+// Cause is why a connection is over.
+type Cause int
+
+// The causes.
+const (
+	Ended   Cause = iota // the peer ended its side in order
+	Broke                // the connection was reset, or the machine says it is dead
+	Refused              // it never stood
+	Expired              // it did not stand in time
+	Dropped              // this side gave it up: a limit, a fault, a change of mind
+)
+
+var causeNames = [...]string{"ended", "broke", "refused", "expired", "dropped"}
+
+func (c Cause) String() string { return causeNames[c] }
+
+// Error is the end of a connection, with how far it had come.
+type Error struct {
+	Stage  Stage
+	Cause  Cause
+	Detail error // what the system or the parser said; may be nil
+}
+
+func (e *Error) Error() string {
+	if e.Detail != nil {
+		return fmt.Sprintf("%s while %s: %v", e.Cause, e.Stage, e.Detail)
+	}
+	return fmt.Sprintf("%s while %s", e.Cause, e.Stage)
+}
+
+// Unwrap gives what the system said.
+func (e *Error) Unwrap() error { return e.Detail }
--- /dev/null
+++ b/internal/netio/listen.go
@@ -0,0 +1,48 @@
+package netio
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"net"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Listen accepts connections on addr and gives each one, on the loop, to accept, which names its handler. limit
+// bounds each connection's input buffer. Running out of descriptors does not end it: netpoll sets the listener aside
+// for a while and takes it up again.
+func Listen(l *Loop, addr string, limit int, accept func(c *Conn) Handler) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	// The callbacks of a connection are set only once the loop has it; what comes before waits in netpoll.
+	events, err := netpoll.NewEventLoop(nil, netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
+		l.Post(func() {
+			c := newConn(l, np, limit)
+			c.handler = nobody{}
+			c.guard(func() {
+				if h := accept(c); !c.Over() {
+					c.start(h)
+				}
+			})
+		})
+		return nil
+	}))
+	if err != nil {
+		return err
+	}
+	go func() {
+		// Serve ends only with the listener, and that lives as long as the process.
+		log.Fatalf("event=listener_lost addr=%s reason=%q", addr, fmt.Sprint(events.Serve(ln)))
+	}()
+	return nil
+}
+
+// nobody is the handler of a connection that was not taken.
+type nobody struct{}
+
+func (nobody) Data(*Conn)           {}
+func (nobody) Writable(*Conn)       {}
+func (nobody) Closed(*Conn, *Error) {}
--- /dev/null
+++ b/internal/netio/loop.go
@@ -0,0 +1,153 @@
+// Package netio puts netpoll's connections behind one owner: a loop that runs every callback, every timer and every
+// posted task one after the other. What it serves needs no locks of its own, and a slow or silent peer costs it a
+// table entry, never a goroutine.
+package netio
+
+import (
+	"container/heap"
+	"log"
+	"runtime/debug"
+	"sync"
+	"time"
+)
+
+// Loop is the one owner. All its methods but Post, Now and Run belong to the goroutine that runs it.
+type Loop struct {
+	mu      sync.Mutex
+	queue   []func()
+	spare   []func()
+	wake    chan struct{}
+	stopped bool
+
+	timers timerHeap
+	order  uint64
+
+	// The clock is Unix time as it was at the start plus what has passed since on the monotonic clock, so that a
+	// step of the system's clock moves no deadline and boot times given in Unix time compare directly.
+	began time.Time
+	base  int64
+}
+
+// NewLoop makes a loop; its clock starts now.
+func NewLoop() *Loop {
+	now := time.Now()
+	return &Loop{wake: make(chan struct{}, 1), began: now, base: now.UnixNano()}
+}
+
+// Now is the loop's time in nanoseconds since 1970.
+func (l *Loop) Now() int64 { return l.base + int64(time.Since(l.began)) }
+
+// Post has the loop run f after what is already queued. It may be called from any goroutine and never blocks.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.queue = append(l.queue, f)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Stop ends Run once the task under way returns.
+func (l *Loop) Stop() {
+	l.Post(func() { l.stopped = true })
+}
+
+// Run serves tasks and timers until Stop.
+func (l *Loop) Run() {
+	clock := time.NewTimer(time.Hour)
+	defer clock.Stop()
+	for !l.stopped {
+		l.mu.Lock()
+		tasks := l.queue
+		l.queue, l.spare = l.spare[:0], nil
+		l.mu.Unlock()
+		for i, f := range tasks {
+			tasks[i] = nil
+			l.guard(f)
+			l.fire()
+		}
+		l.spare = tasks[:0]
+		wait := l.fire()
+		if len(tasks) > 0 {
+			continue
+		}
+		clock.Reset(wait)
+		select {
+		case <-l.wake:
+		case <-clock.C:
+		}
+	}
+}
+
+// guard keeps a panic from ending the process: the connections guard their own callbacks and answer for them, so
+// what reaches this point belongs to no connection.
+func (l *Loop) guard(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=loop reason=%q stack=%q", p, debug.Stack())
+		}
+	}()
+	f()
+}
+
+// fire runs the timers that are due and tells how long the next one has to wait.
+func (l *Loop) fire() time.Duration {
+	for len(l.timers) > 0 {
+		t := l.timers[0]
+		if wait := t.at - l.Now(); wait > 0 {
+			return time.Duration(wait)
+		}
+		heap.Pop(&l.timers)
+		l.guard(t.f)
+	}
+	return time.Hour
+}
+
+// Timer is one pending call. A nil Timer is one that never was; stopping it is harmless.
+type Timer struct {
+	at    int64
+	order uint64 // timers of the same moment fire in the order they were set
+	place int    // in the heap; -1 once fired or stopped
+	f     func()
+	loop  *Loop
+}
+
+// After calls f on the loop once d has passed.
+func (l *Loop) After(d time.Duration, f func()) *Timer {
+	l.order++
+	t := &Timer{at: l.Now() + int64(max(d, 0)), order: l.order, f: f, loop: l}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// Stop forgets the call if it has not begun.
+func (t *Timer) Stop() {
+	if t != nil && t.place >= 0 {
+		heap.Remove(&t.loop.timers, t.place)
+	}
+}
+
+type timerHeap []*Timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+}
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+func (h *timerHeap) Push(x any) {
+	t := x.(*Timer)
+	t.place = len(*h)
+	*h = append(*h, t)
+}
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.place = -1
+	return t
+}
--- /dev/null
+++ b/internal/proxy/core.go
@@ -0,0 +1,273 @@
+package proxy
+
+import (
+	"fmt"
+	"log"
+	"runtime/debug"
+	"time"
+
+	"steplb/brain"
+	"steplb/internal/netio"
+)
+
+// Decider is the part of the decision module that the core calls.
+type Decider interface {
+	Request(now brain.Time, q brain.Request)
+	Open(now brain.Time, q brain.Request, server string)
+	First(now brain.Time, id string, attempt int, elapsed brain.Time)
+	Outcome(now brain.Time, id string, attempt int, status brain.Status, elapsed brain.Time, closed bool, load []float64)
+	Gone(now brain.Time, id string)
+	Note(now brain.Time, id string, attempt int, kind brain.NoteKind, value float64)
+	Members(now brain.Time, kind brain.ListKind, version int64, entries []brain.Entry)
+	Timer(now brain.Time, token string)
+}
+
+// Discovery is what the decision module may ask of discovery.
+type Discovery interface {
+	Watch(on bool)
+	Fetch()
+}
+
+// Options are what the core is told at its start.
+type Options struct {
+	Settings brain.Config
+	Sessions int // how many downstreams it takes at most
+}
+
+// Core is one proxy.
+type Core struct {
+	loop      *netio.Loop
+	opt       Options
+	starter   Starter
+	discovery Discovery
+	module    Decider
+	classes   map[string]int
+	tenants   map[string]int
+
+	hosts    map[string]*host
+	requests map[string]*Request
+
+	// The module is single-threaded and its effects must not call it: they are kept in effects while it runs, and
+	// what they cause is kept in calls until they have all been carried out.
+	deciding bool
+	calls    []call
+	effects  []func()
+
+	sessions int
+	leaving  bool
+	counts   Counts
+}
+
+// Counts are what the core has done since its start or since they were last logged.
+type Counts struct {
+	Opened, Served, Refused, Failed, Rejected, Moved, Lost int
+}
+
+type call struct {
+	about *Request
+	f     func(now brain.Time)
+}
+
+// host is an upstream host as this proxy knows it.
+type host struct {
+	id       string
+	endpoint string
+	state    brain.State
+	up       map[*Request]struct{} // its open connections
+	trying   map[*upstreamRequest]struct{}
+	delay    messageDelay
+}
+
+// New makes a core. Module and Discovery are set by Run.
+func New(l *netio.Loop, starter Starter, opt Options) *Core {
+	c := &Core{loop: l, starter: starter, opt: opt, classes: map[string]int{}, tenants: map[string]int{},
+		hosts: map[string]*host{}, requests: map[string]*Request{}}
+	for i, k := range opt.Settings.Classes {
+		c.classes[k.Name] = i
+	}
+	for i, t := range opt.Settings.Tenants {
+		c.tenants[t.Name] = i
+	}
+	return c
+}
+
+// Run gives the core its decision module, made for it by make with the core's effects, and the list it starts from.
+func (c *Core) Run(make func(fx brain.Effects) (Decider, error), d Discovery, known Change) error {
+	m, err := make((*effects)(c))
+	if err != nil {
+		return err
+	}
+	c.module, c.discovery = m, d
+	c.Listed(known)
+	c.loop.After(watchEvery, c.watchSessions)
+	return nil
+}
+
+// Ready tells whether clients may come.
+func (c *Core) Ready() bool { return c.module != nil && !c.leaving }
+
+// Admit asks for room for one more downstream. Each may come to need two descriptors, and running out of them would
+// strike connections that already stand.
+func (c *Core) Admit() bool {
+	if c.sessions >= c.opt.Sessions {
+		c.counts.Refused++
+		return false
+	}
+	c.sessions++
+	return true
+}
+
+// Left gives that room back.
+func (c *Core) Left() { c.sessions-- }
+
+// Sessions is how many downstreams there are.
+func (c *Core) Sessions() int { return c.sessions }
+
+// Rejected notes that a client sent what is no request.
+func (c *Core) Rejected(err error) {
+	c.counts.Rejected++
+	if c.counts.Rejected == 1 {
+		log.Printf("event=rejected reason=%q", err)
+	}
+}
+
+// decide has the module take one event, then carries out what it did, in order, and then whatever that caused. about
+// is the request that is answered for should the module panic; it may be nil.
+func (c *Core) decide(about *Request, f func(now brain.Time)) {
+	c.calls = append(c.calls, call{about, f})
+	if c.deciding {
+		return
+	}
+	c.deciding = true
+	defer func() { c.deciding = false }()
+	for len(c.calls) > 0 {
+		next := c.calls[0]
+		c.calls = c.calls[1:]
+		c.guard(next.about, func() { next.f(c.loop.Now()) })
+		for len(c.effects) > 0 {
+			do := c.effects[0]
+			c.effects = c.effects[1:]
+			c.guard(next.about, do)
+		}
+	}
+	c.calls, c.effects = nil, nil
+}
+
+// guard keeps a panic from reaching beyond the request it happened for, which still gets its one answer.
+func (c *Core) guard(about *Request, f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=core reason=%q stack=%q", p, debug.Stack())
+			if about != nil {
+				about.abandon()
+			}
+		}
+	}()
+	f()
+}
+
+// effects is the core as the module sees it. Each effect is only noted here, to be carried out once the module has
+// returned: the module must never be entered from inside itself.
+type effects Core
+
+func (e *effects) later(f func()) { e.effects = append(e.effects, f) }
+
+func (e *effects) Send(id, server string, timeout brain.Time) {
+	e.later(func() { (*Core)(e).send(id, server, timeout) })
+}
+
+func (e *effects) Refuse(id string, after brain.Time) {
+	e.later(func() {
+		if r := e.requests[id]; r != nil {
+			r.refuse(time.Duration(after))
+		}
+	})
+}
+
+func (e *effects) Fail(id string) {
+	e.later(func() {
+		if r := e.requests[id]; r != nil {
+			r.fail()
+		}
+	})
+}
+
+func (e *effects) Cancel(id string, attempt int) {
+	e.later(func() {
+		if r := e.requests[id]; r != nil {
+			r.cancel(attempt)
+		}
+	})
+}
+
+func (e *effects) Move(id string) {
+	e.later(func() {
+		if r := e.requests[id]; r != nil {
+			r.move(brain.Cancelled)
+		}
+	})
+}
+
+func (e *effects) After(delay brain.Time, token string) {
+	c := (*Core)(e)
+	e.later(func() {
+		c.loop.After(time.Duration(delay), func() {
+			c.decide(nil, func(now brain.Time) { c.module.Timer(now, token) })
+		})
+	})
+}
+
+func (e *effects) Watch(on bool) { e.later(func() { e.discovery.Watch(on) }) }
+func (e *effects) Fetch()        { e.later(func() { e.discovery.Fetch() }) }
+func (e *effects) Log(s string)  { log.Printf("event=module text=%q", s) }
+
+// Probe and Tell are not part of this deployment: it forbids probes, and the module sends its peers nothing.
+func (e *effects) Probe(server string) { log.Printf("event=unsupported effect=probe host=%s", server) }
+func (e *effects) Tell(peer int, data []byte) {
+	log.Printf("event=unsupported effect=tell peer=%d bytes=%d", peer, len(data))
+}
+
+// Open takes a client's request, and owes it one answer from here on. It gives nil where that is given already.
+func (c *Core) Open(d Downstream, o *Opening, first First) *Request {
+	c.counts.Opened++
+	q := brain.Request{ID: o.ID, Tenant: -1, Key: o.Key, Group: o.Group, Hint: o.Hint, Repeat: o.Repeat,
+		Returned: o.Returned}
+	class, known := c.classes[o.Class]
+	if !known || c.requests[o.ID] != nil {
+		// Without a class there is no deadline and no rule to serve it by, and an id that is in use belongs to
+		// another's request.
+		c.Rejected(fmt.Errorf("class %q known=%t", o.Class, known))
+		d.Fail()
+		return nil
+	}
+	if c.leaving {
+		c.counts.Refused++
+		d.Refuse(comeBack)
+		return nil
+	}
+	q.Class = class
+	if t, ok := c.tenants[o.Tenant]; ok {
+		q.Tenant = t
+	}
+	wait := o.Wait
+	if !o.HasWait {
+		wait = time.Duration(c.opt.Settings.Classes[class].Deadline)
+	}
+	now := c.loop.Now()
+	r := &Request{core: c, down: d, first: first, ask: q, deadline: now + int64(wait)}
+	c.requests[o.ID] = r
+	if o.At != "" {
+		r.adopt(o.At)
+		return r
+	}
+	// The module answers by the deadline. Should it not, the client gets its answer all the same.
+	r.overdue = c.loop.After(wait+overdueAfter, r.abandon)
+	c.decide(r, func(now brain.Time) {
+		if r.answered {
+			return
+		}
+		q.Left = r.deadline - now
+		c.module.Request(now, q)
+	})
+	return r
+}
--- /dev/null
+++ b/internal/proxy/front.go
@@ -0,0 +1,82 @@
+// Package proxy is the core between clients and upstream hosts. It owns the life of a request on both sides, keeps
+// the rules that hold whatever the protocol, and is the only caller of the decision module. What a client or an
+// upstream host speaks is known to the packages that implement the interfaces below; a second front brings its own.
+//
+// Everything here runs on the loop, one event after the other.
+package proxy
+
+import (
+	"time"
+
+	"steplb/internal/netio"
+)
+
+// Opening is what a client asks for when it connects.
+type Opening struct {
+	ID, Key              string
+	Class, Tenant, Group string
+	Hint                 float64       // expected load, in the unit of the settings; 0: none
+	Repeat, Returned     bool          // the client tries again; it comes back after a break or a move
+	Wait                 time.Duration // how long it waits for its answer
+	HasWait              bool          // it said so; else its class's deadline holds
+	At                   string        // the upstream host at which it is open already; "" for a new one
+}
+
+// First is the client's opening in its own protocol, to be handed to an upstream host.
+type First interface {
+	// WithWait gives the bytes, telling the host how long this proxy will wait.
+	WithWait(wait time.Duration) []byte
+}
+
+// Kind is what a message means to the core; most mean nothing to it.
+type Kind int
+
+// The kinds of message.
+const (
+	Plain    Kind = iota
+	Receipt       // the host accepts
+	Busy          // the host turns the request away unseen
+	Fault         // the host failed
+	Farewell      // the host has served the connection to its end
+	MoveAway      // the host sends its client away
+	LoadTold      // the host tells the connection's load
+)
+
+// Message is one message on its way through. Text is passed on as it is, and is valid during the call only.
+type Message struct {
+	Kind Kind
+	Load float64 // of LoadTold: microseconds of work a second
+	Text []byte
+}
+
+// Downstream is a client's connection. Serve, and one of Refuse and Fail, are answers: a request gets one.
+type Downstream interface {
+	Serve(receipt Message)
+	Refuse(after time.Duration) // a local reply: trying again is harmless
+	Fail()                      // a local reply that promises nothing
+	Pass(m Message) bool        // false: not now, DownstreamReady will tell
+	Pump()                      // offer again what the core did not take
+	Move()                      // end it politely; the client comes again
+	End(cause netio.Cause)      // end it as the other side ended
+}
+
+// Upstream is the connection of one upstream request. After End it tells nothing more.
+type Upstream interface {
+	Pass(m Message) bool
+	Pump()
+	Stage() netio.Stage // how far it has come
+	End(cause netio.Cause)
+}
+
+// UpstreamEvents is what an Upstream tells the core.
+type UpstreamEvents interface {
+	FromUpstream(m Message) bool // false: not taken, Pump will ask for it again
+	UpstreamReady()
+	UpstreamEnded(err *netio.Error)
+}
+
+// Starter opens upstream requests: connect to the endpoint within the time given, send first, and tell ev what
+// follows. until is the loop's time at which the proxy stops waiting.
+type Starter interface {
+	Start(endpoint string, first First, until int64, connect time.Duration, ev UpstreamEvents) Upstream
+}
--- /dev/null
+++ b/internal/proxy/leave.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"log"
+	"time"
+
+	"steplb/brain"
+)
+
+const (
+	// frontNotices is how long after its SIGTERM a proxy still gets new connections; clients moved before could come
+	// straight back to it.
+	frontNotices = 450 * time.Millisecond
+	// moveOver is the time over which the clients are then moved, so that they do not all arrive elsewhere at once.
+	moveOver = 1500 * time.Millisecond
+	// leaveEvery is how often leaving makes progress.
+	leaveEvery = 50 * time.Millisecond
+	// shortestStay is what the platform grants at least between SIGTERM and SIGKILL, less a margin.
+	shortestStay = 3400 * time.Millisecond
+)
+
+// Leave ends the proxy's service in order: clients that still come are refused with advice, requests under way get
+// their answer, and every open connection is moved. done is called once nothing is left, or when the time that the
+// platform grants is nearly over.
+func (c *Core) Leave(done func()) {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	began := c.loop.Now()
+	longest := int64(shortestStay)
+	for _, k := range c.opt.Settings.Classes {
+		longest = max(longest, k.Deadline+int64(400*time.Millisecond))
+	}
+	var step func()
+	step = func() {
+		passed := c.loop.Now() - began
+		open, pending := c.standing()
+		if passed > int64(frontNotices) && open+pending == 0 && c.sessions == 0 || passed > longest {
+			log.Printf("event=left open=%d pending=%d", open, pending)
+			done()
+			return
+		}
+		if left := int64(frontNotices+moveOver) - passed; passed > int64(frontNotices) && open > 0 {
+			steps := max(1, left/int64(leaveEvery))
+			c.moveSome((open + int(steps) - 1) / int(steps))
+		}
+		c.loop.After(leaveEvery, step)
+	}
+	step()
+}
+
+// standing counts open connections and requests without an answer.
+func (c *Core) standing() (open, pending int) {
+	for _, r := range c.requests {
+		switch {
+		case r.out != nil && r.out.up:
+			open++
+		case !r.answered:
+			pending++
+		}
+	}
+	return open, pending
+}
+
+func (c *Core) moveSome(n int) {
+	for _, r := range c.requests {
+		if n == 0 {
+			return
+		}
+		if r.out != nil && r.out.up {
+			r.move(brain.Cancelled)
+			n--
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/request.go
@@ -0,0 +1,392 @@
+package proxy
+
+import (
+	"log"
+	"time"
+
+	"steplb/brain"
+	"steplb/internal/netio"
+)
+
+const (
+	// overdueAfter is how long past a request's deadline the module's own answer is waited for: within the slack
+	// that the rules leave.
+	overdueAfter = 15 * time.Millisecond
+	// comeBack is the advice to clients that come while this proxy leaves: by then the front knows.
+	comeBack = 500 * time.Millisecond
+	// adoptRetry is the pause before a host that holds a connection from before is tried again.
+	adoptRetry = 200 * time.Millisecond
+)
+
+// Request is a client's request from its first line to the end of its connection.
+type Request struct {
+	core     *Core
+	down     Downstream
+	first    First
+	ask      brain.Request
+	deadline int64
+	overdue  *netio.Timer
+
+	answered bool // the client has its answer, or is gone
+	adopted  bool // open at a host before this proxy's start
+	decided  bool // the module has been told of it
+	attempts int
+	out      *upstreamRequest // the attempt under way, and after UP the connection
+}
+
+// upstreamRequest is one attempt to serve a request.
+type upstreamRequest struct {
+	req     *Request
+	number  int
+	host    *host
+	conn    Upstream
+	sentAt  int64
+	until   int64
+	timer   *netio.Timer
+	up      bool
+	last    Kind    // Farewell or MoveAway once the host has said so
+	waiting []int64 // when the client's lines went up that no line has come back for
+}
+
+// send begins an attempt.
+func (c *Core) send(id, server string, timeout brain.Time) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	number := r.attempts
+	r.attempts++
+	now := c.loop.Now()
+	until := r.deadline
+	if timeout != 0 {
+		until = min(until, now+timeout)
+	}
+	h := c.hosts[server]
+	switch {
+	case r.answered, r.out != nil, h == nil, number >= c.opt.Settings.MaxAttempts, now >= r.deadline:
+		c.decide(r, func(now brain.Time) {
+			c.module.Outcome(now, id, number, brain.Moot, 0, r.answered, nil)
+		})
+		return
+	case h.state != brain.Ready:
+		// The module knows as much; this holds should it ever not.
+		c.decide(r, func(now brain.Time) {
+			c.module.Outcome(now, id, number, brain.Full, 0, false, nil)
+		})
+		return
+	}
+	r.start(h, number, until)
+}
+
+func (r *Request) start(h *host, number int, until int64) {
+	c := r.core
+	now := c.loop.Now()
+	a := &upstreamRequest{req: r, number: number, host: h, sentAt: now, until: until}
+	r.out = a
+	h.trying[a] = struct{}{}
+	a.timer = c.loop.After(time.Duration(until-now), func() { a.finish(brain.Timeout, netio.Ended) })
+	a.dial()
+}
+
+// dial connects to the host's present endpoint, within what is left of the connect limit.
+func (a *upstreamRequest) dial() {
+	c := a.req.core
+	now := c.loop.Now()
+	left := min(a.sentAt+c.opt.Settings.ConnectTimeout, a.until) - now
+	a.conn = c.starter.Start(a.host.endpoint, a.req.first, a.until, time.Duration(max(left, 1)), a)
+}
+
+// adopt restores a connection that was open at a host before. The module hears of it once it stands: it decides
+// nothing here, since the connection belongs to that host.
+func (r *Request) adopt(server string) {
+	c := r.core
+	h := c.hosts[server]
+	if h == nil {
+		log.Printf("event=adopt_failed host=%s reason=%q", server, "not in the list")
+		r.fail()
+		return
+	}
+	r.adopted = true
+	if c.loop.Now() >= r.deadline {
+		r.fail()
+		return
+	}
+	r.start(h, 0, r.deadline)
+}
+
+// detach takes the attempt off its host and its request; the connection is the caller's to end.
+func (a *upstreamRequest) detach() bool {
+	if a.req.out != a {
+		return false
+	}
+	a.timer.Stop()
+	a.req.out = nil
+	delete(a.host.trying, a)
+	delete(a.host.up, a.req)
+	return true
+}
+
+// finish ends an attempt that has not come up, closing its connection before the module can begin another.
+func (a *upstreamRequest) finish(status brain.Status, cause netio.Cause) {
+	if !a.detach() {
+		return
+	}
+	a.conn.End(cause)
+	a.outcome(status)
+}
+
+// outcome tells the module how the attempt ended.
+func (a *upstreamRequest) outcome(status brain.Status) {
+	r, c := a.req, a.req.core
+	elapsed := c.loop.Now() - a.sentAt
+	if r.adopted && !a.up {
+		if r.answered {
+			r.forget()
+			return
+		}
+		if status.ProvesNotRun() && c.loop.Now()+int64(adoptRetry) < r.deadline {
+			c.loop.After(adoptRetry, func() {
+				if !r.answered {
+					r.adopt(a.host.id)
+				}
+			})
+			return
+		}
+		log.Printf("event=adopt_failed host=%s status=%d", a.host.id, status)
+		r.fail()
+		return
+	}
+	closed := r.answered || a.up
+	c.decide(r, func(now brain.Time) {
+		c.module.Outcome(now, r.ask.ID, a.number, status, elapsed, closed, nil)
+	})
+	if closed {
+		r.forget()
+	}
+}
+
+// forget drops a request that is answered and has nothing out any more.
+func (r *Request) forget() {
+	r.answered = true
+	r.overdue.Stop()
+	if r.out == nil && r.core.requests[r.ask.ID] == r {
+		delete(r.core.requests, r.ask.ID)
+	}
+}
+
+// refuse is the final answer that says trying again is harmless.
+func (r *Request) refuse(after time.Duration) {
+	if r.answered {
+		return
+	}
+	r.core.counts.Refused++
+	r.answer(func() { r.down.Refuse(after) })
+}
+
+// fail is the final answer that promises nothing.
+func (r *Request) fail() {
+	if r.answered {
+		return
+	}
+	r.core.counts.Failed++
+	r.answer(r.down.Fail)
+}
+
+// answer gives the client its one answer. Should an attempt be out all the same, it ends.
+func (r *Request) answer(say func()) {
+	r.answered = true
+	r.overdue.Stop()
+	say()
+	if r.out != nil {
+		r.out.finish(brain.Cancelled, netio.Ended)
+		return
+	}
+	r.forget()
+}
+
+// abandon answers for a module that has not, in time or at all.
+func (r *Request) abandon() {
+	if r.answered {
+		return
+	}
+	log.Printf("event=abandoned request=%s attempts=%d", r.ask.ID, r.attempts)
+	r.fail()
+	r.gone()
+}
+
+// gone tells the module that the client is.
+func (r *Request) gone() {
+	if r.adopted {
+		return
+	}
+	c := r.core
+	c.decide(nil, func(now brain.Time) { c.module.Gone(now, r.ask.ID) })
+}
+
+// cancel ends an attempt at the module's wish.
+func (r *Request) cancel(attempt int) {
+	if a := r.out; a != nil && a.number == attempt && !a.up {
+		a.finish(brain.Cancelled, netio.Ended)
+	}
+}
+
+// move sends the client of an open connection away politely. status is what the module learns of its end.
+func (r *Request) move(status brain.Status) {
+	a := r.out
+	if a == nil || !a.up || !a.detach() {
+		return
+	}
+	r.core.counts.Moved++
+	r.down.Move()
+	a.conn.End(netio.Ended)
+	a.outcome(status)
+}
+
+// ---- events of the downstream ----
+
+// FromDownstream passes a client's message to its host; false: not now.
+func (r *Request) FromDownstream(m Message) bool {
+	a := r.out
+	if a == nil || !a.up {
+		return false
+	}
+	if !a.conn.Pass(m) {
+		return false
+	}
+	if len(a.waiting) < maxWaiting {
+		a.waiting = append(a.waiting, r.core.loop.Now())
+	}
+	return true
+}
+
+// DownstreamReady says that the client takes bytes again.
+func (r *Request) DownstreamReady() {
+	if a := r.out; a != nil {
+		a.conn.Pump()
+	}
+}
+
+// DownstreamEnded says that the client has gone, or was cut off.
+func (r *Request) DownstreamEnded(err *netio.Error) {
+	a := r.out
+	if a != nil && a.up {
+		if a.detach() {
+			a.conn.End(err.Cause)
+			a.outcome(brain.Cancelled)
+		}
+		return
+	}
+	if r.answered {
+		return
+	}
+	// It left before its answer: nothing is owed, but the attempt must not go on for nobody.
+	r.answered = true
+	r.overdue.Stop()
+	r.gone()
+	if a := r.out; a != nil {
+		a.finish(brain.Cancelled, netio.Ended)
+		return
+	}
+	r.forget()
+}
+
+// ---- events of the upstream ----
+
+// FromUpstream takes a message of the host's.
+func (a *upstreamRequest) FromUpstream(m Message) bool {
+	r := a.req
+	if r.out != a {
+		return true
+	}
+	if a.up {
+		return a.pass(m)
+	}
+	switch m.Kind {
+	case Receipt:
+		a.stand(m)
+	case Busy:
+		a.finish(brain.Full, netio.Ended)
+	case Fault:
+		a.finish(brain.Error, netio.Ended)
+	default:
+		log.Printf("event=odd_answer host=%s request=%s text=%q", a.host.id, r.ask.ID, m.Text)
+		a.finish(brain.Error, netio.Ended)
+	}
+	return true
+}
+
+// stand is the host's acceptance: the client's answer.
+func (a *upstreamRequest) stand(m Message) {
+	r, c := a.req, a.req.core
+	a.up, r.answered = true, true
+	a.timer.Stop()
+	r.overdue.Stop()
+	delete(a.host.trying, a)
+	a.host.up[r] = struct{}{}
+	c.counts.Served++
+	r.down.Serve(m)
+	elapsed := c.loop.Now() - a.sentAt
+	c.decide(nil, func(now brain.Time) {
+		if r.adopted {
+			c.module.Open(now, r.ask, a.host.id)
+			return
+		}
+		c.module.First(now, r.ask.ID, a.number, elapsed)
+	})
+}
+
+// pass hands a line of an open connection on and takes note of what it tells.
+func (a *upstreamRequest) pass(m Message) bool {
+	r, c := a.req, a.req.core
+	if !r.down.Pass(m) {
+		return false
+	}
+	switch m.Kind {
+	case Farewell, MoveAway:
+		a.last = m.Kind
+	case LoadTold:
+		c.decide(nil, func(now brain.Time) {
+			c.module.Note(now, r.ask.ID, a.number, brain.NoteLoad, m.Load)
+		})
+	default:
+		if len(a.waiting) > 0 {
+			a.host.delay.answered(c.loop.Now(), a.waiting[0])
+			a.waiting = a.waiting[:copy(a.waiting, a.waiting[1:])]
+		}
+	}
+	return true
+}
+
+// UpstreamReady says that the host takes bytes again.
+func (a *upstreamRequest) UpstreamReady() {
+	if a.req.out == a && a.up {
+		a.req.down.Pump()
+	}
+}
+
+// UpstreamEnded says that the connection to the host is over, or never stood.
+func (a *upstreamRequest) UpstreamEnded(err *netio.Error) {
+	if !a.up {
+		// Up to the last byte of the first line the host cannot have acted on it.
+		status := brain.Reset
+		if err.Stage < netio.Sent {
+			status = brain.ConnectFailed
+		}
+		a.finish(status, netio.Ended)
+		return
+	}
+	if !a.detach() {
+		return
+	}
+	status := brain.Reset
+	switch a.last {
+	case Farewell:
+		status = brain.OK
+	case MoveAway:
+		status = brain.Cancelled
+	default:
+		a.req.core.counts.Lost++
+	}
+	a.req.down.End(err.Cause)
+	a.outcome(status)
+}
--- /dev/null
+++ b/internal/proxy/sessions.go
@@ -0,0 +1,91 @@
+package proxy
+
+import (
+	"log"
+	"time"
+
+	"steplb/brain"
+)
+
+const (
+	watchEvery = 250 * time.Millisecond
+	// silentAfter is how long a client's line may go unanswered before the host counts as silent. Clients send every
+	// 2 s and a silent host must be left within 7 s, so the first unanswered line is at most 2 s late.
+	silentAfter = 4500 * time.Millisecond
+	// maxWaiting bounds how many unanswered lines are remembered for one connection.
+	maxWaiting = 16
+	// noteEvery is how often the module is told of a slow host.
+	noteEvery = int64(time.Second)
+)
+
+// messageDelay is how long messages take at one host, as seen on all its connections from here.
+type messageDelay struct {
+	took   int64 // of the last line that was answered
+	at     int64 // when that was
+	noted  int64 // when the module was last told
+	slow   bool  // the last note said so
+	oldest int64 // scratch: when the oldest line without an answer went up
+}
+
+func (d *messageDelay) answered(now, sent int64) { d.took, d.at = now-sent, now }
+
+// watchSessions looks for hosts that have fallen silent and tells the module of slow ones.
+func (c *Core) watchSessions() {
+	c.loop.After(watchEvery, c.watchSessions)
+	now := c.loop.Now()
+	for _, h := range c.hosts {
+		h.delay.oldest = 0
+		for r := range h.up {
+			a := r.out
+			if len(a.waiting) == 0 {
+				continue
+			}
+			sent := a.waiting[0]
+			if now-sent >= int64(silentAfter) {
+				// The machine has vanished or hangs, and TCP does not tell. The client must not wait for it.
+				log.Printf("event=host_silent host=%s request=%s ms=%d", h.id, r.ask.ID, (now-sent)/1e6)
+				c.counts.Lost++
+				r.move(brain.Reset)
+				continue
+			}
+			if h.delay.oldest == 0 || sent < h.delay.oldest {
+				h.delay.oldest = sent
+			}
+		}
+		c.noteDelay(h, now)
+	}
+}
+
+// noteDelay tells the module once a second how long messages take at a host, while that is over a third of the
+// shortest aim, and once more when it is back under: what the settings promise as notes of kind 2.
+func (c *Core) noteDelay(h *host, now int64) {
+	aim := int64(0)
+	for _, k := range c.opt.Settings.Classes {
+		if k.MessageAim > 0 && (aim == 0 || k.MessageAim < aim) {
+			aim = k.MessageAim
+		}
+	}
+	d := &h.delay
+	if aim == 0 || len(h.up) == 0 || now-d.noted < noteEvery {
+		return
+	}
+	took := int64(0)
+	if now-d.at < 2*noteEvery {
+		took = d.took
+	}
+	if d.oldest > 0 {
+		took = max(took, now-d.oldest)
+	}
+	slow := took > aim/3
+	if !slow && !d.slow {
+		return
+	}
+	d.slow, d.noted = slow, now
+	for r := range h.up {
+		a := r.out
+		c.decide(nil, func(now brain.Time) {
+			c.module.Note(now, r.ask.ID, a.number, brain.NoteDelay, float64(took)/1e6)
+		})
+		return
+	}
+}
