Read a host's message delay out of its LOAD lines

A trace of every event showed LOAD lines of 13 to 1556 once a second on one connection of a host, at the same phase and value at all three proxies, rising about as fast as work piles up; every other LOAD was 3742 or more and came at UP or irregularly. That is the note of kind 2 of the settings, in milliseconds, in the form of note 1. core.go handed it to the module as load. Ruled out: slowness on the way through (median 0.5 ms to the first attempt); measuring the delay from a client's line to the line back (756 lines: all 0 or 1 ms, hosts echo at once even while overfull); placement, which was even until the loads were forgotten. Now isDelay (sessions.go) tells the two apart where the settings promise both. The measured delay stays for hosts that do not tell.

--- a/cmd/croftlock/config.go
+++ b/cmd/croftlock/config.go
@@ -21,6 +21,7 @@
 	limits                  limits
 	known                   proxy.Change
 	settings                brain.Config
+	delayInLoad             bool // hosts tell of loads and of delays
 }
 
 type limits struct {
@@ -85,6 +86,16 @@
 	if c.settings, err = wire.Config(f.Settings); err != nil {
 		return nil, err
 	}
+	var notes struct {
+		Extra struct {
+			Load  bool `json:"tells_load"`
+			Delay bool `json:"tells_delay"`
+		} `json:"extra"`
+	}
+	if err := json.Unmarshal(f.Settings, &notes); err != nil {
+		return nil, err
+	}
+	c.delayInLoad = notes.Extra.Load && notes.Extra.Delay
 	if len(f.Known) > 0 {
 		if c.known, err = cluster.Parse(f.Known); err != nil {
 			return nil, fmt.Errorf("known: %v", err)
--- a/cmd/croftlock/main.go
+++ b/cmd/croftlock/main.go
@@ -42,7 +42,8 @@
 		return fmt.Errorf("netpoll: %v", err)
 	}
 	dialer := netio.NewDialer(loop, dialers)
-	core := proxy.New(loop, line.NewHosts(loop, dialer), proxy.Options{Settings: cfg.settings, Sessions: cfg.sessions()})
+	core := proxy.New(loop, line.NewHosts(loop, dialer), proxy.Options{
+		Settings: cfg.settings, Sessions: cfg.sessions(), DelayInLoad: cfg.delayInLoad})
 	watch := cluster.NewClient(loop, dialer, cfg.discovery, cfg.known.Version, core.Listed)
 	err := core.Run(func(fx brain.Effects) (proxy.Decider, error) { return brain.New(cfg.settings, cfg.seed, fx) },
 		watch, cfg.known)
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -22,20 +22,24 @@
 	timers timerHeap
 	order  uint64
 
-	// The clock is Unix time as it was at the start plus what has passed since on the monotonic clock, so that a
-	// step of the system's clock moves no deadline and boot times given in Unix time compare directly.
-	began time.Time
-	base  int64
+	clock func() int64
 }
 
-// NewLoop makes a loop; its clock starts now.
+// NewLoop makes a loop. Its clock is Unix time as it is now plus what passes on the monotonic clock, so that a step of
+// the system's clock moves no deadline and boot times given in Unix time compare directly.
 func NewLoop() *Loop {
-	now := time.Now()
-	return &Loop{wake: make(chan struct{}, 1), began: now, base: now.UnixNano()}
+	began := time.Now()
+	base := began.UnixNano()
+	return NewLoopAt(func() int64 { return base + int64(time.Since(began)) })
+}
+
+// NewLoopAt makes a loop on the given clock.
+func NewLoopAt(clock func() int64) *Loop {
+	return &Loop{wake: make(chan struct{}, 1), clock: clock}
 }
 
 // Now is the loop's time in nanoseconds since 1970.
-func (l *Loop) Now() int64 { return l.base + int64(time.Since(l.began)) }
+func (l *Loop) Now() int64 { return l.clock() }
 
 // Post has the loop run f after what is already queued. It may be called from any goroutine and never blocks.
 func (l *Loop) Post(f func()) {
@@ -57,6 +61,22 @@
 func (l *Loop) Run() {
 	clock := time.NewTimer(time.Hour)
 	defer clock.Stop()
+	for {
+		wait := l.RunPending()
+		if l.stopped {
+			return
+		}
+		clock.Reset(wait)
+		select {
+		case <-l.wake:
+		case <-clock.C:
+		}
+	}
+}
+
+// RunPending serves what is queued or due, and what that queues, without waiting. It tells how long the next timer has
+// to wait.
+func (l *Loop) RunPending() time.Duration {
 	for !l.stopped {
 		l.mu.Lock()
 		tasks := l.queue
@@ -65,19 +85,14 @@
 		for i, f := range tasks {
 			tasks[i] = nil
 			l.guard(f)
-			l.fire()
+			l.fire() // a long queue must not hold up what is due
 		}
 		l.spare = tasks[:0]
-		wait := l.fire()
-		if len(tasks) > 0 {
-			continue
-		}
-		clock.Reset(wait)
-		select {
-		case <-l.wake:
-		case <-clock.C:
+		if wait := l.fire(); len(tasks) == 0 {
+			return wait
 		}
 	}
+	return 0
 }
 
 // guard keeps a panic from ending the process: the connections guard their own callbacks and answer for them, so
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -32,6 +32,8 @@
 type Options struct {
 	Settings brain.Config
 	Sessions int // how many downstreams it takes at most
+	// DelayInLoad: hosts tell both a connection's load and how long messages take, in the same form.
+	DelayInLoad bool
 }
 
 // Core is one proxy.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -45,6 +45,7 @@
 	timer   *netio.Timer
 	up      bool
 	last    Kind    // Farewell or MoveAway once the host has said so
+	loaded  bool    // the host has told the connection's load
 	waiting []int64 // when the client's lines went up that no line has come back for
 }
 
@@ -345,9 +346,7 @@
 	case Farewell, MoveAway:
 		a.last = m.Kind
 	case LoadTold:
-		c.decide(nil, func(now brain.Time) {
-			c.module.Note(now, r.ask.ID, a.number, brain.NoteLoad, m.Load)
-		})
+		a.loadTold(m.Load)
 	default:
 		if len(a.waiting) > 0 {
 			a.host.delay.answered(c.loop.Now(), a.waiting[0])
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -25,10 +25,54 @@
 	noted  int64 // when the module was last told
 	slow   bool  // the last note said so
 	oldest int64 // scratch: when the oldest line without an answer went up
+
+	told   float64 // milliseconds, as the host last said itself
+	toldAt int64
 }
 
 func (d *messageDelay) answered(now, sent int64) { d.took, d.at = now-sent, now }
 
+// What a load told by a host must be under to be taken for a delay.
+const (
+	// delayMS begins a run of delays: no message that takes longer waits for its answer, and connections whose load
+	// is a thousandth of a core and still worth telling are not seen.
+	delayMS = 2500
+	// delayStepMS is how far one delay may lie from the one a second before it, however large both are: work piles
+	// up no faster than it comes.
+	delayStepMS = 2000
+	// delayRun is how soon the next delay of a run follows.
+	delayRun = int64(1500 * time.Millisecond)
+)
+
+// isDelay tells whether a figure in a host's LOAD line is not the connection's load but how long messages take there.
+//
+// Hosts send both in the same form, with nothing to tell them apart. The delay comes once a second, on one connection
+// of each proxy, while messages are slow, with a last one once they are not; it is milliseconds, and a load is
+// microseconds of work a second. Taken for a load it does harm twice: the module believes that the busiest connection
+// of an overfull host asks for next to nothing, and sends the host more; and nobody tells it that messages are slow.
+// The first figure of a connection is always its load: the host says it right after its acceptance.
+func (d *messageDelay) isDelay(now int64, x float64, first bool) bool {
+	if first {
+		return false
+	}
+	if d.toldAt > 0 && now-d.toldAt < delayRun {
+		return x < d.told+delayStepMS && x > d.told-delayStepMS
+	}
+	return x < delayMS
+}
+
+// loadTold takes the figure of a LOAD line.
+func (a *upstreamRequest) loadTold(x float64) {
+	c, d := a.req.core, &a.host.delay
+	now := c.loop.Now()
+	kind := brain.NoteLoad
+	if c.opt.DelayInLoad && d.isDelay(now, x, !a.loaded) {
+		kind, d.told, d.toldAt = brain.NoteDelay, x, now
+	}
+	a.loaded = true
+	c.decide(nil, func(now brain.Time) { c.module.Note(now, a.req.ask.ID, a.number, kind, x) })
+}
+
 // watchSessions looks for hosts that have fallen silent and tells the module of slow ones.
 func (c *Core) watchSessions() {
 	c.loop.After(watchEvery, c.watchSessions)
@@ -69,6 +113,9 @@
 	if aim == 0 || len(h.up) == 0 || now-d.noted < noteEvery {
 		return
 	}
+	if d.toldAt > 0 && now-d.toldAt < delayRun {
+		return // the host tells it itself, and knows better
+	}
 	took := int64(0)
 	if now-d.at < 2*noteEvery {
 		took = d.took
