--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,4 +1,4 @@
-// The decisions of steplb. The interface (settings, events, actions) is in brain/api.go.
+// The decisions of croftlock. The interface (settings, events, actions) is in brain/api.go.
 //
 // The mechanism is that of PIP-425: even weighted rotation over the servers not in quarantine; a failed
 // connect quarantines a server for a period that doubles with each consecutive failure up to a cap and that
--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"steplb/brain"
+	"croftlock/brain"
 )
 
 // host carries out what the brain decides; a real one would open connections here.
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"steplb/brain"
-	"steplb/internal/wire"
+	"croftlock/brain"
+	"croftlock/internal/wire"
 )
 
 func main() {
--- a/cmd/croftlock/config.go
+++ b/cmd/croftlock/config.go
@@ -8,10 +8,10 @@
 	"os"
 	"strconv"
 
-	"steplb/brain"
-	"steplb/internal/cluster"
-	"steplb/internal/proxy"
-	"steplb/internal/wire"
+	"croftlock/brain"
+	"croftlock/internal/cluster"
+	"croftlock/internal/proxy"
+	"croftlock/internal/wire"
 )
 
 // config is what a proxy is told at its start.
--- a/cmd/croftlock/main.go
+++ b/cmd/croftlock/main.go
@@ -11,11 +11,11 @@
 	"runtime/debug"
 	"syscall"
 
-	"steplb/brain"
-	"steplb/internal/cluster"
-	"steplb/internal/line"
-	"steplb/internal/netio"
-	"steplb/internal/proxy"
+	"croftlock/brain"
+	"croftlock/internal/cluster"
+	"croftlock/internal/line"
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
 )
 
 // dialers is how many connections may be opening at a time.
--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -5,9 +5,9 @@
 	"log"
 	"time"
 
-	"steplb/brain"
-	"steplb/internal/netio"
-	"steplb/internal/proxy"
+	"croftlock/brain"
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
 )
 
 const (
--- a/internal/cluster/list.go
+++ b/internal/cluster/list.go
@@ -6,8 +6,8 @@
 	"errors"
 	"fmt"
 
-	"steplb/brain"
-	"steplb/internal/proxy"
+	"croftlock/brain"
+	"croftlock/internal/proxy"
 )
 
 type list struct {
--- a/internal/line/conns.go
+++ b/internal/line/conns.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"steplb/internal/netio"
-	"steplb/internal/proxy"
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
 )
 
 // firstLine is how long a downstream may stay without a first line: each one holds a descriptor.
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"steplb/internal/proxy"
+	"croftlock/internal/proxy"
 )
 
 // Max is the longest line there is, its CRLF included.
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -6,8 +6,8 @@
 	"runtime/debug"
 	"time"
 
-	"steplb/brain"
-	"steplb/internal/netio"
+	"croftlock/brain"
+	"croftlock/internal/netio"
 )
 
 // Decider is the part of the decision module that the core calls.
--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"steplb/brain"
-	"steplb/internal/netio"
+	"croftlock/brain"
+	"croftlock/internal/netio"
 )
 
 // world is a core between fakes, on a clock that the test moves. Everything that the core does is noted in seen.
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -8,7 +8,7 @@
 import (
 	"time"
 
-	"steplb/internal/netio"
+	"croftlock/internal/netio"
 )
 
 // Opening is what a client asks for when it connects.
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -4,7 +4,7 @@
 	"log"
 	"time"
 
-	"steplb/brain"
+	"croftlock/brain"
 )
 
 const (
--- a/internal/proxy/list.go
+++ b/internal/proxy/list.go
@@ -1,8 +1,8 @@
 package proxy
 
 import (
-	"steplb/brain"
-	"steplb/internal/netio"
+	"croftlock/brain"
+	"croftlock/internal/netio"
 )
 
 // Change is news of the cluster: a list of upstream hosts, a change of it, or the failure to get one.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -4,8 +4,8 @@
 	"log"
 	"time"
 
-	"steplb/brain"
-	"steplb/internal/netio"
+	"croftlock/brain"
+	"croftlock/internal/netio"
 )
 
 const (
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"steplb/brain"
+	"croftlock/brain"
 )
 
 type settings struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"strconv"
 
-	"steplb/brain"
+	"croftlock/brain"
 )
 
 type event struct {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"steplb/brain"
+	"croftlock/brain"
 )
 
 const initMsg = `{"event_type":"Init","balancer":"B","salt":18446744073709551615,"config":{"new_key":[1],"me":0,` +
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"strconv"
 
-	"steplb/brain"
+	"croftlock/brain"
 )
 
 // writer builds a reply; it is written only once it is whole.
