--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,85 @@
+package cluster
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"croftlock/brain"
+)
+
+var seeds = []string{
+	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: x\r\n\r\nrest",
+	"HTTP/1.0 200 OK\r\n\r\nuntil the end",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\nConnection: close\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+	"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "HTTP/1.1 20", "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200\r\n\r\n",
+	"SSH-2.0-x\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "HTTP/1.1 200 OK\r\nbad\r\n\r\n", "",
+}
+
+// FuzzResponse feeds a response byte by byte up to each point: the parse must come out as for the whole, and nothing
+// may panic or wait for more than the limits.
+func FuzzResponse(f *testing.F) {
+	for _, s := range seeds {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		whole, wholeErr := parseResponse(in, true)
+		if whole != nil && (whole.length > len(in) || len(whole.body) > maxBody) {
+			t.Fatalf("takes %d of %d bytes", whole.length, len(in))
+		}
+		for n := range len(in) {
+			r, err := parseResponse(in[:n], false)
+			if r != nil && (whole == nil || r.status != whole.status || r.length != whole.length ||
+				!bytes.Equal(r.body, whole.body)) {
+				t.Fatalf("%d bytes gave %+v, all %+v %v", n, r, whole, wholeErr)
+			}
+			if err != nil && wholeErr == nil {
+				t.Fatalf("%d bytes gave %v, all none", n, err)
+			}
+			if r != nil || err != nil {
+				return
+			}
+		}
+	})
+}
+
+func TestResponses(t *testing.T) {
+	for i, want := range []string{"200 hello 43 false", "200 abcde 77 false", "200 until the end 32 true", "204  65 true"} {
+		r, err := parseResponse([]byte(seeds[i]), true)
+		if err != nil {
+			t.Errorf("%d: %v", i, err)
+		} else if got := fmt.Sprintf("%d %s %d %t", r.status, r.body, r.length, r.last); got != want {
+			t.Errorf("%d: %s, want %s", i, got, want)
+		}
+	}
+	for _, s := range seeds[4:] {
+		if r, err := parseResponse([]byte(s), true); err == nil && s != "HTTP/1.1 200\r\n\r\n" {
+			t.Errorf("%q gave %+v", s, r)
+		}
+	}
+	if _, err := parseResponse([]byte("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", maxHead)), false); err == nil {
+		t.Error("an endless head is waited for")
+	}
+}
+
+func TestParse(t *testing.T) {
+	ch, err := Parse([]byte(`{"rev":43,"all":false,"targets":[{"uid":"s","endpoint":"1.2.3.4:5","az":"a","model":"m",
+		"pod_group":3,"state":"draining","capacity_hint":1.5,"boot_ms":1700000000123,"new":1},
+		{"uid":"t","state":"removed"}]}`))
+	if err != nil || ch.Kind != brain.ListDelta || ch.Version != 43 || len(ch.Hosts) != 2 {
+		t.Fatal(ch, err)
+	}
+	if h := ch.Hosts[0]; h.Since != 1700000000123000000 || h.State != brain.Draining || h.Endpoint != "1.2.3.4:5" ||
+		h.Weight != 1.5 || h.Cell != 3 || h.Zone != "a" || h.Kind != "m" {
+		t.Fatal(h)
+	}
+	for _, bad := range []string{"", "[]", `{"all":true}`, `{"rev":1,"targets":[{"uid":"s","endpoint":"x","state":"odd"}]}`,
+		`{"rev":1,"targets":[{"uid":"s","state":"up"}]}`, `{"rev":1,"targets":[{"endpoint":"x","state":"up"}]}`} {
+		if _, err := Parse([]byte(bad)); err == nil {
+			t.Errorf("%s is taken", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/line/line_test.go
@@ -0,0 +1,100 @@
+package line
+
+import (
+	"bytes"
+	"math/rand"
+	"strings"
+	"testing"
+	"time"
+)
+
+// FuzzCut feeds lines in random cuts: what comes out must not depend on them, and no input may panic or be kept past
+// the longest line.
+func FuzzCut(f *testing.F) {
+	for i, s := range []string{"PING\r\n", "OPEN a b c=x,d=20\r\nM 1 x\r\nM 2 y\r\n", "\r\n\r\n", "x\ny\r\n", "\n", "a\rb\r\n",
+		strings.Repeat("z", Max-2) + "\r\n", strings.Repeat("z", Max-1) + "\r\n", strings.Repeat("q", 3*Max)} {
+		f.Add([]byte(s), int64(i))
+	}
+	f.Fuzz(func(t *testing.T, in []byte, seed int64) {
+		in = in[:min(len(in), 4*Max)]
+		whole, wholeErr, _ := cutAll([][]byte{in})
+		rng := rand.New(rand.NewSource(seed))
+		var pieces [][]byte
+		for rest := in; len(rest) > 0; {
+			n := 1 + rng.Intn(len(rest))
+			pieces, rest = append(pieces, rest[:n]), rest[n:]
+		}
+		got, err, held := cutAll(pieces)
+		if err != wholeErr || !bytes.Equal(bytes.Join(got, nil), bytes.Join(whole, nil)) || len(got) != len(whole) {
+			t.Fatalf("in pieces %q %v, whole %q %v", got, err, whole, wholeErr)
+		}
+		if held >= Max {
+			t.Fatalf("%d bytes held without an error", held)
+		}
+	})
+}
+
+// cutAll cuts what the pieces bring, and tells the most that was left waiting for more.
+func cutAll(pieces [][]byte) (lines [][]byte, err error, held int) {
+	var in []byte
+	for _, p := range pieces {
+		in = append(in, p...)
+		for {
+			l, err := Cut(in)
+			if err != nil {
+				return lines, err, held
+			}
+			if l == nil {
+				break
+			}
+			lines, in = append(lines, bytes.Clone(l)), in[len(l):]
+		}
+		held = max(held, len(in))
+	}
+	return lines, nil, held
+}
+
+// FuzzOpen: garbage gives an error, never a panic, and what parses goes on unchanged but for d.
+func FuzzOpen(f *testing.F) {
+	for _, s := range []string{"OPEN a b c=x,t=y,d=2000,g=q,r=1,again=1,h=3.5,at=s-1,new=z", "OPEN a b", "OPEN a b d=5",
+		"OPEN a b ", "OPEN a b c=x", "OPEN a b d=1,d=2", "OPEN a b d=-1", "OPEN a b =", "OPEN  b c", "HELLO", "",
+		"OPEN a b d=99999999999", "OPEN a b h=NaN", "OPEN a b c=\x01"} {
+		f.Add([]byte(s + "\r\n"))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		l, err := Cut(in)
+		if l == nil || err != nil {
+			return
+		}
+		o, err := ParseOpen(l)
+		if err != nil {
+			return
+		}
+		out := o.WithWait(1234 * time.Millisecond)
+		again, err := ParseOpen(out)
+		if err != nil || again.Wait != 1234*time.Millisecond || !again.HasWait {
+			t.Fatalf("%q became %q: %v", l, out, err)
+		}
+		again.Wait, again.HasWait = o.Wait, o.HasWait
+		if again.Opening != o.Opening {
+			t.Fatalf("%q became %q", l, out)
+		}
+		ParseHost(l)
+	})
+}
+
+func TestWithWait(t *testing.T) {
+	for in, want := range map[string]string{
+		"OPEN a b c=x,d=2000,g=q": "OPEN a b c=x,d=7,g=q",
+		"OPEN a b c=x":            "OPEN a b c=x,d=7",
+		"OPEN a b":                "OPEN a b d=7",
+	} {
+		o, err := ParseOpen([]byte(in + "\r\n"))
+		if err != nil || string(o.WithWait(7*time.Millisecond)) != want+"\r\n" {
+			t.Errorf("%s: %v", in, err)
+		}
+	}
+	if got := string(busy(1500 * time.Microsecond)); got != "BUSY 2\r\n" {
+		t.Error(got)
+	}
+}
