Stop reading from a connection whose lines nobody takes

Saw, in a test with real sockets: a peer that sends and does not read had 16 MiB taken into memory, since netpoll reads whatever comes for as long as it watches a socket, and offers no way to stop. Ruled out: leaving the bytes in netpoll's buffer (its task loop spins until they are taken), a small kernel buffer alone (the poller empties it as fast as it fills), pausing only after the handler has worked (on this machine over 1 MiB more had come by then, and the connection was dropped). Now a connection at its limit is detached from netpoll and given back once half is consumed; fence.go makes sure that nothing read at that moment is lost. 16 MiB come back byte for byte. Also: a host's last lines reach a slow client before the end does, a peer that takes nothing for 10 s is given up, and a refused dial is called refused (netpoll words it as a close by the peer).

--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -151,7 +151,7 @@
 func (q *call) Data(c *netio.Conn) { q.look(false) }
 
 func (q *call) look(ended bool) {
-	r, err := parseResponse(q.conn.Input().Bytes(), ended)
+	r, err := parseResponse(q.conn.Input(), ended)
 	if r != nil || err != nil {
 		q.finish(r, err)
 	}
@@ -162,7 +162,7 @@
 
 // Closed comes when discovery ends the connection, which may complete a response.
 func (q *call) Closed(c *netio.Conn, err *netio.Error) {
-	if q.reused && c.Input().Len() == 0 {
+	if q.reused && len(c.Input()) == 0 {
 		// It was closed for being idle before this call reached it: that is no failure of discovery's.
 		q.reused = false
 		q.connect()
@@ -188,7 +188,7 @@
 	}
 	done := q.done
 	if err == nil && !r.last && !q.conn.Over() {
-		q.conn.Input().Consume(r.length)
+		q.conn.Consume(r.length)
 		q.client.idle = q.conn
 		q.conn.SetHandler(unused{q.client})
 		q.conn = nil
--- a/internal/line/conns.go
+++ b/internal/line/conns.go
@@ -10,8 +10,9 @@
 // firstLine is how long a downstream may stay without a first line: each one holds a descriptor.
 const firstLine = 30 * time.Second
 
-// inputLimit bounds what a connection may have sent that nobody has taken: some lines of the longest kind.
-const inputLimit = 64 << 10
+// inputLimit is how much a connection may have sent that nobody has taken before it is read no further: some lines of
+// the longest kind.
+const inputLimit = 4 * Max
 
 // Front takes in clients. It turns their lines into the core's terms.
 type Front struct {
@@ -22,7 +23,8 @@
 // NewFront serves clients of the line protocol on addr.
 func NewFront(l *netio.Loop, core *proxy.Core, addr string) (*Front, error) {
 	f := &Front{loop: l, core: core}
-	return f, netio.Listen(l, addr, inputLimit, f.accept)
+	_, err := netio.Listen(l, addr, inputLimit, f.accept)
+	return f, err
 }
 
 func (f *Front) accept(c *netio.Conn) netio.Handler {
@@ -58,8 +60,7 @@
 // greet reads lines up to the one that opens a request, and tells whether it has come.
 func (d *downstream) greet() bool {
 	for !d.conn.Over() {
-		in := d.conn.Input()
-		line, err := Cut(in.Bytes())
+		line, err := Cut(d.conn.Input())
 		if err != nil {
 			d.reject(err)
 			return false
@@ -68,7 +69,7 @@
 			return false
 		}
 		if string(text(line)) == "PING" {
-			in.Consume(len(line))
+			d.conn.Consume(len(line))
 			// A proxy that is on its way out must not be taken in by the front.
 			if !d.front.core.Ready() || !d.conn.Write(pong) {
 				d.close()
@@ -76,7 +77,7 @@
 			continue
 		}
 		o, err := ParseOpen(line)
-		in.Consume(len(line))
+		d.conn.Consume(len(line))
 		if err != nil {
 			d.reject(err)
 			return false
@@ -97,7 +98,7 @@
 // Pump hands the client's lines on, as far as the other side takes them.
 func (d *downstream) Pump() {
 	for d.served && !d.conn.Over() {
-		line, err := Cut(d.conn.Input().Bytes())
+		line, err := Cut(d.conn.Input())
 		if err != nil {
 			d.conn.Close()
 			d.req.DownstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.Dropped, Detail: err})
@@ -106,7 +107,7 @@
 		if line == nil || !d.req.FromDownstream(proxy.Message{Text: line}) {
 			return
 		}
-		d.conn.Input().Consume(len(line))
+		d.conn.Consume(len(line))
 	}
 }
 
@@ -196,6 +197,7 @@
 	dial   *netio.Dial
 	conn   *netio.Conn
 	stage  netio.Stage
+	ended  *netio.Error // the host is gone; its last lines may still wait for the client
 	done   bool
 }
 
@@ -218,14 +220,17 @@
 
 // Pump hands the host's lines on, as far as the other side takes them.
 func (u *upstream) Pump() {
-	for !u.done && u.conn != nil && !u.conn.Over() {
-		line, err := Cut(u.conn.Input().Bytes())
+	for !u.done && u.conn != nil {
+		line, err := Cut(u.conn.Input())
 		if err != nil {
 			u.conn.Close()
 			u.finish(&netio.Error{Stage: u.stage, Cause: netio.Dropped, Detail: err})
 			return
 		}
 		if line == nil {
+			if u.ended != nil {
+				u.finish(u.ended)
+			}
 			return
 		}
 		m := ParseHost(line)
@@ -235,9 +240,7 @@
 		if !u.events.FromUpstream(m) {
 			return
 		}
-		if !u.conn.Over() {
-			u.conn.Input().Consume(len(line))
-		}
+		u.conn.Consume(len(line))
 	}
 }
 
@@ -251,7 +254,8 @@
 
 func (u *upstream) Closed(c *netio.Conn, err *netio.Error) {
 	// The connection knows that it stood; how far the request on it had come is known here.
-	u.finish(&netio.Error{Stage: u.stage, Cause: err.Cause, Detail: err.Detail})
+	u.ended = &netio.Error{Stage: u.stage, Cause: err.Cause, Detail: err.Detail}
+	u.Pump() // a slow client still gets what the host said before it ended
 }
 
 func (u *upstream) finish(err *netio.Error) {
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -30,17 +30,32 @@
 	lastRetry  = 64 * time.Millisecond
 )
 
+// stuckAfter is how long a peer may take nothing before its connection is given up: what waits for it holds memory, and
+// somebody else's descriptor too.
+const stuckAfter = 10 * time.Second
+
+// overshoot is how much netpoll may have read beyond a connection's limit before it is stopped.
+const overshoot = 4 << 20
+
+// kernelBuffer is what the kernel may hold for a connection in each direction: lines are short, and the megabytes that
+// it would allow by itself are not counted anywhere until they are missing.
+const kernelBuffer = 64 << 10
+
 // lingering is how long a closed connection may still take to deliver the rest of its last line.
 const lingering = time.Second
 
 // Conn is one connection. It has one buffer, for what has come in; what goes out is handed to the kernel at once,
 // and of a line that the kernel takes only in part the rest is kept until it takes that too. Until then Write
-// refuses, so the source keeps its own bytes and stops reading: that is the back-pressure.
+// refuses, so the source leaves its own bytes where they are, and a connection whose input nobody takes is not read
+// any further: that is the back-pressure.
 type Conn struct {
 	loop    *Loop
 	handler Handler
 	np      netpoll.Connection
 	in      Buffer
+	limit   int    // input at which reading pauses
+	paused  bool   // netpoll does not watch it
+	giveUp  int64  // when a peer that takes nothing is given up
 	rest    []byte // of the one line that is partly written
 	retry   *Timer
 	pause   time.Duration
@@ -49,23 +64,25 @@
 
 	// netpoll may close the descriptor on a goroutine of its own, after which its number can belong to another
 	// connection. Whoever uses the number holds mu.
-	mu sync.Mutex
-	fd int
+	mu        sync.Mutex
+	fd        int
+	detaching bool // netpoll's close callback means a pause, not the end
 }
 
 // current is where netpoll's tasks run. netpoll has one set of pollers for a process, hence one runner.
 var current struct {
 	sync.Mutex
-	loop *Loop
+	loop  *Loop
+	fence *fence
 }
 
 // Attach makes l the loop on which netpoll runs the callbacks of this process. One poller suits a machine of one
 // core, and it only reads: nothing that blocks happens on it.
 func Attach(l *Loop) error {
 	current.Lock()
+	defer current.Unlock()
 	current.loop = l
-	current.Unlock()
-	return netpoll.Configure(netpoll.Config{
+	err := netpoll.Configure(netpoll.Config{
 		PollerNum:  1,
 		BufferSize: 1024,
 		Runner: func(_ context.Context, f func()) {
@@ -76,6 +93,10 @@
 		},
 		LoggerOutput: netpollLog{},
 	})
+	if err == nil && current.fence == nil {
+		current.fence, err = newFence()
+	}
+	return err
 }
 
 // netpollLog brings netpoll's own complaints into the form of this program's log.
@@ -86,11 +107,13 @@
 	return len(p), nil
 }
 
-// newConn wraps a connection of netpoll's that stands. limit bounds the input buffer.
+// newConn wraps a connection of netpoll's that stands. Reading pauses while its input is at the limit.
 func newConn(l *Loop, np netpoll.Connection, limit int) *Conn {
-	c := &Conn{loop: l, np: np, in: NewBuffer(limit), fd: -1}
+	c := &Conn{loop: l, np: np, in: NewBuffer(limit + overshoot), limit: limit, fd: -1}
 	if d, ok := np.(netpoll.Conn); ok {
 		c.fd = d.Fd()
+		unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_RCVBUF, kernelBuffer)
+		unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_SNDBUF, kernelBuffer)
 	}
 	return c
 }
@@ -98,6 +121,11 @@
 // start begins delivery to h. It is called on the loop.
 func (c *Conn) start(h Handler) {
 	c.handler = h
+	c.watch()
+}
+
+// watch has netpoll deliver what comes on the connection.
+func (c *Conn) watch() {
 	c.np.AddCloseCallback(c.closed)
 	c.np.SetOnRequest(func(context.Context, netpoll.Connection) error {
 		c.read()
@@ -112,8 +140,16 @@
 // SetHandler gives the connection another handler, on the loop.
 func (c *Conn) SetHandler(h Handler) { c.handler = h }
 
-// Input is what has come in. The handler consumes from it.
-func (c *Conn) Input() *Buffer { return &c.in }
+// Input is what has come in and was not consumed. It is valid during the call of the handler, up to Consume.
+func (c *Conn) Input() []byte { return c.in.Bytes() }
+
+// Consume drops the first n bytes of the input.
+func (c *Conn) Consume(n int) {
+	c.in.Consume(n)
+	if c.paused && !c.over && c.in.Len() < c.limit/2 {
+		c.resume()
+	}
+}
 
 // Over tells whether the connection has ended, from either side.
 func (c *Conn) Over() bool { return c.over }
@@ -122,6 +158,12 @@
 func (c *Conn) read() {
 	for c.np.Reader().Len() > 0 {
 		n := c.np.Reader().Len()
+		if !c.over && c.in.Len()+n >= c.limit {
+			// Stop first, look later: netpoll goes on reading while the handler works.
+			if c.pauseReading() {
+				return
+			}
+		}
 		if c.over {
 			c.np.Reader().Skip(n)
 			continue
@@ -129,7 +171,7 @@
 		space := c.in.Reserve(n)
 		if len(space) == 0 {
 			c.np.Reader().Skip(n)
-			c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errors.New("more input than the limit")})
+			c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errFlood})
 			continue
 		}
 		got, err := c.np.Read(space)
@@ -142,6 +184,43 @@
 	c.np.Reader().Release()
 }
 
+// pauseReading takes the socket away from netpoll; what comes from here on stays in the kernel, and in the end with
+// the sender. It is called from inside a callback of netpoll's, which completes the detaching when it returns.
+func (c *Conn) pauseReading() bool {
+	d, ok := c.np.(interface{ Detach() error })
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	c.detaching = c.fd >= 0
+	detach := c.detaching
+	c.mu.Unlock()
+	if detach {
+		c.paused = true
+		d.Detach()
+	}
+	return detach
+}
+
+// resume gives the socket back.
+func (c *Conn) resume() {
+	c.mu.Lock()
+	fd, ready := c.fd, !c.detaching
+	c.mu.Unlock()
+	if !ready {
+		return // netpoll has not let go yet; closed comes here again
+	}
+	c.paused = false
+	np, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		c.paused = true
+		c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Dropped, Detail: err}) })
+		return
+	}
+	c.np = np
+	c.watch()
+}
+
 func (c *Conn) deliver() {
 	if !c.over {
 		c.guard(func() { c.handler.Data(c) })
@@ -164,6 +243,11 @@
 func (c *Conn) closed(np netpoll.Connection) error {
 	cause := Ended
 	c.mu.Lock()
+	if c.detaching {
+		c.mu.Unlock()
+		c.detached(np)
+		return nil
+	}
 	if c.fd >= 0 {
 		cause = c.howEnded()
 		c.fd = -1 // the number is another's from here on
@@ -188,6 +272,50 @@
 	return nil
 }
 
+// detached is netpoll's word that a pause has begun. It comes on the loop, where the pause was asked for.
+func (c *Conn) detached(np netpoll.Connection) {
+	current.fence.wait()
+	for n := np.Reader().Len(); n > 0; n = np.Reader().Len() {
+		space := c.in.Reserve(n)
+		if len(space) == 0 {
+			c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errFlood}) })
+			break
+		}
+		got, _ := np.Read(space)
+		c.in.Extend(got)
+	}
+	// netpoll lets go of the socket only after this callback, so all that follows waits for the loop's next turn.
+	c.loop.Post(func() {
+		c.mu.Lock()
+		c.detaching = false
+		c.mu.Unlock()
+		if c.over {
+			c.shut()
+			return
+		}
+		c.deliver()
+		if c.paused && !c.over && c.in.Len() < c.limit/2 {
+			c.resume()
+		}
+	})
+}
+
+var errFlood = errors.New("more input than the limit")
+
+// shut closes the socket, whoever holds it.
+func (c *Conn) shut() {
+	if !c.paused {
+		c.np.Close()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.detaching && c.fd >= 0 {
+		unix.Close(c.fd)
+		c.fd = -1
+	}
+}
+
 // howEnded asks the kernel whether the peer ended in order: netpoll reports a reset as an end. mu is held.
 func (c *Conn) howEnded() Cause {
 	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
@@ -207,7 +335,6 @@
 	c.Close()
 	c.in = held // the handler may still want what came before the end
 	defer func() {
-		c.in = Buffer{}
 		if p := recover(); p != nil {
 			log.Printf("event=panic where=close reason=%q stack=%q", p, debug.Stack())
 		}
@@ -226,7 +353,7 @@
 	}
 	if n := c.send(p); n < len(p) {
 		c.rest = append(c.rest, p[n:]...)
-		c.pause = firstRetry
+		c.pause, c.giveUp = firstRetry, c.loop.Now()+int64(stuckAfter)
 		c.retry = c.loop.After(c.pause, c.flush)
 	}
 	return true
@@ -242,11 +369,14 @@
 	n := c.send(c.rest)
 	c.rest = c.rest[:copy(c.rest, c.rest[n:])]
 	switch {
+	case len(c.rest) > 0 && !c.over && c.loop.Now() > c.giveUp:
+		c.rest = nil
+		c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errors.New("peer takes nothing")})
 	case len(c.rest) > 0 && !(c.over && c.loop.Now() > c.until):
 		c.pause = min(2*c.pause, lastRetry)
 		c.retry = c.loop.After(c.pause, c.flush)
 	case c.over:
-		c.np.Close()
+		c.shut()
 	default:
 		c.rest = nil
 		c.guard(func() { c.handler.Writable(c) })
@@ -268,6 +398,10 @@
 		case err == syscall.EAGAIN:
 			return done
 		default:
+			if c.paused {
+				// netpoll does not watch it now, so nobody else will tell.
+				c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Broke, Detail: err}) })
+			}
 			return len(p)
 		}
 	}
@@ -284,7 +418,7 @@
 		c.until = c.loop.Now() + int64(lingering)
 		return // flush closes: a line must not end in its middle because its reader is slow
 	}
-	c.np.Close()
+	c.shut()
 }
 
 // Abort ends it with a reset.
--- a/internal/netio/dial.go
+++ b/internal/netio/dial.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -137,17 +136,15 @@
 		d.ready.Signal()
 		d.loop.Post(func() {
 			if fault != nil {
-				q.finish(nil, &Error{Stage: Connecting, Cause: causeOf(fault), Detail: fault})
+				// netpoll's words for a refusal and for a time-out vary with the moment; the clock does not.
+				cause := Refused
+				if d.loop.Now() >= q.deadline {
+					cause = Expired
+				}
+				q.finish(nil, &Error{Stage: Connecting, Cause: cause, Detail: fault})
 				return
 			}
 			q.finish(np, nil)
 		})
 	}
 }
-
-func causeOf(err error) Cause {
-	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
-		return Refused
-	}
-	return Expired
-}
--- /dev/null
+++ b/internal/netio/fence.go
@@ -0,0 +1,60 @@
+package netio
+
+import (
+	"encoding/binary"
+	"net"
+
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+)
+
+// fence makes the loop wait until netpoll's poller has finished what it is doing.
+//
+// It exists for the sake of pausing a connection. netpoll reads whatever a socket holds for as long as it watches it,
+// so the only way to stop reading is to take the socket away from it; and what the poller reads at that very moment
+// would be lost with netpoll's buffer. netpoll calls a listener's Accept on the poller, between two sockets, so a
+// listener that stands on an eventfd tells when the poller has come to it: by then it is done with all it had found
+// before the eventfd was written.
+type fence struct {
+	fd     int
+	passed chan struct{}
+}
+
+var _ netpoll.Listener = (*fence)(nil)
+
+func newFence() (*fence, error) {
+	fd, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
+	if err != nil {
+		return nil, err
+	}
+	f := &fence{fd: fd, passed: make(chan struct{}, 1)}
+	events, err := netpoll.NewEventLoop(nil)
+	if err != nil {
+		return nil, err
+	}
+	go events.Serve(f) // for good
+	return f, nil
+}
+
+// wait returns once the poller has passed. The poller never waits for the loop, so this takes microseconds.
+func (f *fence) wait() {
+	var one [8]byte
+	binary.NativeEndian.PutUint64(one[:], 1)
+	if _, err := unix.Write(f.fd, one[:]); err == nil {
+		<-f.passed
+	}
+}
+
+// Accept is called on the poller. It accepts nothing.
+func (f *fence) Accept() (net.Conn, error) {
+	var count [8]byte
+	if n, err := unix.Read(f.fd, count[:]); err == nil && n == len(count) {
+		f.passed <- struct{}{}
+	}
+	return nil, nil
+}
+
+// Fd, Addr and Close make it a listener.
+func (f *fence) Fd() int        { return f.fd }
+func (f *fence) Addr() net.Addr { return &net.UnixAddr{Name: "fence", Net: "unix"} }
+func (f *fence) Close() error   { return nil }
--- a/internal/netio/listen.go
+++ b/internal/netio/listen.go
@@ -9,13 +9,13 @@
 	"github.com/cloudwego/netpoll"
 )
 
-// Listen accepts connections on addr and gives each one, on the loop, to accept, which names its handler. limit
-// bounds each connection's input buffer. Running out of descriptors does not end it: netpoll sets the listener aside
+// Listen accepts connections on addr and gives each one, on the loop, to accept, which names its handler. It gives the address listened on. limit
+// bounds each connection's input. Running out of descriptors does not end it: netpoll sets the listener aside
 // for a while and takes it up again.
-func Listen(l *Loop, addr string, limit int, accept func(c *Conn) Handler) error {
+func Listen(l *Loop, addr string, limit int, accept func(c *Conn) Handler) (net.Addr, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	// The callbacks of a connection are set only once the loop has it; what comes before waits in netpoll.
 	events, err := netpoll.NewEventLoop(nil, netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
@@ -31,13 +31,13 @@
 		return nil
 	}))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	go func() {
 		// Serve ends only with the listener, and that lives as long as the process.
 		log.Fatalf("event=listener_lost addr=%s reason=%q", addr, fmt.Sprint(events.Serve(ln)))
 	}()
-	return nil
+	return ln.Addr(), nil
 }
 
 // nobody is the handler of a connection that was not taken.
--- /dev/null
+++ b/internal/netio/netio_test.go
@@ -0,0 +1,194 @@
+package netio
+
+import (
+	"bytes"
+	"io"
+	"math/rand"
+	"net"
+	"testing"
+	"time"
+)
+
+// peer is a handler that tells the test what happens; every call comes on the loop.
+type peer struct {
+	data   func(c *Conn)
+	closed chan *Error
+}
+
+func (p *peer) Data(c *Conn)               { p.data(c) }
+func (p *peer) Writable(c *Conn)           { p.data(c) }
+func (p *peer) Closed(c *Conn, err *Error) { p.closed <- err }
+
+// serve listens on a running loop; connections are handled by data.
+func serve(t *testing.T, data func(c *Conn)) (*Loop, string, chan *Error) {
+	t.Helper()
+	l := NewLoop()
+	if err := Attach(l); err != nil {
+		t.Fatal(err)
+	}
+	closed := make(chan *Error, 8)
+	addr, err := Listen(l, "127.0.0.1:0", 4096, func(*Conn) Handler { return &peer{data, closed} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Run()
+	t.Cleanup(l.Stop)
+	return l, addr.String(), closed
+}
+
+func dial(t *testing.T, addr string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// A client that sends and does not read must be stopped, not stored, and must lose nothing when it reads at last.
+func TestBackPressure(t *testing.T) {
+	stopped := make(chan struct{}, 1000)
+	most := 0
+	_, addr, closed := serve(t, func(c *Conn) {
+		for len(c.Input()) > 0 && c.Write(c.Input()[:min(1024, len(c.Input()))]) {
+			c.Consume(min(1024, len(c.Input())))
+		}
+		most = max(most, len(c.Input()))
+		if len(c.Input()) >= c.limit { // the pause follows when this returns
+			select {
+			case stopped <- struct{}{}:
+			default:
+			}
+		}
+	})
+	sent := make([]byte, 16<<20)
+	rand.New(rand.NewSource(1)).Read(sent)
+	c := dial(t, addr)
+	go func() {
+		c.Write(sent)
+		c.CloseWrite()
+	}()
+	<-stopped
+	got, err := io.ReadAll(io.LimitReader(c, int64(len(sent))))
+	if err != nil || !bytes.Equal(got, sent) {
+		t.Errorf("%d of %d bytes came back: %v", len(got), len(sent), err)
+	}
+	if err := <-closed; err.Cause != Ended {
+		t.Errorf("ended by %v", err)
+	}
+	if most > 4096+overshoot {
+		t.Fatalf("%d bytes were held", most)
+	}
+}
+
+// netpoll tells an end and a reset alike, but they are passed on in kind.
+func TestHowPeersEnd(t *testing.T) {
+	_, addr, closed := serve(t, func(c *Conn) { c.Write(c.Input()); c.Consume(len(c.Input())) })
+	for _, want := range []Cause{Ended, Broke} {
+		c := dial(t, addr)
+		c.Write([]byte("x"))
+		io.ReadFull(c, make([]byte, 1))
+		if want == Broke {
+			c.SetLinger(0)
+		}
+		c.Close()
+		if err := <-closed; err.Cause != want {
+			t.Errorf("got %v, want %v", err, want)
+		}
+	}
+}
+
+func TestPanicStopsAtItsConnection(t *testing.T) {
+	_, addr, closed := serve(t, func(c *Conn) {
+		if string(c.Input()) == "p" {
+			panic("on purpose")
+		}
+		c.Write(c.Input())
+	})
+	bad, good := dial(t, addr), dial(t, addr)
+	bad.Write([]byte("p"))
+	if err := <-closed; err.Cause != Dropped {
+		t.Fatal(err)
+	}
+	good.Write([]byte("g"))
+	if _, err := io.ReadFull(good, make([]byte, 1)); err != nil {
+		t.Fatal("another connection suffered:", err)
+	}
+}
+
+func TestDial(t *testing.T) {
+	l, addr, _ := serve(t, func(c *Conn) { c.Write(c.Input()); c.Consume(len(c.Input())) })
+	d := NewDialer(l, 4)
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := gone.Addr().String()
+	gone.Close()
+	results := make(chan string, 8)
+	back := &peer{data: func(c *Conn) { results <- string(c.Input()); c.Close() }}
+	l.Post(func() {
+		d.Dial(addr, time.Minute, 4096, back, func(*Conn, *Error) { results <- "dropped, yet told" }).Drop()
+		d.Dial(refusing, time.Minute, 4096, back, func(c *Conn, err *Error) {
+			results <- err.Error()[:len("refused while connecting")]
+			d.Dial(addr, time.Minute, 4096, back, func(c *Conn, err *Error) { c.Write([]byte("hello")) })
+		})
+	})
+	for _, want := range []string{"refused while connecting", "hello"} {
+		if got := <-results; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
+
+// Dials to one address must not use up the dialers while it does not answer.
+func TestVanishedHostLeavesDialers(t *testing.T) {
+	d := &Dialer{loop: NewLoop(), busy: map[string]int{"vanished": 1}, share: 1}
+	for _, addr := range []string{"vanished", "vanished", "alive"} {
+		d.waiting = append(d.waiting, &Dial{dialer: d, addr: addr})
+	}
+	if q := d.next(); q.addr != "alive" || len(d.waiting) != 2 {
+		t.Fatalf("next is %s, %d wait", q.addr, len(d.waiting))
+	}
+}
+
+func TestLoopOrder(t *testing.T) {
+	now := int64(0)
+	l := NewLoopAt(func() int64 { return now })
+	got := ""
+	l.After(2, func() { got += "c" })
+	l.After(1, func() { got += "a"; l.Post(func() { got += "b" }) })
+	l.After(1, func() { got += "x" }).Stop()
+	now = 1
+	l.RunPending()
+	now = 2
+	if l.RunPending(); got != "abc" {
+		t.Fatal(got)
+	}
+}
+
+// FuzzBuffer compares the buffer with a plain slice over random steps.
+func FuzzBuffer(f *testing.F) {
+	f.Add([]byte{1, 200, 0, 30, 255, 0, 9}, int64(1))
+	f.Add(bytes.Repeat([]byte{250, 3}, 50), int64(2))
+	f.Fuzz(func(t *testing.T, steps []byte, seed int64) {
+		rng := rand.New(rand.NewSource(seed))
+		b := NewBuffer(2000)
+		var want []byte
+		for _, s := range steps {
+			if s%2 == 0 {
+				n := min(int(s)*3, len(want))
+				want = want[n:]
+				b.Consume(n)
+			} else {
+				p := make([]byte, int(s)*3)
+				rng.Read(p)
+				want = append(want, p[:b.Append(p)]...)
+			}
+			if !bytes.Equal(b.Bytes(), want) || len(want) > 2000 || cap(b.data) > 2000 {
+				t.Fatalf("holds %d bytes in %d, want %d", b.Len(), cap(b.data), len(want))
+			}
+		}
+	})
+}
