--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -58,11 +58,13 @@
 	sessions int
 	leaving  bool
 	counts   Counts
+	counted  int64 // when they were last logged
 }
 
-// Counts are what the core has done since its start or since they were last logged.
+// Counts are what the core has done since they were last logged.
 type Counts struct {
 	Opened, Served, Refused, Failed, Rejected, Moved, Lost int
+	TurnedAway                                             int // for want of room
 }
 
 type call struct {
@@ -112,7 +114,7 @@
 // strike connections that already stand.
 func (c *Core) Admit() bool {
 	if c.sessions >= c.opt.Sessions {
-		c.counts.Refused++
+		c.counts.TurnedAway++
 		return false
 	}
 	c.sessions++
--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -149,3 +149,109 @@
 	w.expect("note q 1 700", "note q 1 60000", "note q 2 65", "note q 2 1100", "note q 2 2900", "note q 2 4100",
 		"note q 2 3000", "note q 2 1500", "note q 2 20", "note q 1 3800")
 }
+
+// A client gets one answer: by its deadline though the module stays silent, and none after that.
+func TestOneAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.open("q")
+	w.pass(time.Second)
+	w.expect("request q")
+	w.pass(50 * time.Millisecond)
+	w.expect("fail q", "gone q")
+	w.fx.Refuse("q", 0)
+	w.fx.Send("q", "A", 0)
+	w.pass(time.Second)
+	w.expect()
+	w.on = func(e string) {
+		if e == "request p" {
+			panic("on purpose")
+		}
+	}
+	w.open("p")
+	w.expect("request p", "fail p", "gone p")
+	if len(w.core.requests) != 0 {
+		t.Fatal("requests are left")
+	}
+}
+
+// The old attempt is closed before the next begins, and how far it had come decides what the module hears.
+func TestAttempts(t *testing.T) {
+	w := newWorld(t)
+	w.on = func(e string) {
+		switch {
+		case e == "request q":
+			w.fx.Send("q", "A", 300e6)
+		case strings.HasPrefix(e, "outcome q 0"):
+			w.fx.Send("q", "B", 0)
+		case strings.HasPrefix(e, "outcome q 1"):
+			w.fx.Refuse("q", 1e9)
+		}
+	}
+	w.open("q")
+	w.expect("request q", "start at-A 300")
+	w.ups[0].stage = netio.Sent
+	w.pass(300 * time.Millisecond)
+	w.expect("end up ended", "outcome q 0 3 false", "start at-B 700")
+	w.ups[1].ev.UpstreamEnded(&netio.Error{Stage: netio.Sending, Cause: netio.Broke})
+	w.expect("end up ended", "outcome q 1 4 false", "refuse q 1000")
+	_, u := w.serve("s")
+	u.ev.UpstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.Broke})
+	w.expect("end s broke", "outcome s 0 5 true")
+}
+
+// Draining and removed hosts get nothing new, and a dial in the queue is something new; a changed address is followed.
+func TestListActsOnDials(t *testing.T) {
+	w := newWorld(t)
+	w.on = func(e string) {
+		if e == "request q" {
+			w.fx.Send("q", "A", 0)
+		}
+	}
+	w.open("q")
+	a := HostEntry{Endpoint: "new", Entry: brain.Entry{ID: "A"}}
+	w.core.Listed(Change{Kind: brain.ListDelta, Hosts: []HostEntry{a}})
+	w.expect("request q", "start at-A 1000", "end up dropped", "start new 1000", "members 0 1")
+	a.State = brain.Draining
+	w.core.Listed(Change{Kind: brain.ListDelta, Hosts: []HostEntry{a}})
+	w.expect("members 0 1", "end up dropped", "outcome q 0 2 false")
+	w.fx.Send("q", "A", 0) // the rule holds should the module err
+	w.core.decide(nil, func(int64) {})
+	w.expect("outcome q 1 2 false")
+}
+
+// A host that answers none of its client's lines is left in time, and its client sent away politely.
+func TestSilentHost(t *testing.T) {
+	w := newWorld(t)
+	r, u := w.serve("q")
+	for range 2 {
+		r.FromDownstream(Message{Text: []byte("M\r\n")})
+		u.ev.FromUpstream(Message{Text: []byte("M\r\n")})
+		w.pass(2 * time.Second)
+	}
+	w.expect()
+	r.FromDownstream(Message{Text: []byte("M\r\n")})
+	w.pass(5 * time.Second)
+	if got := w.seen[len(w.seen)-3:]; strings.Join(got, "; ") != "move q; end up ended; outcome q 0 5 true" {
+		t.Fatal(w.seen)
+	}
+}
+
+// A leaving proxy refuses newcomers, moves those it serves once the front sends no more, and is done when all are gone.
+func TestLeave(t *testing.T) {
+	w := newWorld(t)
+	w.serve("q")
+	w.core.Admit()
+	left := false
+	w.core.Leave(func() { left = true })
+	w.open("new")
+	w.expect("refuse new 500")
+	w.pass(400 * time.Millisecond)
+	w.expect()
+	w.pass(1700 * time.Millisecond)
+	w.expect("move q", "end up ended", "outcome q 0 6 true")
+	w.core.Left()
+	w.pass(100 * time.Millisecond)
+	if !left {
+		t.Fatal("it does not end")
+	}
+}
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -12,6 +12,8 @@
 	// silentAfter is how long a client's line may go unanswered before the host counts as silent. Clients send every
 	// 2 s and a silent host must be left within 7 s, so the first unanswered line is at most 2 s late.
 	silentAfter = 4500 * time.Millisecond
+	// countEvery is how often the log sums up.
+	countEvery = 10 * time.Second
 	// maxWaiting bounds how many unanswered lines are remembered for one connection.
 	maxWaiting = 16
 	// noteEvery is how often the module is told of a slow host.
@@ -77,6 +79,9 @@
 func (c *Core) watchSessions() {
 	c.loop.After(watchEvery, c.watchSessions)
 	now := c.loop.Now()
+	if now-c.counted >= int64(countEvery) {
+		c.logCounts(now)
+	}
 	for _, h := range c.hosts {
 		h.delay.oldest = 0
 		for r := range h.up {
@@ -100,6 +105,20 @@
 	}
 }
 
+// logCounts sums up what was done since the last time; a proxy that did nothing says nothing.
+func (c *Core) logCounts(now int64) {
+	c.counted = now
+	n := c.counts
+	if n == (Counts{}) {
+		return
+	}
+	open, pending := c.standing()
+	log.Printf("event=counts open=%d pending=%d connections=%d opened=%d served=%d refused=%d failed=%d rejected=%d "+
+		"moved=%d lost=%d turned_away=%d", open, pending, c.sessions, n.Opened, n.Served, n.Refused, n.Failed, n.Rejected,
+		n.Moved, n.Lost, n.TurnedAway)
+	c.counts = Counts{}
+}
+
 // noteDelay tells the module once a second how long messages take at a host, while that is over a third of the
 // shortest aim, and once more when it is back under: what the settings promise as notes of kind 2.
 func (c *Core) noteDelay(h *host, now int64) {
