Take SIGHUP: read the file again and turn to the discovery it names

Ruled out: a fault of the reload's own, memory (1 of 64 MB) and descriptors (53 of 384); the log ends without a panic. At fault: signal.Notify in cmd/croftlock/main.go named SIGTERM and SIGINT only.

Signals are registered before the configuration is read. The file's discovery wins over NODE_DISCOVERY on a reload; a file that can't be used is one log line. The client drops what is under way at the old address without telling a failure, asks for the whole list at once (a version of the old service means nothing to the new one), and asks again by itself for 3.5 s, since the module's own pause may outlast the 4 s.

Tests fail without the registration and with the old version kept.

--- a/cmd/croftlock/config.go
+++ b/cmd/croftlock/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"croftlock/brain"
@@ -105,6 +106,31 @@
 	return c, nil
 }
 
+// reloadConfig reads the file again, for a program that runs on old. The file's discovery wins here: the environment
+// still holds the one from the start. It names what differs but takes effect at the next start only: the address
+// listened on, the limits and what the module was told bind what is already open.
+func reloadConfig(env func(string) string, old *config) (c *config, later []string, err error) {
+	c, err = loadConfig(func(name string) string {
+		if name == "NODE_DISCOVERY" {
+			return ""
+		}
+		return env(name)
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, v := range []struct {
+		name string
+		same bool
+	}{{"name", c.name == old.name}, {"listen", c.listen == old.listen}, {"limits", c.limits == old.limits},
+		{"settings", reflect.DeepEqual(c.settings, old.settings) && c.delayInLoad == old.delayInLoad}} {
+		if !v.same {
+			later = append(later, v.name)
+		}
+	}
+	return c, later, nil
+}
+
 // spare is how many descriptors are kept for all that is no session: the listener, the poller, discovery, dials that
 // are being given up, and clients that are being refused.
 const spare = 64
--- a/cmd/croftlock/config_test.go
+++ b/cmd/croftlock/config_test.go
@@ -1,7 +1,14 @@
 package main
 
 import (
+	"bufio"
+	"bytes"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -29,3 +36,81 @@
 		}
 	}
 }
+
+// TestMain lets the test's own binary run as the program, so that signals meet a whole process.
+func TestMain(m *testing.M) {
+	if os.Getenv("CROFTLOCK_TEST_RUN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// A SIGHUP under way ended the program. It must read the file again, whose discovery wins over the environment's, go
+// on with what it has when the file is of no use, and still obey SIGTERM.
+func TestSignals(t *testing.T) {
+	first, second := discovery(t), discovery(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	with := func(addr string) string { return strings.Replace(usable, "127.0.0.1:2", addr, 1) }
+	write(with(first.Addr().String()))
+	p := exec.Command(os.Args[0])
+	p.Env = append(os.Environ(), "CROFTLOCK_TEST_RUN=1", "NODE_CONFIG="+path, "NODE_LISTEN=127.0.0.1:0",
+		"NODE_DISCOVERY="+first.Addr().String())
+	out, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Process.Kill() })
+	lines := bufio.NewScanner(out)
+	await := func(event string) string {
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), event) {
+				return lines.Text()
+			}
+		}
+		t.Fatalf("it ended without %s", event)
+		return ""
+	}
+	await("event=ready")
+	write("{")
+	p.Process.Signal(syscall.SIGHUP)
+	await("event=reload_failed")
+	write(strings.Replace(with(second.Addr().String()), `"memory_mb":192`, `"memory_mb":99`, 1))
+	p.Process.Signal(syscall.SIGHUP)
+	if l := await("event=reloaded"); !strings.Contains(l, `at_next_start="limits"`) {
+		t.Error(l)
+	}
+	// The first call at the new address asks for the whole list.
+	c, err := second.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	head := make([]byte, 64)
+	n, _ := c.Read(head)
+	if !bytes.HasPrefix(head[:n], []byte("GET /discovery/hosts HTTP/1.1\r\n")) {
+		t.Errorf("asked %q", head[:n])
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	await("event=stopped")
+	if err := p.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+func discovery(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
--- a/cmd/croftlock/main.go
+++ b/cmd/croftlock/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"croftlock/brain"
@@ -23,9 +24,12 @@
 
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	// Before anything else: a SIGHUP that nobody takes ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cfg, err := loadConfig(os.Getenv)
 	if err == nil {
-		err = serve(cfg)
+		err = serve(cfg, signals)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "croftlock:", err)
@@ -34,7 +38,7 @@
 }
 
 // serve runs the proxy until it has been told to stop and has nothing left to carry.
-func serve(cfg *config) error {
+func serve(cfg *config, signals <-chan os.Signal) error {
 	runtime.GOMAXPROCS(cfg.procs())
 	debug.SetMemoryLimit(cfg.memoryLimit())
 	loop := netio.NewLoop()
@@ -56,14 +60,28 @@
 	}
 	log.Printf("event=ready name=%s listen=%s hosts=%d rev=%d sessions=%d", cfg.name, cfg.listen,
 		len(cfg.known.Hosts), cfg.known.Version, cfg.sessions())
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		s := <-stop
-		log.Printf("event=stopping signal=%q", s)
-		loop.Post(func() { core.Leave(loop.Stop) })
-	}()
+	go obey(signals, cfg, func(discovery string) { loop.Post(func() { watch.Redirect(discovery) }) },
+		func() { loop.Post(func() { core.Leave(loop.Stop) }) })
 	loop.Run()
 	log.Printf("event=stopped")
 	return nil
 }
+
+// obey takes signals for as long as the program runs. The file is read here, beside the loop, which must not wait for a
+// disk. A file that can't be used changes nothing.
+func obey(signals <-chan os.Signal, cfg *config, redirect func(discovery string), leave func()) {
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			log.Printf("event=stopping signal=%q", s)
+			leave()
+			continue
+		}
+		next, later, err := reloadConfig(os.Getenv, cfg)
+		if err != nil {
+			log.Printf("event=reload_failed reason=%q", err)
+			continue
+		}
+		log.Printf("event=reloaded discovery=%s at_next_start=%q", next.discovery, strings.Join(later, ","))
+		redirect(next.discovery)
+	}
+}
--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -23,6 +23,10 @@
 	connectWithin = time.Second
 	inputLimit    = maxHead + 2*maxBody
 	fetchWithin   = 2500 * time.Millisecond
+	// settling is how long after a redirect the client itself asks a new address again, and askAgain how soon: what
+	// that address has to tell counts as told 4 s after the redirect, and the module's own pause may be longer.
+	settling = 3500 * time.Millisecond
+	askAgain = 150 * time.Millisecond
 )
 
 // Client keeps a watch while it is wanted, one call after the other on one connection, and fetches the whole list
@@ -33,7 +37,9 @@
 	addr   string
 	tell   func(proxy.Change)
 
-	rev     int64
+	rev     int64 // of the list as held, in the numbering of the service at addr; under 0: none is held of it
+	moved   int64 // when addr last changed, until it has answered; 0: it has
+	again   *netio.Timer
 	wanted  bool  // the watch goes on
 	first   bool  // its first answer is awaited, which is told even if it is empty
 	watch   *call // the call under way
@@ -62,6 +68,7 @@
 func (c *Client) Watch(on bool) {
 	if !on {
 		c.wanted = false
+		c.again.Stop()
 		if c.watch != nil {
 			c.watch.drop()
 			c.watch = nil
@@ -75,11 +82,45 @@
 	c.next()
 }
 
+// Redirect has the client ask another address from now on. What is under way at the old one is dropped without a word:
+// that it ends its connections is no failure of the new one's. The versions of two services need not be comparable, and a
+// watch from a version that the new one has not come to would hear nothing; so the whole list is asked for first. That
+// happens at once, also while the module waits before it asks again.
+func (c *Client) Redirect(addr string) {
+	if addr == c.addr {
+		return
+	}
+	c.addr, c.rev, c.moved = addr, -1, c.loop.Now()
+	if c.idle != nil {
+		c.idle.Close()
+		c.idle = nil
+	}
+	if c.watch != nil {
+		c.watch.drop()
+		c.watch = nil
+	}
+	if c.fetch != nil {
+		c.fetch.drop()
+		c.fetch = nil // the watch below brings what was asked for
+	}
+	c.again.Stop()
+	c.wanted, c.first = true, true
+	c.next()
+}
+
 // next makes the watch's next call. The watch goes on only if that comes within 200 ms of the last answer.
 func (c *Client) next() {
-	target := fmt.Sprintf("%s?from=%d&hold_ms=%d", path, c.rev, hold.Milliseconds())
-	c.watch = c.start(target, hold+answerWithin, func(ch proxy.Change, err error) {
+	target, within := fmt.Sprintf("%s?from=%d&hold_ms=%d", path, c.rev, hold.Milliseconds()), hold+answerWithin
+	if c.rev < 0 {
+		target, within = path, answerWithin
+	}
+	c.watch = c.start(target, within, func(ch proxy.Change, err error) {
 		c.watch = nil
+		if err != nil && c.moved > 0 && c.loop.Now()-c.moved < int64(settling) {
+			c.note(err)
+			c.again = c.loop.After(askAgain, c.next)
+			return
+		}
 		if err != nil {
 			// The module decides when to ask again; it backs off.
 			c.wanted = false
@@ -109,11 +150,16 @@
 	})
 }
 
-func (c *Client) failed(err error) {
+// note logs why a call failed, unless the last one failed for the same reason.
+func (c *Client) note(err error) {
 	if c.lastErr != err.Error() {
 		c.lastErr = err.Error()
 		log.Printf("event=discovery_failed reason=%q", err)
 	}
+}
+
+func (c *Client) failed(err error) {
+	c.note(err)
 	c.tell(proxy.Change{Kind: brain.ListFailed})
 }
 
@@ -195,7 +241,7 @@
 	}
 	q.drop()
 	if err == nil {
-		q.client.rev = ch.Version
+		q.client.rev, q.client.moved = ch.Version, 0
 		if q.client.lastErr != "" {
 			q.client.lastErr = ""
 			log.Printf("event=discovery_back rev=%d", ch.Version)
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -1,12 +1,16 @@
 package cluster
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 
 	"croftlock/brain"
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
 )
 
 var seeds = []string{
@@ -83,3 +87,59 @@
 		}
 	}
 }
+
+// After a redirect the new service is asked at once and for everything, since its versions are its own; that the old one
+// hangs up then, and that the new one fails at first, is no failure told.
+func TestRedirect(t *testing.T) {
+	calls := make(chan string, 16)
+	serve := func(name string, answers ...string) string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+				t.Cleanup(func() { c.Close() })
+				in := bufio.NewScanner(c)
+				for in.Scan() && strings.HasPrefix(in.Text(), "GET ") {
+					calls <- name + " " + strings.Fields(in.Text())[1]
+					for in.Scan() && in.Text() != "" {
+					}
+					if len(answers) == 0 {
+						continue // the watch waits
+					}
+					fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", answers[0][:3], len(answers[0])-4,
+						answers[0][4:])
+					answers = answers[1:]
+				}
+			}
+		}()
+		return ln.Addr().String()
+	}
+	l := netio.NewLoop()
+	if err := netio.Attach(l); err != nil {
+		t.Fatal(err)
+	}
+	go l.Run()
+	t.Cleanup(l.Stop)
+	told := make(chan proxy.Change, 16)
+	old := serve("old")
+	c := NewClient(l, netio.NewDialer(l, 4), old, 90, func(ch proxy.Change) { told <- ch })
+	l.Post(func() { c.Watch(true) })
+	expect := func(want string) {
+		t.Helper()
+		if got := <-calls; got != want {
+			t.Fatalf("called %s, want %s", got, want)
+		}
+	}
+	expect("old /discovery/hosts?from=90&hold_ms=4000")
+	addr := serve("new", "503 ", `200 {"rev":3,"all":true,"targets":[]}`)
+	l.Post(func() { c.Redirect(addr); c.Watch(true) })
+	expect("new /discovery/hosts")
+	expect("new /discovery/hosts")
+	expect("new /discovery/hosts?from=3&hold_ms=4000")
+	if ch := <-told; ch.Kind != brain.ListFull || ch.Version != 3 || len(told) > 0 {
+		t.Errorf("told %+v and %d more", ch, len(told))
+	}
+}
