Give newcomers their own room, hold first lines to the form, keep netpoll in step

Ruled out: memory (6 of 64 MB), CPU (0.02 of a second), the module (served what reached it). At fault: Front.accept counted clients without a line as sessions for 30 s; Conn.Close resets over unread bytes; netpoll reads and accepts whatever the loop does; ParseOpen took what no host can read.

Newcomers get an eighth of the descriptors, the oldest makes way; 2.5 s for the whole first line; BUSY for want of room tells when to come back; Finish ends a client without a reset and keeps its descriptor counted; the poller waits for the loop, so overshoot falls from 4 MiB to 128 KiB. Tried and dropped: letting the poller go on mid-task; accepting without parking it (a hang, found by dumping the stacks of a stuck loop).

--- a/cmd/croftlock/config.go
+++ b/cmd/croftlock/config.go
@@ -131,16 +131,34 @@
 	return c, later, nil
 }
 
-// spare is how many descriptors are kept for all that is no session: the listener, the poller, discovery, dials that
-// are being given up, and clients that are being refused.
-const spare = 64
+// spare is how many descriptors are kept for what is neither a client's nor a host's: the standard three, the pollers,
+// the listener, discovery, the configuration file, and clients that are accepted but not looked at yet.
+const spare = 24
 
-// sessions is how many clients fit the limit on descriptors: each may need one more, to its upstream host.
+// dialers is how many connections may be opening at a time. Each may hold a descriptor for a request that has given its
+// dial up.
+func (c *config) dialers() int {
+	if c.limits.Sockets <= 0 {
+		return 32
+	}
+	return min(32, max(8, c.limits.Sockets/16))
+}
+
+// newcomers is how many clients may be connected without a request.
+func (c *config) newcomers() int {
+	if c.limits.Sockets <= 0 {
+		return 1024
+	}
+	return max(8, c.limits.Sockets/8)
+}
+
+// sessions is how many clients with a request fit the limit on descriptors: each may need one more, to its upstream
+// host.
 func (c *config) sessions() int {
 	if c.limits.Sockets <= 0 {
 		return 1 << 20
 	}
-	return max(1, (c.limits.Sockets-spare)/2)
+	return max(1, (c.limits.Sockets-spare-c.dialers()-c.newcomers())/2)
 }
 
 // procs is how many threads may run Go code: more than the cores only adds switching.
--- a/cmd/croftlock/config_test.go
+++ b/cmd/croftlock/config_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	if c.listen != "127.0.0.1:9" || c.known.Version != 7 || c.seed != -1 || !c.delayInLoad || c.procs() != 1 ||
-		2*c.sessions() > 1024-spare || c.memoryLimit() >= 192<<20 {
+		2*c.sessions()+c.newcomers()+c.dialers() > 1024-spare || 3*c.sessions() < 1024 || c.memoryLimit() >= 192<<20 {
 		t.Errorf("%+v", c)
 	}
 	for _, change := range [][2]string{{"{", ""}, {"127.0.0.1:2", "nowhere"}, {`"seed":"ffffffffffffffff"`, `"seed":"x"`},
--- a/cmd/croftlock/main.go
+++ b/cmd/croftlock/main.go
@@ -19,9 +19,6 @@
 	"croftlock/internal/proxy"
 )
 
-// dialers is how many connections may be opening at a time.
-const dialers = 32
-
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
 	// Before anything else: a SIGHUP that nobody takes ends the process.
@@ -45,7 +42,7 @@
 	if err := netio.Attach(loop); err != nil {
 		return fmt.Errorf("netpoll: %v", err)
 	}
-	dialer := netio.NewDialer(loop, dialers)
+	dialer := netio.NewDialer(loop, cfg.dialers())
 	core := proxy.New(loop, line.NewHosts(loop, dialer), proxy.Options{
 		Settings: cfg.settings, Sessions: cfg.sessions(), DelayInLoad: cfg.delayInLoad})
 	watch := cluster.NewClient(loop, dialer, cfg.discovery, cfg.known.Version, core.Listed)
@@ -55,7 +52,7 @@
 		return err
 	}
 	// The listener comes last: a client, or the front's PING, must find the proxy ready.
-	if _, err := line.NewFront(loop, core, cfg.listen); err != nil {
+	if _, err := line.NewFront(loop, core, cfg.listen, cfg.newcomers()); err != nil {
 		return fmt.Errorf("listen: %v", err)
 	}
 	log.Printf("event=ready name=%s listen=%s hosts=%d rev=%d sessions=%d", cfg.name, cfg.listen,
--- a/internal/line/conns.go
+++ b/internal/line/conns.go
@@ -1,14 +1,21 @@
 package line
 
 import (
+	"container/list"
+	"net"
 	"time"
 
 	"croftlock/internal/netio"
 	"croftlock/internal/proxy"
 )
 
-// firstLine is how long a downstream may stay without a first line: each one holds a descriptor.
-const firstLine = 30 * time.Second
+const (
+	// firstLine is how long after connecting a downstream's first line may take, whole: a client that sends it in
+	// pieces gets no more time for each. Who does not send one is owed its end within 3 s.
+	firstLine = 2500 * time.Millisecond
+	// betweenPings is how long a connection that has asked PING may stay: the front may keep one.
+	betweenPings = 30 * time.Second
+)
 
 // inputLimit is how much a connection may have sent that nobody has taken before it is read no further: some lines of
 // the longest kind.
@@ -18,23 +25,33 @@
 type Front struct {
 	loop *netio.Loop
 	core *proxy.Core
+	// newcomers are the connections that hold a descriptor and no request: those without a first line yet, and those
+	// that have been turned away and not hung up. They have room of their own, else hundreds of clients that say
+	// nothing would turn away the ones that do; and the one that has been there longest makes room for the next.
+	newcomers list.List
+	room      int
+	addr      net.Addr
 }
 
-// NewFront serves clients of the line protocol on addr.
-func NewFront(l *netio.Loop, core *proxy.Core, addr string) (*Front, error) {
-	f := &Front{loop: l, core: core}
-	_, err := netio.Listen(l, addr, inputLimit, f.accept)
+// Addr is where it listens.
+func (f *Front) Addr() net.Addr { return f.addr }
+
+// NewFront serves clients of the line protocol on addr, with room for so many that have no request.
+func NewFront(l *netio.Loop, core *proxy.Core, addr string, room int) (*Front, error) {
+	f := &Front{loop: l, core: core, room: room}
+	var err error
+	f.addr, err = netio.Listen(l, addr, inputLimit, f.accept)
 	return f, err
 }
 
 func (f *Front) accept(c *netio.Conn) netio.Handler {
 	d := &downstream{front: f, conn: c}
-	if !f.core.Admit() {
-		d.Refuse(0)
-		return d
+	c.WhenGone(d.gone)
+	if f.newcomers.Len() >= f.room {
+		f.newcomers.Front().Value.(*downstream).drop()
 	}
-	d.counted = true
-	d.idle = f.loop.After(firstLine, d.close)
+	d.place = f.newcomers.PushBack(d)
+	d.idle = f.loop.After(firstLine, d.late)
 	return d
 }
 
@@ -44,7 +61,8 @@
 	conn    *netio.Conn
 	req     *proxy.Request
 	idle    *netio.Timer
-	counted bool
+	place   *list.Element // among the newcomers; nil once it has a request
+	counted bool          // the core has given it room
 	served  bool
 }
 
@@ -71,8 +89,11 @@
 		if string(text(line)) == "PING" {
 			d.conn.Consume(len(line))
 			// A proxy that is on its way out must not be taken in by the front.
+			d.idle.Stop()
+			d.idle = d.front.loop.After(betweenPings, d.late)
 			if !d.front.core.Ready() || !d.conn.Write(pong) {
-				d.close()
+				d.finish()
+				return false
 			}
 			continue
 		}
@@ -83,6 +104,13 @@
 			return false
 		}
 		d.idle.Stop()
+		if !d.front.core.Admit() {
+			d.Refuse(d.front.core.ComeBack())
+			return false
+		}
+		d.counted = true
+		d.front.newcomers.Remove(d.place)
+		d.place = nil
 		d.req = d.front.core.Open(d, &o.Opening, o)
 		return d.req != nil
 	}
@@ -100,7 +128,7 @@
 	for d.served && !d.conn.Over() {
 		line, err := Cut(d.conn.Input())
 		if err != nil {
-			d.conn.Close()
+			d.finish()
 			d.req.DownstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.Dropped, Detail: err})
 			return
 		}
@@ -118,23 +146,46 @@
 }
 
 func (d *downstream) Closed(c *netio.Conn, err *netio.Error) {
-	d.forget()
+	d.idle.Stop()
 	if d.req != nil {
 		d.req.DownstreamEnded(err)
 	}
 }
 
-func (d *downstream) forget() {
-	d.idle.Stop()
+// gone gives back the room of a connection that holds no descriptor any more.
+func (d *downstream) gone() {
 	if d.counted {
 		d.counted = false
 		d.front.core.Left()
 	}
+	if d.place != nil {
+		d.front.newcomers.Remove(d.place)
+		d.place = nil
+	}
 }
 
-func (d *downstream) close() {
-	d.forget()
-	d.conn.Close()
+// late ends a connection whose first line has not come in time: what began as a line gets an answer.
+func (d *downstream) late() {
+	if len(d.conn.Input()) > 0 {
+		d.reject(errLate)
+		return
+	}
+	d.conn.Close() // nothing was said, so nothing is lost
+}
+
+// drop ends a newcomer for the sake of the next.
+func (d *downstream) drop() {
+	d.idle.Stop()
+	if !d.conn.Over() && len(d.conn.Input()) > 0 {
+		d.conn.Write(fault)
+	}
+	d.conn.Drop()
+	d.gone()
+}
+
+func (d *downstream) finish() {
+	d.idle.Stop()
+	d.conn.Finish()
 }
 
 // Serve passes the host's own acceptance on.
@@ -154,21 +205,17 @@
 
 func (d *downstream) last(p []byte) {
 	d.conn.Write(p)
-	d.close()
+	d.finish()
 }
 
 // End ends the client's connection as the host's ended.
 func (d *downstream) End(cause netio.Cause) {
-	d.forget()
-	end(d.conn, cause)
-}
-
-func end(c *netio.Conn, cause netio.Cause) {
+	d.idle.Stop()
 	if cause == netio.Broke {
-		c.Abort()
+		d.conn.Abort()
 		return
 	}
-	c.Close()
+	d.conn.Finish()
 }
 
 // Hosts opens connections to upstream hosts.
@@ -276,6 +323,10 @@
 	u.done = true
 	u.dial.Drop()
 	if u.conn != nil {
-		end(u.conn, cause)
+		if cause == netio.Broke {
+			u.conn.Abort()
+		} else {
+			u.conn.Close()
+		}
 	}
 }
--- /dev/null
+++ b/internal/line/conns_test.go
@@ -0,0 +1,131 @@
+package line
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
+)
+
+// refuser is a module that refuses what it is asked.
+type refuser struct{ fx brain.Effects }
+
+func (m refuser) Request(_ brain.Time, q brain.Request)                  { m.fx.Refuse(q.ID, 7e6) }
+func (refuser) Open(brain.Time, brain.Request, string)                   {}
+func (refuser) First(brain.Time, string, int, brain.Time)                {}
+func (refuser) Gone(brain.Time, string)                                  {}
+func (refuser) Note(brain.Time, string, int, brain.NoteKind, float64)    {}
+func (refuser) Members(brain.Time, brain.ListKind, int64, []brain.Entry) {}
+func (refuser) Timer(brain.Time, string)                                 {}
+func (refuser) Outcome(brain.Time, string, int, brain.Status, brain.Time, bool, []float64) {
+}
+
+// front serves clients with room for two that have no request and none for requests beyond the given number. pass
+// moves its clock.
+func front(t *testing.T, sessions int) (dial func() net.Conn, pass func(time.Duration)) {
+	t.Helper()
+	var now atomic.Int64
+	now.Store(1e18)
+	l := netio.NewLoopAt(now.Load)
+	if err := netio.Attach(l); err != nil {
+		t.Fatal(err)
+	}
+	core := proxy.New(l, nil, proxy.Options{Sessions: sessions, Settings: brain.Config{RetryAfter: true,
+		MaxRetryAfter: 2e9, Classes: []brain.Class{{Name: "c", Deadline: 4800e6}}, Tenants: []brain.Tenant{{Name: "t"}}}})
+	core.Run(func(fx brain.Effects) (proxy.Decider, error) { return refuser{fx}, nil }, nil, proxy.Change{})
+	f, err := NewFront(l, core, "127.0.0.1:0", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Run()
+	t.Cleanup(l.Stop)
+	dial = func() net.Conn {
+		c, err := net.Dial("tcp", f.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	return dial, func(d time.Duration) {
+		now.Add(int64(d))
+		l.Post(func() {})
+	}
+}
+
+// expect reads what a client gets up to its end.
+func expect(t *testing.T, c net.Conn, want string) {
+	t.Helper()
+	if got, err := io.ReadAll(c); string(got) != want || err != nil {
+		t.Errorf("got %q and %v, want %q", got, err, want)
+	}
+}
+
+func ask(t *testing.T, c net.Conn, send, want string) {
+	t.Helper()
+	got := make([]byte, len(want))
+	if io.WriteString(c, send); want != "" {
+		if _, err := io.ReadFull(c, got); err != nil || string(got) != want {
+			t.Fatalf("got %q and %v, want %q", got, err, want)
+		}
+	}
+}
+
+const opening = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=c,t=t,d=2000\r\n"
+
+// Hundreds that say nothing took the room of those with a request, which waited 14 s to get in.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	dial, _ := front(t, 2)
+	silent, half := dial(), dial()
+	ask(t, half, "PING\r\nOP", "PONG\r\n")
+	usual := dial()
+	expect(t, silent, "")
+	ask(t, usual, opening, "BUSY 7\r\n")
+	dial()
+	next := dial()
+	expect(t, half, "ERR\r\n")
+	ask(t, next, opening, "BUSY 7\r\n")
+}
+
+// A client gets so long for its first line however it cuts it; a PING gives it more.
+func TestFirstLineInTime(t *testing.T) {
+	dial, pass := front(t, 1)
+	silent := dial()
+	ask(t, silent, "PING\r\n", "PONG\r\n")
+	half := dial()
+	ask(t, half, "PING\r\nOPEN 9b", "PONG\r\n")
+	pass(firstLine)
+	ask(t, silent, "PING\r\n", "PONG\r\n")
+	pass(betweenPings - firstLine)
+	expect(t, half, "ERR\r\n")
+	pass(firstLine)
+	expect(t, silent, "")
+	fresh := dial()
+	ask(t, dial(), "PING\r\n", "PONG\r\n") // by now the loop has accepted both
+	pass(firstLine)
+	expect(t, fresh, "")
+}
+
+// A close with bytes unread is a reset, and that took the answer with it.
+func TestAnswerBeforeTheEnd(t *testing.T) {
+	dial, _ := front(t, 1)
+	c := dial()
+	for range 100 {
+		io.WriteString(c, strings.Repeat("x", Max))
+	}
+	expect(t, c, "ERR\r\n")
+}
+
+// The same holds for a client that there is no room for, which is told when to come back.
+func TestNoRoom(t *testing.T) {
+	dial, _ := front(t, 0)
+	c := dial()
+	io.WriteString(c, opening+strings.Repeat("M\r\n", 50000))
+	expect(t, c, "BUSY 500\r\n")
+}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -19,6 +19,7 @@
 var (
 	ErrTooLong   = errors.New("line over 4 KiB")
 	ErrMalformed = errors.New("malformed line")
+	errLate      = errors.New("first line not whole in time")
 )
 
 // Cut finds the first line in b. It gives the line with its CRLF, or nil while its end has not come yet.
@@ -51,29 +52,24 @@
 	from, to int    // where the value of d stands in it; to is 0 where there is none
 }
 
-// ParseOpen reads a client's first line. It copies what it keeps.
+// ParseOpen reads a client's first line. It copies what it keeps. What it takes must be what a host can read: a host that
+// finds a line unreadable says so, and the fault is then this proxy's. So the form is the protocol's to the letter.
 func ParseOpen(line []byte) (*Open, error) {
-	for _, c := range text(line) {
-		if c < ' ' || c == 0x7f {
-			return nil, ErrMalformed
-		}
-	}
 	o := &Open{line: bytes.Clone(line)}
 	s := string(text(line))
 	parts := strings.Split(s, " ")
-	if len(parts) < 3 || len(parts) > 4 || parts[0] != "OPEN" || parts[1] == "" || parts[2] == "" {
+	if len(parts) != 4 || parts[0] != "OPEN" || !isID(parts[1]) || !isID(parts[2]) {
 		return nil, ErrMalformed
 	}
 	o.ID, o.Key = parts[1], parts[2]
-	if len(parts) == 3 || parts[3] == "" {
-		return o, nil
-	}
 	at := len(s) - len(parts[3])
+	seen := map[string]bool{}
 	for _, pair := range strings.Split(parts[3], ",") {
 		name, value, found := strings.Cut(pair, "=")
-		if !found || name == "" {
+		if !found || !isName(name) || seen[name] {
 			return nil, ErrMalformed
 		}
+		seen[name] = true
 		if err := o.set(name, value, at+len(name)+1); err != nil {
 			return nil, err
 		}
@@ -82,35 +78,68 @@
 	return o, nil
 }
 
-// set takes one named value; at is where it stands in the line. Names that mean nothing here pass: the platform may
-// add some, and the upstream host gets the line as it is.
+// isID tells whether s is an id, a key or a client: 16 hexadecimal digits in lower case.
+func isID(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return len(s) == 16
+}
+
+// isName tells whether s can name a value, or be the name of a class, a tenant or a host.
+func isName(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && !strings.ContainsRune("-_.:", rune(c)) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// number reads a decimal figure. ParseFloat alone takes words and other bases as well.
+func number(s string) (float64, error) {
+	if s == "" || strings.Trim(s, "0123456789.+-eE") != "" {
+		return 0, ErrMalformed
+	}
+	x, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return 0, ErrMalformed
+	}
+	return x, nil
+}
+
+// set takes one named value; at is where it stands in the line. Names that mean nothing here pass if they hold a figure:
+// the protocol allows more of these, and the upstream host gets the line as it is.
 func (o *Open) set(name, value string, at int) error {
+	ok := true
 	switch name {
 	case "c":
-		o.Class = value
+		o.Class, ok = value, isName(value)
 	case "t":
-		o.Tenant = value
+		o.Tenant, ok = value, isName(value)
 	case "g":
-		o.Group = value
+		o.Group, ok = value, isID(value)
 	case "at":
-		o.At = value
+		o.At, ok = value, isName(value)
 	case "r":
-		o.Repeat = value == "1"
+		o.Repeat, ok = true, value == "1"
 	case "again":
-		o.Returned = value == "1"
+		o.Returned, ok = true, value == "1"
 	case "h":
-		h, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(h >= 0 && h < 1e18) {
-			return ErrMalformed
-		}
-		o.Hint = h
+		h, err := number(value)
+		o.Hint, ok = h, err == nil && h >= 0 && h < 1e18
 	case "d":
 		ms, err := strconv.ParseUint(value, 10, 31)
-		if err != nil || o.to > 0 {
-			return ErrMalformed
-		}
-		o.Wait, o.HasWait = time.Duration(ms)*time.Millisecond, true
+		o.Wait, o.HasWait, ok = time.Duration(ms)*time.Millisecond, true, err == nil
 		o.from, o.to = at, at+len(value)
+	default:
+		_, err := number(value)
+		ok = err == nil
+	}
+	if !ok {
+		return ErrMalformed
 	}
 	return nil
 }
@@ -124,15 +153,7 @@
 		out = append(out, ms...)
 		return append(out, o.line[o.to:]...)
 	}
-	body := text(o.line)
-	out = append(out, body...)
-	switch {
-	case body[len(body)-1] == ' ':
-	case bytes.Count(body, []byte(" ")) >= 3:
-		out = append(out, ',')
-	default:
-		out = append(out, ' ')
-	}
+	out = append(append(out, text(o.line)...), ',')
 	out = append(out, "d="...)
 	out = append(out, ms...)
 	return append(out, "\r\n"...)
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -54,11 +54,33 @@
 	return lines, nil, held
 }
 
+const head = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 "
+
+var readable = []string{head + "c=catalogue-session,t=y,d=2000,g=5c0f6e1a2b3d4c59,r=1,again=1,h=3.5,at=s-1,new=-2e3", head + "c=x"}
+
+var unreadable = []string{head, head[:len(head)-1], "OPEN  7f3a9c21e0b4d655 c=x", "OPEN 9b1f03aa5c7e2d41 c=x", "OPEN x y c=x",
+	"OPEN 9B1F03AA5C7E2D41 7f3a9c21e0b4d655 c=x", "open" + head[4:] + "c=x", head + " c=x", head + "c=x ", head + "c=x,", head + "=",
+	head + "c=", head + "c=x\x01", head + "c=é", head + "d=1,d=2", head + "d=", head + "d=soon", head + "d=-5", head + "d=+5",
+	head + "d=1.5", head + "d=99999999999", head + "r=2", head + "r=", head + "again=yes", head + "g=q", head + "h=NaN",
+	head + "h=-1", head + "h=0x1p4", head + "new=z", head + "new=Inf", head + "c=x,c=x", "HELLO", ""}
+
+// A host that can't read a line says SYNTAX, which is held against the proxy: what is not the protocol's form ends here.
+func TestOpenForm(t *testing.T) {
+	for _, s := range readable {
+		if _, err := ParseOpen([]byte(s + "\r\n")); err != nil {
+			t.Errorf("%q: %v", s, err)
+		}
+	}
+	for _, s := range unreadable {
+		if _, err := ParseOpen([]byte(s + "\r\n")); err == nil {
+			t.Errorf("%q is taken", s)
+		}
+	}
+}
+
 // FuzzOpen: garbage gives an error, never a panic, and what parses goes on unchanged but for d.
 func FuzzOpen(f *testing.F) {
-	for _, s := range []string{"OPEN a b c=x,t=y,d=2000,g=q,r=1,again=1,h=3.5,at=s-1,new=z", "OPEN a b", "OPEN a b d=5",
-		"OPEN a b ", "OPEN a b c=x", "OPEN a b d=1,d=2", "OPEN a b d=-1", "OPEN a b =", "OPEN  b c", "HELLO", "",
-		"OPEN a b d=99999999999", "OPEN a b h=NaN", "OPEN a b c=\x01"} {
+	for _, s := range append(unreadable, readable...) {
 		f.Add([]byte(s + "\r\n"))
 	}
 	f.Fuzz(func(t *testing.T, in []byte) {
@@ -84,13 +106,9 @@
 }
 
 func TestWithWait(t *testing.T) {
-	for in, want := range map[string]string{
-		"OPEN a b c=x,d=2000,g=q": "OPEN a b c=x,d=7,g=q",
-		"OPEN a b c=x":            "OPEN a b c=x,d=7",
-		"OPEN a b":                "OPEN a b d=7",
-	} {
-		o, err := ParseOpen([]byte(in + "\r\n"))
-		if err != nil || string(o.WithWait(7*time.Millisecond)) != want+"\r\n" {
+	for in, want := range map[string]string{"c=x,d=2000,new=1": "c=x,d=7,new=1", "c=x": "c=x,d=7"} {
+		o, err := ParseOpen([]byte(head + in + "\r\n"))
+		if err != nil || string(o.WithWait(7*time.Millisecond)) != head+want+"\r\n" {
 			t.Errorf("%s: %v", in, err)
 		}
 	}
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -34,16 +34,21 @@
 // somebody else's descriptor too.
 const stuckAfter = 10 * time.Second
 
-// overshoot is how much netpoll may have read beyond a connection's limit before it is stopped.
-const overshoot = 4 << 20
+// overshoot is how much netpoll may have read beyond a connection's limit before it is stopped: what one read brings,
+// and some that come while it lets go of the socket.
+const overshoot = 8 * kernelBuffer
 
-// kernelBuffer is what the kernel may hold for a connection in each direction: lines are short, and the megabytes that
-// it would allow by itself are not counted anywhere until they are missing.
-const kernelBuffer = 64 << 10
+// kernelBuffer is what the kernel is asked to hold for a connection in each direction; it takes that twice. Lines are
+// short, and the megabytes that it would allow by itself are not counted anywhere until they are missing. It bounds what
+// netpoll reads at once, too, and so the size that its own buffer for the connection grows to.
+const kernelBuffer = 16 << 10
 
-// lingering is how long a closed connection may still take to deliver the rest of its last line.
+// lingering is how long a closed connection may still take to deliver its last line, and to hang up after that.
 const lingering = time.Second
 
+// lingeringInput is how much may come in meanwhile. Who sends more than that after its answer is not reading it.
+const lingeringInput = 1 << 20
+
 // Conn is one connection. It has one buffer, for what has come in; what goes out is handed to the kernel at once,
 // and of a line that the kernel takes only in part the rest is kept until it takes that too. Until then Write
 // refuses, so the source leaves its own bytes where they are, and a connection whose input nobody takes is not read
@@ -61,6 +66,10 @@
 	pause   time.Duration
 	over    bool  // Closed was called, or this side closed
 	until   int64 // over with a line still partly written: the moment at which its rest is given up
+	ending  bool  // Finish was called
+	surplus int   // what came in after that
+	linger  *Timer
+	gone    func() // told once the descriptor is free
 
 	// netpoll may close the descriptor on a goroutine of its own, after which its number can belong to another
 	// connection. Whoever uses the number holds mu.
@@ -70,10 +79,24 @@
 }
 
 // current is where netpoll's tasks run. netpoll has one set of pollers for a process, hence one runner.
-var current struct {
+var current env
+
+type env struct {
 	sync.Mutex
 	loop  *Loop
 	fence *fence
+	gate  *gate
+}
+
+// park runs f on the loop while the poller is between two sockets and waits.
+func (e *env) park(f func()) {
+	e.gate.raise()
+	e.fence.wait(func() {
+		e.gate.lower() // before the poller goes on, or what it reads first would not be held back
+		e.gate.own.Store(true)
+		defer e.gate.own.Store(false)
+		f()
+	})
 }
 
 // Attach makes l the loop on which netpoll runs the callbacks of this process. One poller suits a machine of one
@@ -82,6 +105,10 @@
 	current.Lock()
 	defer current.Unlock()
 	current.loop = l
+	if current.fence != nil {
+		return nil // netpoll runs, and reads its configuration without a lock
+	}
+	current.gate = newGate()
 	err := netpoll.Configure(netpoll.Config{
 		PollerNum:  1,
 		BufferSize: 1024,
@@ -89,11 +116,11 @@
 			current.Lock()
 			to := current.loop
 			current.Unlock()
-			to.Post(f)
+			current.gate.pass(to, f)
 		},
 		LoggerOutput: netpollLog{},
 	})
-	if err == nil && current.fence == nil {
+	if err == nil {
 		current.fence, err = newFence()
 	}
 	return err
@@ -121,10 +148,11 @@
 // start begins delivery to h. It is called on the loop.
 func (c *Conn) start(h Handler) {
 	c.handler = h
-	c.watch()
+	current.park(c.watch)
 }
 
-// watch has netpoll deliver what comes on the connection.
+// watch has netpoll deliver what comes on the connection. The poller must be parked: what it has read by now is delivered
+// from here, and it adds callbacks of its own without a lock.
 func (c *Conn) watch() {
 	c.np.AddCloseCallback(c.closed)
 	c.np.SetOnRequest(func(context.Context, netpoll.Connection) error {
@@ -158,14 +186,9 @@
 func (c *Conn) read() {
 	for c.np.Reader().Len() > 0 {
 		n := c.np.Reader().Len()
-		if !c.over && c.in.Len()+n >= c.limit {
-			// Stop first, look later: netpoll goes on reading while the handler works.
-			if c.pauseReading() {
-				return
-			}
-		}
 		if c.over {
 			c.np.Reader().Skip(n)
+			c.discarded(n)
 			continue
 		}
 		space := c.in.Reserve(n)
@@ -180,10 +203,20 @@
 		}
 		c.in.Extend(got)
 		c.deliver()
+		if !c.over && c.in.Len() >= c.limit && c.pauseReading() {
+			return // detached lets the poller go on
+		}
 	}
 	c.np.Reader().Release()
 }
 
+// discarded counts what comes in after the last line went out.
+func (c *Conn) discarded(n int) {
+	if c.surplus += n; c.ending && c.surplus > lingeringInput {
+		c.shut()
+	}
+}
+
 // pauseReading takes the socket away from netpoll; what comes from here on stays in the kernel, and in the end with
 // the sender. It is called from inside a callback of netpoll's, which completes the detaching when it returns.
 func (c *Conn) pauseReading() bool {
@@ -211,14 +244,18 @@
 		return // netpoll has not let go yet; closed comes here again
 	}
 	c.paused = false
-	np, err := netpoll.NewFDConnection(fd)
+	var err error
+	current.park(func() {
+		var np netpoll.Connection
+		if np, err = netpoll.NewFDConnection(fd); err == nil {
+			c.np = np
+			c.watch()
+		}
+	})
 	if err != nil {
 		c.paused = true
 		c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Dropped, Detail: err}) })
-		return
 	}
-	c.np = np
-	c.watch()
 }
 
 func (c *Conn) deliver() {
@@ -241,6 +278,7 @@
 
 // closed is netpoll's word that the connection is closed. It may come on a goroutine of netpoll's.
 func (c *Conn) closed(np netpoll.Connection) error {
+	current.gate.free()
 	cause := Ended
 	c.mu.Lock()
 	if c.detaching {
@@ -261,6 +299,7 @@
 	}
 	c.loop.Post(func() {
 		if c.over {
+			c.released()
 			return
 		}
 		if len(tail) > 0 {
@@ -274,7 +313,7 @@
 
 // detached is netpoll's word that a pause has begun. It comes on the loop, where the pause was asked for.
 func (c *Conn) detached(np netpoll.Connection) {
-	current.fence.wait()
+	current.park(func() {})
 	for n := np.Reader().Len(); n > 0; n = np.Reader().Len() {
 		space := c.in.Reserve(n)
 		if len(space) == 0 {
@@ -289,11 +328,14 @@
 		c.mu.Lock()
 		c.detaching = false
 		c.mu.Unlock()
-		if c.over {
+		if c.over && !c.ending {
 			c.shut()
 			return
 		}
 		c.deliver()
+		if c.ending {
+			c.resume()
+		}
 		if c.paused && !c.over && c.in.Len() < c.limit/2 {
 			c.resume()
 		}
@@ -304,16 +346,34 @@
 
 // shut closes the socket, whoever holds it.
 func (c *Conn) shut() {
+	c.linger.Stop()
+	c.ending = false
 	if !c.paused {
 		c.np.Close()
+		c.released()
 		return
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.detaching && c.fd >= 0 {
+	closed := !c.detaching && c.fd >= 0
+	if closed {
 		unix.Close(c.fd)
 		c.fd = -1
 	}
+	c.mu.Unlock()
+	if closed {
+		c.released()
+	}
+}
+
+// WhenGone has f called once the connection holds no descriptor any more, which may be some time after its end.
+func (c *Conn) WhenGone(f func()) { c.gone = f }
+
+func (c *Conn) released() {
+	c.linger.Stop()
+	if f := c.gone; f != nil {
+		c.gone = nil
+		f()
+	}
 }
 
 // howEnded asks the kernel whether the peer ended in order: netpoll reports a reset as an end. mu is held.
@@ -375,6 +435,8 @@
 	case len(c.rest) > 0 && !(c.over && c.loop.Now() > c.until):
 		c.pause = min(2*c.pause, lastRetry)
 		c.retry = c.loop.After(c.pause, c.flush)
+	case c.over && c.ending && len(c.rest) == 0:
+		c.halfClose()
 	case c.over:
 		c.shut()
 	default:
@@ -421,6 +483,40 @@
 	c.shut()
 }
 
+// Finish ends the connection after its last line. Close would reset it wherever the peer has sent what nobody has read,
+// and a reset can take the line with it. So only this side ends; what still comes is thrown away until the peer has hung
+// up, or has had its time.
+func (c *Conn) Finish() {
+	if c.over {
+		return
+	}
+	c.over, c.ending, c.in = true, true, Buffer{}
+	c.until = c.loop.Now() + int64(lingering)
+	c.linger = c.loop.After(lingering, c.shut)
+	if len(c.rest) == 0 {
+		c.halfClose()
+	}
+}
+
+func (c *Conn) halfClose() {
+	c.mu.Lock()
+	if c.fd >= 0 {
+		unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
+	c.mu.Unlock()
+	if c.paused {
+		c.resume()
+	}
+}
+
+// Drop frees the descriptor at once, also of a connection that was finished.
+func (c *Conn) Drop() {
+	c.Close()
+	c.retry.Stop()
+	c.rest = nil
+	c.shut()
+}
+
 // Abort ends it with a reset.
 func (c *Conn) Abort() {
 	if c.over {
--- a/internal/netio/fence.go
+++ b/internal/netio/fence.go
@@ -10,14 +10,15 @@
 
 // fence makes the loop wait until netpoll's poller has finished what it is doing.
 //
-// It exists for the sake of pausing a connection. netpoll reads whatever a socket holds for as long as it watches it,
+// It exists for the sake of pausing a connection and taking it up again. netpoll reads whatever a socket holds for as long as it watches it,
 // so the only way to stop reading is to take the socket away from it; and what the poller reads at that very moment
 // would be lost with netpoll's buffer. netpoll calls a listener's Accept on the poller, between two sockets, so a
 // listener that stands on an eventfd tells when the poller has come to it: by then it is done with all it had found
 // before the eventfd was written.
 type fence struct {
-	fd     int
-	passed chan struct{}
+	fd      int
+	passed  chan struct{}
+	release chan struct{}
 }
 
 var _ netpoll.Listener = (*fence)(nil)
@@ -27,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fence{fd: fd, passed: make(chan struct{}, 1)}
+	f := &fence{fd: fd, passed: make(chan struct{}), release: make(chan struct{})}
 	events, err := netpoll.NewEventLoop(nil)
 	if err != nil {
 		return nil, err
@@ -36,13 +37,16 @@
 	return f, nil
 }
 
-// wait returns once the poller has passed. The poller never waits for the loop, so this takes microseconds.
-func (f *fence) wait() {
+// wait runs do once the poller has come here, and lets it go on after that. The gate is open meanwhile, so the poller
+// waits for nothing else and this takes microseconds.
+func (f *fence) wait(do func()) {
 	var one [8]byte
 	binary.NativeEndian.PutUint64(one[:], 1)
 	if _, err := unix.Write(f.fd, one[:]); err == nil {
 		<-f.passed
+		defer func() { f.release <- struct{}{} }()
 	}
+	do()
 }
 
 // Accept is called on the poller. It accepts nothing.
@@ -50,6 +54,7 @@
 	var count [8]byte
 	if n, err := unix.Read(f.fd, count[:]); err == nil && n == len(count) {
 		f.passed <- struct{}{}
+		<-f.release
 	}
 	return nil, nil
 }
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -18,6 +18,7 @@
 	spare   []func()
 	wake    chan struct{}
 	stopped bool
+	ended   chan struct{} // closed once Run has returned
 
 	timers timerHeap
 	order  uint64
@@ -35,7 +36,7 @@
 
 // NewLoopAt makes a loop on the given clock.
 func NewLoopAt(clock func() int64) *Loop {
-	return &Loop{wake: make(chan struct{}, 1), clock: clock}
+	return &Loop{wake: make(chan struct{}, 1), ended: make(chan struct{}), clock: clock}
 }
 
 // Now is the loop's time in nanoseconds since 1970.
@@ -59,6 +60,7 @@
 
 // Run serves tasks and timers until Stop.
 func (l *Loop) Run() {
+	defer close(l.ended)
 	clock := time.NewTimer(time.Hour)
 	defer clock.Stop()
 	for {
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -110,8 +110,8 @@
 // Ready tells whether clients may come.
 func (c *Core) Ready() bool { return c.module != nil && !c.leaving }
 
-// Admit asks for room for one more downstream. Each may come to need two descriptors, and running out of them would
-// strike connections that already stand.
+// Admit asks for room for one more downstream's request. Each may come to need two descriptors, and running out of them
+// would strike connections that already stand.
 func (c *Core) Admit() bool {
 	if c.sessions >= c.opt.Sessions {
 		c.counts.TurnedAway++
@@ -121,6 +121,14 @@
 	return true
 }
 
+// ComeBack is the advice to a client that there is no room or no time for; 0 where clients read none.
+func (c *Core) ComeBack() time.Duration {
+	if !c.opt.Settings.RetryAfter {
+		return 0
+	}
+	return min(comeBack, time.Duration(c.opt.Settings.MaxRetryAfter))
+}
+
 // Left gives that room back.
 func (c *Core) Left() { c.sessions-- }
 
@@ -237,25 +245,26 @@
 	q := brain.Request{ID: o.ID, Tenant: -1, Key: o.Key, Group: o.Group, Hint: o.Hint, Repeat: o.Repeat,
 		Returned: o.Returned}
 	class, known := c.classes[o.Class]
-	if !known || c.requests[o.ID] != nil {
-		// Without a class there is no deadline and no rule to serve it by, and an id that is in use belongs to
-		// another's request.
-		c.Rejected(fmt.Errorf("class %q known=%t", o.Class, known))
+	tenant, shares := c.tenants[o.Tenant]
+	if !known || !shares && len(c.tenants) > 0 || c.requests[o.ID] != nil {
+		// Without a class there is no deadline and no rule to serve it by; an id that is in use belongs to another's
+		// request; and what the settings do not name, no host can read either.
+		c.Rejected(fmt.Errorf("class %q known=%t tenant %q known=%t", o.Class, known, o.Tenant, shares))
 		d.Fail()
 		return nil
 	}
 	if c.leaving {
 		c.counts.Refused++
-		d.Refuse(comeBack)
+		d.Refuse(c.ComeBack())
 		return nil
 	}
 	q.Class = class
-	if t, ok := c.tenants[o.Tenant]; ok {
-		q.Tenant = t
+	if shares {
+		q.Tenant = tenant
 	}
 	wait := o.Wait
-	if !o.HasWait {
-		wait = time.Duration(c.opt.Settings.Classes[class].Deadline)
+	if longest := time.Duration(c.opt.Settings.Classes[class].Deadline); !o.HasWait || wait > longest && o.At == "" {
+		wait = longest // no client waits longer, whatever it writes, and none may be kept for days
 	}
 	now := c.loop.Now()
 	r := &Request{core: c, down: d, first: first, ask: q, deadline: now + int64(wait)}
--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -25,8 +25,9 @@
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, now: 1e18}
 	w.loop = netio.NewLoopAt(func() int64 { return w.now })
-	w.core = New(w.loop, w, Options{Sessions: 2, DelayInLoad: true, Settings: brain.Config{MaxAttempts: 5,
-		ConnectTimeout: 250e6, Classes: []brain.Class{{Name: "c", Deadline: 4800e6, MessageAim: 150e6}}}})
+	w.core = New(w.loop, w, Options{Sessions: 2, DelayInLoad: true, Settings: brain.Config{MaxAttempts: 5, RetryAfter: true, MaxRetryAfter: 2e9,
+		ConnectTimeout: 250e6, Classes: []brain.Class{{Name: "c", Deadline: 4800e6, MessageAim: 150e6}},
+		Tenants: []brain.Tenant{{Name: "t"}}}})
 	up := func(id string) HostEntry { return HostEntry{Endpoint: "at-" + id, Entry: brain.Entry{ID: id}} }
 	err := w.core.Run(func(fx brain.Effects) (Decider, error) { w.fx = fx; return (*fakeModule)(w), nil }, nil,
 		Change{Kind: brain.ListCached, Hosts: []HostEntry{up("A"), up("B")}})
@@ -59,7 +60,7 @@
 
 // open sends a request whose module answers with a send to server A.
 func (w *world) open(id string) *Request {
-	return w.core.Open(&fakeDown{w, id}, &Opening{ID: id, Class: "c", Wait: time.Second, HasWait: true}, nil)
+	return w.core.Open(&fakeDown{w, id}, &Opening{ID: id, Class: "c", Tenant: "t", Wait: time.Second, HasWait: true}, nil)
 }
 
 // serve brings a request up at A.
@@ -255,3 +256,18 @@
 		t.Fatal("it does not end")
 	}
 }
+
+// What no host can read goes to none, and no client keeps a request for longer than its class allows.
+func TestOddOpenings(t *testing.T) {
+	w := newWorld(t)
+	ask := func(o Opening) { w.core.Open(&fakeDown{w, o.ID}, &o, nil) }
+	ask(Opening{ID: "class", Class: "x", Tenant: "t"})
+	ask(Opening{ID: "tenant", Class: "c", Tenant: "x"})
+	ask(Opening{ID: "none", Class: "c"})
+	w.expect("fail class", "fail tenant", "fail none")
+	ask(Opening{ID: "long", Class: "c", Tenant: "t", Wait: 500 * time.Hour, HasWait: true})
+	ask(Opening{ID: "long", Class: "c", Tenant: "t"})
+	w.expect("request long", "fail long")
+	w.pass(4900 * time.Millisecond)
+	w.expect("fail long", "gone long")
+}
