End restraint with the stall, and count two errors of one request towards a jam

Requests were also held for half of their time and refused unplaced, tried=10.2 stood=3.4, the tried being bad clients' requests that got an error from each of five servers. Ruled out: room (turned_away=0), descriptors, quarantine (no server had failed).

Once no server is stalled, restraint also halves every 1.4 s. An error from a request's third attempt on does not count as an attempt that failed; the first two do, as a store that turns all away must be seen.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,6 +31,7 @@
 	stallTarget   = 0.1   // part of the open load that may be stalled before new work is refused
 	restrain      = 1.0   // restraint gained a second while all open load is stalled
 	release       = 0.05  // and lost a second while little is
+	relief        = 0.5   // and its part lost a second while no server is stalled
 	movePart      = 0.15  // chance that a mean connection is moved off a stalled server, each note
 )
 
@@ -706,6 +707,7 @@
 	b.measure()
 	dt := float64(b.sweepEvery()) / 1e9
 	var all, stalled [2]float64 // in the own zone, in the others
+	anyStalled := false
 	for _, s := range b.servers {
 		i := 0
 		if s.zone != b.zone {
@@ -714,6 +716,7 @@
 		all[i] += s.load
 		if b.slowness(s) >= 1 {
 			stalled[i] += s.load
+			anyStalled = anyStalled || s.state == Ready
 		}
 	}
 	part := (stalled[0] + stalled[1]) / max(1, all[0]+all[1])
@@ -729,6 +732,11 @@
 	} else {
 		b.restraint = max(0, b.restraint-release*dt)
 	}
+	// A pause of one server can hold half of a small balancer's load, and the restraint that it brings would
+	// outlast it many times over, with all servers idle again.
+	if !anyStalled {
+		b.restraint -= b.restraint * min(1, relief*dt)
+	}
 	for i := range b.asked {
 		b.asked[i] *= math.Exp(-dt / 10)
 	}
@@ -931,6 +939,11 @@
 			b.tried = max(0, b.tried-1)
 			s.passed = now + b.aimLong
 		case Error:
+			if r.attempts > 2 {
+				// It failed elsewhere too, twice: a client that asks for what no server can do must not
+				// look like a jam, and hold up all others.
+				b.tried = max(0, b.tried-1)
+			}
 			s.ill, s.illAt = min(1, b.illness(s)+0.5), now
 		}
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -688,3 +688,29 @@
 		t.Fatal("a closed connection counts as idle")
 	}
 }
+
+// One server's pause brought restraint that refused most of what came for 18 s after it.
+func TestRestraintEndsWithTheStall(t *testing.T) {
+	f := start(t, settings(), fleet(3)...)
+	f.b.restraint = 0.9
+	f.run(6 * sec)
+	if f.b.restraint > 0.1 {
+		t.Fatalf("%.2f is still refused 6 s after the last stall", f.b.restraint)
+	}
+}
+
+// One bad request, answered with an error wherever it went, made every other request wait as in a jam.
+func TestOneRequestsErrorsAreNoJam(t *testing.T) {
+	f := start(t, settings(), fleet(5)...)
+	f.request("bad")
+	for f.out["bad"] {
+		f.ends("bad", Error)
+	}
+	if f.attempts["bad"] != 4 || f.answers["bad"] != 1 {
+		t.Fatalf("%d attempts, %d answers", f.attempts["bad"], f.answers["bad"])
+	}
+	f.request("usual")
+	if !f.out["usual"] {
+		t.Fatal("a request waits though nothing jams")
+	}
+}
