Tell small loads of idle connections from message delays

Ruled out: comparing with the delay measured on lines; it stayed at 0 ms beside told delays of 216. At fault: isDelay in internal/proxy/sessions.go, which looked at the size and at the host, never at the connection's own load, and held every first figure for a load.

A figure within three times the connection's last load is a load; in a run of delays the nearer of the two counts; a figure under 500 is a delay, the first as well (the smallest load seen was 1,747).

The test fails without the change.

--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -271,3 +271,19 @@
 	w.pass(4900 * time.Millisecond)
 	w.expect("fail long", "gone long")
 }
+
+// Small loads of idle connections were taken for delays of two seconds, and a fleet that was well refused most of what
+// came. The figures are those of one day.
+func TestSmallLoadIsNoDelay(t *testing.T) {
+	w := newWorld(t)
+	_, u := w.serve("q")
+	for _, x := range []float64{2674, 2506, 216, 21, 2475, 1937} {
+		u.ev.FromUpstream(Message{Kind: LoadTold, Load: x})
+		w.pass(1200 * time.Millisecond)
+	}
+	w.expect("note q 1 2674", "note q 1 2506", "note q 2 216", "note q 2 21", "note q 1 2475", "note q 1 1937")
+	_, u = w.serve("p") // its host said nothing at first
+	u.ev.FromUpstream(Message{Kind: LoadTold, Load: 62})
+	u.ev.FromUpstream(Message{Kind: LoadTold, Load: 56})
+	w.expect("note p 2 62", "note p 2 56")
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -45,7 +45,7 @@
 	timer   *netio.Timer
 	up      bool
 	last    Kind    // Farewell or MoveAway once the host has said so
-	loaded  bool    // the host has told the connection's load
+	load    float64 // as the host last told it; 0: not yet
 	waiting []int64 // when the client's lines went up that no line has come back for
 }
 
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -2,6 +2,7 @@
 
 import (
 	"log"
+	"math"
 	"time"
 
 	"croftlock/brain"
@@ -42,6 +43,10 @@
 	// delayStepMS is how far one delay may lie from the one a second before it, however large both are: work piles
 	// up no faster than it comes.
 	delayStepMS = 2000
+	// leastLoad is under any load that was seen: the smallest was 1,747.
+	leastLoad = 500
+	// likeLoad is how many times over a connection's load may change for a figure to be taken for it.
+	likeLoad = 3
 	// delayRun is how soon the next delay of a run follows.
 	delayRun = int64(1500 * time.Millisecond)
 )
@@ -52,15 +57,18 @@
 // of each proxy, while messages are slow, with a last one once they are not; it is milliseconds, and a load is
 // microseconds of work a second. Taken for a load it does harm twice: the module believes that the busiest connection
 // of an overfull host asks for next to nothing, and sends the host more; and nobody tells it that messages are slow.
-// The first figure of a connection is always its load: the host says it right after its acceptance.
-func (d *messageDelay) isDelay(now int64, x float64, first bool) bool {
-	if first {
-		return false
+// The first figure of a connection is its load, unless it is too small for one: not every host says it right after its
+// acceptance. From then on a figure near that of a connection with a small load is a load again: taken for a delay of two
+// seconds it makes the module move clients off a sound host and refuse new ones. load is the connection's last one, 0
+// before the first.
+func (d *messageDelay) isDelay(now int64, x, load float64) bool {
+	if load == 0 {
+		return x < leastLoad
 	}
 	if d.toldAt > 0 && now-d.toldAt < delayRun {
-		return x < d.told+delayStepMS && x > d.told-delayStepMS
+		return math.Abs(x-d.told) < delayStepMS && math.Abs(x-d.told) <= math.Abs(x-load)
 	}
-	return x < delayMS
+	return x < delayMS && (x < leastLoad || x*likeLoad < load || x > load*likeLoad)
 }
 
 // loadTold takes the figure of a LOAD line.
@@ -68,10 +76,11 @@
 	c, d := a.req.core, &a.host.delay
 	now := c.loop.Now()
 	kind := brain.NoteLoad
-	if c.opt.DelayInLoad && d.isDelay(now, x, !a.loaded) {
+	if c.opt.DelayInLoad && d.isDelay(now, x, a.load) {
 		kind, d.told, d.toldAt = brain.NoteDelay, x, now
+	} else {
+		a.load = max(x, math.SmallestNonzeroFloat64)
 	}
-	a.loaded = true
 	c.decide(nil, func(now brain.Time) { c.module.Note(now, a.req.ask.ID, a.number, kind, x) })
 }
 
