--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"time"
 
 	"croftlock/brain"
@@ -154,7 +154,7 @@
 func (c *Client) note(err error) {
 	if c.lastErr != err.Error() {
 		c.lastErr = err.Error()
-		log.Printf("event=discovery_failed reason=%q", err)
+		slog.Warn("discovery_failed", "reason", err)
 	}
 }
 
@@ -244,7 +244,7 @@
 		q.client.rev, q.client.moved = ch.Version, 0
 		if q.client.lastErr != "" {
 			q.client.lastErr = ""
-			log.Printf("event=discovery_back rev=%d", ch.Version)
+			slog.Info("discovery_back", "rev", ch.Version)
 		}
 	}
 	done(ch, err)
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,164 @@
+// Package command is croftlock's command line.
+package command
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"croftlock/internal/certs"
+	"croftlock/internal/node"
+	"croftlock/internal/platform"
+	"croftlock/internal/settings"
+)
+
+// New makes the whole command line. Without a sub-command it serves.
+func New(env func(string) string) *cobra.Command {
+	c := &commands{env: env}
+	root := &cobra.Command{
+		Use:   "croftlock",
+		Short: "A proxy for long-lived connections",
+		Long: "croftlock places each client's connection at an upstream host, as its decision module says, and carries its\n" +
+			"lines until it ends. Without a sub-command it serves. NODE_CONFIG names the platform's configuration.",
+		Example:       "  NODE_CONFIG=/run/balancer/config.json croftlock\n  croftlock check --settings deploy/croftlock.sexp",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          c.serve,
+	}
+	root.PersistentFlags().StringVar(&c.path, "settings", env("CROFTLOCK_SETTINGS"),
+		"the operators' file; CROFTLOCK_SETTINGS names it too")
+	root.PersistentFlags().Lookup("settings").DefValue = ""
+	root.AddCommand(&cobra.Command{Use: "serve", Short: "Run one proxy", Args: cobra.NoArgs, RunE: c.serve,
+		Example: "  NODE_CONFIG=/run/balancer/config.json croftlock serve --settings deploy/croftlock.sexp"})
+	root.AddCommand(&cobra.Command{Use: "check", Args: cobra.NoArgs, RunE: c.check,
+		Short: "Read the configuration and the operators' file and say what is wrong",
+		Long: "check reads the file that NODE_CONFIG names, if it is set, and the operators' file, and what that refers to.\n" +
+			"It tells every fault as file:line:col: what, expected, and exits with 1 where there is any.",
+		Example: "  croftlock check --settings deploy/croftlock.sexp"})
+	root.AddCommand(c.settings(), certCommands())
+	return root
+}
+
+// Run runs the command line and gives the exit status.
+func Run(args []string, env func(string) string) int {
+	root := New(env)
+	root.SetArgs(args)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(root.ErrOrStderr(), "croftlock:", err)
+		return 1
+	}
+	return 0
+}
+
+type commands struct {
+	env  func(string) string
+	path string
+}
+
+func (c *commands) serve(*cobra.Command, []string) error {
+	signals := node.Signals()
+	cfg, err := platform.Load(c.env)
+	if err != nil {
+		return err
+	}
+	file, err := node.Schema().Load(c.path)
+	if err != nil {
+		return err
+	}
+	return node.Run(cfg, file, signals)
+}
+
+// check exits with 1 where anything is wrong, after telling all of it.
+func (c *commands) check(cmd *cobra.Command, _ []string) error {
+	faults := 0
+	tell := func(err error) {
+		if err != nil {
+			fmt.Fprintln(cmd.OutOrStdout(), err)
+			faults++
+		}
+	}
+	if c.env("NODE_CONFIG") == "" && c.path == "" {
+		return fmt.Errorf("nothing to check: name the operators' file by --settings, or set NODE_CONFIG")
+	}
+	if c.env("NODE_CONFIG") != "" {
+		_, err := platform.Load(c.env)
+		tell(err)
+	}
+	if c.path != "" {
+		file, err := node.Schema().Load(c.path)
+		tell(err)
+		if err == nil {
+			for _, err := range node.Check(file) {
+				tell(err)
+			}
+		}
+	}
+	if faults > 0 {
+		return fmt.Errorf("it can't be used as it is")
+	}
+	fmt.Fprintln(cmd.OutOrStdout(), "ok")
+	return nil
+}
+
+func (c *commands) settings() *cobra.Command {
+	group := &cobra.Command{Use: "settings", Short: "Look at the operators' file"}
+	group.AddCommand(&cobra.Command{Use: "show", Args: cobra.NoArgs,
+		Short:   "Print every setting with its value, defaults included",
+		Example: "  croftlock settings show --settings deploy/croftlock.sexp",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			file, err := node.Schema().Load(c.path)
+			if err != nil {
+				return err
+			}
+			node.Schema().Show(cmd.OutOrStdout(), file)
+			return nil
+		}})
+	var write bool
+	format := &cobra.Command{Use: "fmt [FILE]", Args: cobra.MaximumNArgs(1),
+		Short:   "Print the file in its one form, comments kept; - or nothing reads standard input",
+		Example: "  croftlock settings fmt -w deploy/croftlock.sexp",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			path := "-"
+			if len(args) == 1 {
+				path = args[0]
+			}
+			return formatFile(cmd, path, write)
+		}}
+	format.Flags().BoolVarP(&write, "write", "w", false, "replace the file instead")
+	group.AddCommand(format)
+	return group
+}
+
+func formatFile(cmd *cobra.Command, path string, write bool) error {
+	var data []byte
+	var err error
+	if path == "-" {
+		data, err = io.ReadAll(io.LimitReader(cmd.InOrStdin(), settings.MaxBytes+1))
+	} else {
+		data, err = certs.ReadFile(path)
+	}
+	if err != nil {
+		return err
+	}
+	root, faults := settings.Parse(path, data)
+	if err := faults.Err(); err != nil {
+		return err // a file that can't be read is not touched
+	}
+	out := settings.Print(root)
+	if !write || path == "-" {
+		_, err = cmd.OutOrStdout().Write(out)
+		return err
+	}
+	if bytes.Equal(out, data) {
+		return nil
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	return certs.Replace(path, out, info.Mode().Perm())
+}
--- /dev/null
+++ b/internal/expiry/expiry.go
@@ -0,0 +1,96 @@
+// Package expiry decides which standing connections are moved because a certificate they rest on ends. It does no I/O
+// and reads no clock: the pace follows the time that is passed in, the certificates the wall clock that is passed in, and
+// the same calls give the same answers.
+//
+// A certificate is shared by all connections to a host, or by all connections there are, so all of them come due
+// together. They are spread over the time before the end, and never more than a stated share is moved in a minute, even
+// where that means that some are moved late, or that the clock has stepped past every end at once.
+package expiry
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Policy is what the operator wants.
+type Policy struct {
+	Move   bool          // false: connections are kept whatever ends
+	Before time.Duration // how long before the end moving begins
+	Share  float64       // of the standing connections, moved in a minute at most
+}
+
+// Conn is a standing connection.
+type Conn struct {
+	ID   string
+	Ends time.Time // of what it rests on; zero: never
+}
+
+// Planner keeps the pace.
+type Planner struct {
+	policy  Policy
+	last    int64 // when it was last asked, in nanoseconds
+	started bool
+	may     float64 // connections that may be moved now
+}
+
+// New makes a planner.
+func New(p Policy) *Planner { return &Planner{policy: p} }
+
+// Every is how often to ask.
+const Every = time.Second
+
+// Plan gives the connections to move now, the longest due first. now is monotonic, in nanoseconds; wall is what
+// certificates are compared with; standing are all connections that stand.
+func (p *Planner) Plan(now int64, wall time.Time, standing []Conn) []string {
+	if !p.policy.Move || len(standing) == 0 {
+		return nil
+	}
+	perSecond := p.policy.Share * float64(len(standing)) / 60
+	passed := 0.0
+	if p.started && now > p.last {
+		passed = float64(now-p.last) / 1e9
+	}
+	p.started, p.last = true, now
+	// Saved up is at most what comes in a few seconds, and never less than one: a small share of few is still somebody.
+	p.may = math.Min(p.may+perSecond*passed, math.Max(1, 2*perSecond*Every.Seconds()))
+	if p.may < 1 {
+		return nil
+	}
+	type due struct {
+		id string
+		at time.Time
+	}
+	var list []due
+	for _, c := range standing {
+		if c.Ends.IsZero() {
+			continue
+		}
+		if at := p.moment(c); !wall.Before(at) {
+			list = append(list, due{c.ID, at})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if !list[i].at.Equal(list[j].at) {
+			return list[i].at.Before(list[j].at)
+		}
+		return list[i].id < list[j].id
+	})
+	var out []string
+	for _, d := range list {
+		if p.may < 1 {
+			break
+		}
+		p.may--
+		out = append(out, d.id)
+	}
+	return out
+}
+
+// moment is when a connection is due: each at its own place in the first nine tenths of the time before the end.
+func (p *Planner) moment(c Conn) time.Time {
+	place := float64(xxhash.Sum64String(c.ID)>>11) / (1 << 53)
+	return c.Ends.Add(-p.policy.Before + time.Duration(0.9*place*float64(p.policy.Before)))
+}
--- a/internal/line/conns.go
+++ b/internal/line/conns.go
@@ -218,20 +218,33 @@
 	d.conn.Finish()
 }
 
-// Hosts opens connections to upstream hosts.
+// Opener opens a connection to an upstream host within the time given, and calls done on the loop, once, unless what it
+// gives back is called first.
+type Opener func(to proxy.Target, within time.Duration, limit int, h netio.Handler,
+	done func(*netio.Conn, *netio.Error)) (drop func())
+
+// Plain opens connections without any layer.
+func Plain(d *netio.Dialer) Opener {
+	return func(to proxy.Target, within time.Duration, limit int, h netio.Handler,
+		done func(*netio.Conn, *netio.Error)) func() {
+		return d.Dial(to.Endpoint, within, limit, h, done).Drop
+	}
+}
+
+// Hosts opens upstream requests.
 type Hosts struct {
-	loop   *netio.Loop
-	dialer *netio.Dialer
+	loop *netio.Loop
+	open Opener
 }
 
-// NewHosts uses the given dialers.
-func NewHosts(l *netio.Loop, d *netio.Dialer) *Hosts { return &Hosts{loop: l, dialer: d} }
+// NewHosts uses the given way to connect.
+func NewHosts(l *netio.Loop, open Opener) *Hosts { return &Hosts{loop: l, open: open} }
 
 // Start begins one upstream request.
-func (h *Hosts) Start(endpoint string, first proxy.First, until int64, connect time.Duration,
+func (h *Hosts) Start(to proxy.Target, first proxy.First, until int64, connect time.Duration,
 	ev proxy.UpstreamEvents) proxy.Upstream {
 	u := &upstream{loop: h.loop, events: ev, first: first, until: until}
-	u.dial = h.dialer.Dial(endpoint, connect, inputLimit, u, u.connected)
+	u.drop = h.open(to, connect, inputLimit, u, u.connected)
 	return u
 }
 
@@ -241,7 +254,7 @@
 	events proxy.UpstreamEvents
 	first  proxy.First
 	until  int64
-	dial   *netio.Dial
+	drop   func() // gives the connection up while it opens
 	conn   *netio.Conn
 	stage  netio.Stage
 	ended  *netio.Error // the host is gone; its last lines may still wait for the client
@@ -251,7 +264,7 @@
 var _ proxy.Upstream = (*upstream)(nil)
 
 func (u *upstream) connected(c *netio.Conn, err *netio.Error) {
-	u.dial = nil
+	u.drop = nil
 	if err != nil {
 		u.finish(err)
 		return
@@ -301,7 +314,8 @@
 
 func (u *upstream) Closed(c *netio.Conn, err *netio.Error) {
 	// The connection knows that it stood; how far the request on it had come is known here.
-	u.ended = &netio.Error{Stage: u.stage, Cause: err.Cause, Detail: err.Detail}
+	// Its layer may know that it never stood: then the host has read nothing, whatever was written.
+	u.ended = &netio.Error{Stage: min(u.stage, err.Stage), Cause: err.Cause, Detail: err.Detail}
 	u.Pump() // a slow client still gets what the host said before it ended
 }
 
@@ -315,13 +329,26 @@
 // Pass hands on a line of the client's; false: not now.
 func (u *upstream) Pass(m proxy.Message) bool { return u.conn.Write(m.Text) }
 
+// Expires is when what the connection rests on ends; the zero time where it rests on nothing.
+func (u *upstream) Expires() time.Time {
+	if u.conn != nil {
+		if l, ok := u.conn.Layer().(proxy.Expiring); ok {
+			return l.Expires()
+		}
+	}
+	return time.Time{}
+}
+
 // Stage is how far the request has come.
 func (u *upstream) Stage() netio.Stage { return u.stage }
 
 // End gives the request up, or ends the connection as the client's ended. Nothing more is told.
 func (u *upstream) End(cause netio.Cause) {
 	u.done = true
-	u.dial.Drop()
+	if u.drop != nil {
+		u.drop()
+		u.drop = nil
+	}
 	if u.conn != nil {
 		if cause == netio.Broke {
 			u.conn.Abort()
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,65 @@
+package logging
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestText(t *testing.T) {
+	var b bytes.Buffer
+	h := New(&b, Options{Format: "text", Level: "info"})
+	r := slog.NewRecord(time.Unix(1e9, 5000).UTC(), slog.LevelWarn, "odd_answer", 0)
+	r.Add("host", "s-1", "reason", errors.New("a \"b\"\n"), "n", 3, "empty", "", slog.Group("in", "x", 1))
+	h.WithAttrs([]slog.Attr{slog.String("name", "n0")}).Handle(context.Background(), r)
+	want := `2001/09/09 01:46:40.000005 event=odd_answer name=n0 host=s-1 reason="a \"b\"\n" n=3 empty="" in.x=1 level=warn` + "\n"
+	if b.String() != want {
+		t.Errorf("got %s", b.String())
+	}
+	if h.Enabled(context.Background(), slog.LevelDebug) {
+		t.Error("debug lines are written")
+	}
+}
+
+func TestJSON(t *testing.T) {
+	var b bytes.Buffer
+	slog.New(New(&b, Options{Format: "json"})).Info("ready", "hosts", 3)
+	var got struct {
+		Event string
+		Hosts int
+	}
+	if err := json.Unmarshal(b.Bytes(), &got); err != nil || got.Event != "ready" || got.Hosts != 3 {
+		t.Errorf("%s: %v", b.String(), err)
+	}
+}
+
+// A fault that strikes a thousand times a second must not fill the disk, hide other lines, or go uncounted.
+func TestRepeats(t *testing.T) {
+	var b bytes.Buffer
+	h := New(&b, Options{Format: "text", Level: "info", Repeat: 2, Window: time.Second})
+	say := func(at time.Duration, event, reason string) {
+		r := slog.NewRecord(time.Unix(1e9, 0).Add(at), slog.LevelInfo, event, 0)
+		r.Add("reason", reason)
+		h.Handle(context.Background(), r)
+	}
+	for i := range 100 {
+		say(time.Duration(i), "a", "x")
+	}
+	say(200, "a", "y")
+	say(2*time.Second, "b", "")
+	if got := b.String(); strings.Count(got, "event=a reason=x") != 2 || strings.Count(got, "event=a reason=y") != 1 ||
+		!strings.Contains(got, "event=repeated of=a left_out=98 since=01:46:40\n") || !strings.Contains(got, "event=b") {
+		t.Error(got)
+	}
+	for i := range 10 * maxKinds {
+		say(5*time.Second, "c", strings.Repeat("z", i))
+	}
+	if n := len(h.(*limit).table.kinds); n > maxKinds+1 {
+		t.Errorf("%d kinds are held", n)
+	}
+}
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -1,9 +1,10 @@
 package netio
 
 import (
+	"bytes"
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"runtime/debug"
 	"sync"
 	"syscall"
@@ -54,22 +55,25 @@
 // refuses, so the source leaves its own bytes where they are, and a connection whose input nobody takes is not read
 // any further: that is the back-pressure.
 type Conn struct {
-	loop    *Loop
-	handler Handler
-	np      netpoll.Connection
-	in      Buffer
-	limit   int    // input at which reading pauses
-	paused  bool   // netpoll does not watch it
-	giveUp  int64  // when a peer that takes nothing is given up
-	rest    []byte // of the one line that is partly written
-	retry   *Timer
-	pause   time.Duration
-	over    bool  // Closed was called, or this side closed
-	until   int64 // over with a line still partly written: the moment at which its rest is given up
-	ending  bool  // Finish was called
-	surplus int   // what came in after that
-	linger  *Timer
-	gone    func() // told once the descriptor is free
+	loop      *Loop
+	handler   Handler
+	np        netpoll.Connection
+	in        Buffer
+	layer     Layer  // between the socket and the input; nil: none
+	more      bool   // the layer may hold more than the input had room for
+	limit     int    // input at which reading pauses
+	paused    bool   // netpoll does not watch it
+	refilling bool   // refill will come
+	giveUp    int64  // when a peer that takes nothing is given up
+	rest      []byte // of the one line that is partly written
+	retry     *Timer
+	pause     time.Duration
+	over      bool  // Closed was called, or this side closed
+	until     int64 // over with a line still partly written: the moment at which its rest is given up
+	ending    bool  // Finish was called
+	surplus   int   // what came in after that
+	linger    *Timer
+	gone      func() // told once the descriptor is free
 
 	// netpoll may close the descriptor on a goroutine of its own, after which its number can belong to another
 	// connection. Whoever uses the number holds mu.
@@ -130,7 +134,7 @@
 type netpollLog struct{}
 
 func (netpollLog) Write(p []byte) (int, error) {
-	log.Printf("event=netpoll text=%q", p)
+	slog.Error("netpoll", "text", string(bytes.TrimSpace(p)))
 	return len(p), nil
 }
 
@@ -149,6 +153,9 @@
 func (c *Conn) start(h Handler) {
 	c.handler = h
 	current.park(c.watch)
+	if c.layer != nil && !c.over {
+		c.open(c.limit) // the layer may have read ahead
+	}
 }
 
 // watch has netpoll deliver what comes on the connection. The poller must be parked: what it has read by now is delivered
@@ -175,7 +182,7 @@
 func (c *Conn) Consume(n int) {
 	c.in.Consume(n)
 	if c.paused && !c.over && c.in.Len() < c.limit/2 {
-		c.resume()
+		c.refill()
 	}
 }
 
@@ -191,18 +198,9 @@
 			c.discarded(n)
 			continue
 		}
-		space := c.in.Reserve(n)
-		if len(space) == 0 {
-			c.np.Reader().Skip(n)
-			c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errFlood})
-			continue
-		}
-		got, err := c.np.Read(space)
-		if err != nil {
+		if !c.readSome(n) {
 			break
 		}
-		c.in.Extend(got)
-		c.deliver()
 		if !c.over && c.in.Len() >= c.limit && c.pauseReading() {
 			return // detached lets the poller go on
 		}
@@ -210,6 +208,29 @@
 	c.np.Reader().Release()
 }
 
+// readSome takes over up to n bytes; false: netpoll has none after all.
+func (c *Conn) readSome(n int) bool {
+	if c.layer != nil {
+		p, err := c.np.Reader().Next(n)
+		if err == nil {
+			c.unseal(p, c.limit)
+		}
+		return err == nil
+	}
+	space := c.in.Reserve(n)
+	if len(space) == 0 {
+		c.np.Reader().Skip(n)
+		c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errFlood})
+		return true
+	}
+	got, err := c.np.Read(space)
+	if err == nil {
+		c.in.Extend(got)
+		c.deliver()
+	}
+	return err == nil
+}
+
 // discarded counts what comes in after the last line went out.
 func (c *Conn) discarded(n int) {
 	if c.surplus += n; c.ending && c.surplus > lingeringInput {
@@ -269,7 +290,7 @@
 func (c *Conn) guard(f func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			log.Printf("event=panic where=connection reason=%q stack=%q", p, debug.Stack())
+			slog.Error("panic", "where", "connection", "reason", p, "stack", string(debug.Stack()))
 			c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errors.New("panic")})
 		}
 	}()
@@ -302,7 +323,14 @@
 			c.released()
 			return
 		}
-		if len(tail) > 0 {
+		switch {
+		case c.layer != nil:
+			c.unseal(tail, c.limit+overshoot)
+			if cause == Ended {
+				// Whoever can end the socket can cut off what the peer said last; only the layer's end is the peer's.
+				c.fail(&Error{Stage: Up, Cause: Broke, Detail: errCutShort})
+			}
+		case len(tail) > 0:
 			c.in.Append(tail)
 			c.deliver()
 		}
@@ -315,6 +343,14 @@
 func (c *Conn) detached(np netpoll.Connection) {
 	current.park(func() {})
 	for n := np.Reader().Len(); n > 0; n = np.Reader().Len() {
+		if c.layer != nil {
+			p, _ := np.Reader().Next(n)
+			if !c.layer.Take(p) {
+				c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errFlood}) })
+				break
+			}
+			continue
+		}
 		space := c.in.Reserve(n)
 		if len(space) == 0 {
 			c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errFlood}) })
@@ -332,18 +368,24 @@
 			c.shut()
 			return
 		}
-		c.deliver()
+		if c.layer != nil {
+			c.open(c.limit)
+		} else {
+			c.deliver()
+		}
 		if c.ending {
 			c.resume()
 		}
 		if c.paused && !c.over && c.in.Len() < c.limit/2 {
-			c.resume()
+			c.refill()
 		}
 	})
 }
 
 var errFlood = errors.New("more input than the limit")
 
+func closeFD(fd int) { unix.Close(fd) }
+
 // shut closes the socket, whoever holds it.
 func (c *Conn) shut() {
 	c.linger.Stop()
@@ -396,7 +438,7 @@
 	c.in = held // the handler may still want what came before the end
 	defer func() {
 		if p := recover(); p != nil {
-			log.Printf("event=panic where=close reason=%q stack=%q", p, debug.Stack())
+			slog.Error("panic", "where", "close", "reason", p, "stack", string(debug.Stack()))
 		}
 	}()
 	c.handler.Closed(c, err)
@@ -411,12 +453,29 @@
 	if len(c.rest) > 0 {
 		return false
 	}
+	if c.layer == nil {
+		c.push(p)
+	} else if err := c.layer.Seal(p); err != nil {
+		c.loop.Post(func() { c.fail(whyNot(err)) })
+	}
+	return true
+}
+
+// push hands bytes to the kernel and keeps what it does not take.
+func (c *Conn) push(p []byte) {
+	if len(c.rest) > 0 {
+		if len(c.rest)+len(p) > mostSaid {
+			c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errTalk}) })
+			return
+		}
+		c.rest = append(c.rest, p...)
+		return
+	}
 	if n := c.send(p); n < len(p) {
 		c.rest = append(c.rest, p[n:]...)
 		c.pause, c.giveUp = firstRetry, c.loop.Now()+int64(stuckAfter)
 		c.retry = c.loop.After(c.pause, c.flush)
 	}
-	return true
 }
 
 // Blocked tells whether the rest of a line waits for the peer.
@@ -475,6 +534,7 @@
 	if c.over {
 		return
 	}
+	c.sayEnd()
 	c.over, c.in = true, Buffer{}
 	if len(c.rest) > 0 {
 		c.until = c.loop.Now() + int64(lingering)
@@ -490,6 +550,7 @@
 	if c.over {
 		return
 	}
+	c.sayEnd()
 	c.over, c.ending, c.in = true, true, Buffer{}
 	c.until = c.loop.Now() + int64(lingering)
 	c.linger = c.loop.After(lingering, c.shut)
@@ -528,6 +589,6 @@
 	}
 	c.mu.Unlock()
 	c.retry.Stop()
-	c.rest = nil
+	c.rest, c.layer = nil, nil
 	c.Close()
 }
--- /dev/null
+++ b/internal/netio/layer.go
@@ -0,0 +1,146 @@
+package netio
+
+import (
+	"errors"
+	"io"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Layer stands between a socket and the handler of its connection: it opens what the peer has sealed and seals what goes
+// out. It is driven on the loop, never blocks and holds a bounded number of bytes.
+type Layer interface {
+	// Attach names what the layer sends by. From here on the connection drives it.
+	Attach(send func(p []byte))
+	// Take gives it bytes of the socket's; p is the caller's again afterwards. False: more than it holds.
+	Take(p []byte) bool
+	// Open writes what can be read into p. 0 without an error: more bytes must come first. io.EOF: the peer ended in
+	// order. An error that NeverStood means that the peer refused the connection before it took anything from it.
+	Open(p []byte) (int, error)
+	// Seal sends p.
+	Seal(p []byte) error
+	// End tells the peer that nothing more comes.
+	End()
+	// Holds is how many bytes it holds.
+	Holds() int
+}
+
+// neverStood is what an error of a layer's may tell.
+type neverStood interface{ NeverStood() bool }
+
+const (
+	// opened is how much of the buffer is set aside for what a layer opens at once. It leaves an idle connection's
+	// buffer at its smallest.
+	opened = smallest / 2
+	// mostSaid is how much may wait for the peer of what a layer has to say by itself. A peer that makes it talk and
+	// does not listen is given up.
+	mostSaid = 64 << 10
+)
+
+var (
+	errCutShort = errors.New("the connection ended without the layer's own end")
+	errTalk     = errors.New("the peer makes the layer talk and does not listen")
+)
+
+// Adopt makes a connection of a socket that stands, behind layer, and gives it to done and then to h. It is called on the
+// loop. The socket is the connection's from here on, also where there is an error.
+func Adopt(l *Loop, fd int, layer Layer, limit int, h Handler, done func(*Conn)) error {
+	np, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		closeFD(fd)
+		return err
+	}
+	c := newConn(l, np, limit)
+	c.handler, c.layer = h, layer
+	layer.Attach(c.push)
+	c.guard(func() { done(c) })
+	if !c.Over() {
+		c.start(h)
+	}
+	return nil
+}
+
+// Layer is what stands between the socket and the handler; nil: nothing, or no longer.
+func (c *Conn) Layer() Layer { return c.layer }
+
+// unseal gives the layer what came, and the handler what it makes of it.
+func (c *Conn) unseal(p []byte, most int) {
+	if !c.layer.Take(p) {
+		c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errFlood})
+		return
+	}
+	c.open(most)
+}
+
+// open has the layer fill the input up to most, and the handler look at it.
+func (c *Conn) open(most int) {
+	c.guard(func() {
+		for !c.over {
+			fresh, err := c.openSome(most)
+			c.more = err == nil && c.in.Len() >= most
+			if fresh {
+				c.handler.Data(c)
+			}
+			if err != nil {
+				c.fail(whyNot(err))
+			}
+			if !c.more || c.in.Len() >= most {
+				return
+			}
+		}
+	})
+}
+
+func (c *Conn) openSome(most int) (fresh bool, err error) {
+	for c.in.Len() < most {
+		n, err := c.layer.Open(c.in.Reserve(opened))
+		c.in.Extend(n)
+		fresh = fresh || n > 0
+		if err != nil || n == 0 {
+			return fresh, err
+		}
+	}
+	return fresh, nil
+}
+
+func whyNot(err error) *Error {
+	var never neverStood
+	switch {
+	case errors.Is(err, io.EOF):
+		return &Error{Stage: Up, Cause: Ended}
+	case errors.As(err, &never) && never.NeverStood():
+		return &Error{Stage: Connecting, Cause: Refused, Detail: err}
+	}
+	return &Error{Stage: Up, Cause: Broke, Detail: err}
+}
+
+// refill brings more input to a connection that is paused and has room again: first what its layer holds.
+func (c *Conn) refill() {
+	if c.layer == nil || !c.more {
+		c.resume()
+		return
+	}
+	if c.refilling {
+		return
+	}
+	// Not from inside the handler, which has just consumed and would be entered again.
+	c.refilling = true
+	c.loop.Post(func() {
+		c.refilling = false
+		if c.over {
+			return
+		}
+		c.open(c.limit)
+		if c.paused && !c.over && c.in.Len() < c.limit/2 {
+			c.refill()
+		}
+	})
+}
+
+// sayEnd has the layer tell the peer of the end, and lets go of it.
+func (c *Conn) sayEnd() {
+	if l := c.layer; l != nil {
+		c.guard(l.End)
+		c.layer = nil
+	}
+}
--- a/internal/netio/listen.go
+++ b/internal/netio/listen.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
+	"os"
 	"syscall"
 
 	"github.com/cloudwego/netpoll"
@@ -42,7 +43,8 @@
 	}
 	go func() {
 		// Serve ends only with the listener, and that lives as long as the process.
-		log.Fatalf("event=listener_lost addr=%s reason=%q", addr, fmt.Sprint(events.Serve(ln)))
+		slog.Error("listener_lost", "addr", addr, "reason", fmt.Sprint(events.Serve(ln)))
+		os.Exit(1)
 	}()
 	return ln.Addr(), nil
 }
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -5,7 +5,7 @@
 
 import (
 	"container/heap"
-	"log"
+	"log/slog"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -102,7 +102,7 @@
 func (l *Loop) guard(f func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			log.Printf("event=panic where=loop reason=%q stack=%q", p, debug.Stack())
+			slog.Error("panic", "where", "loop", "reason", p, "stack", string(debug.Stack()))
 		}
 	}()
 	f()
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,174 @@
+// Package node wires one proxy together: what the platform and the operators' file tell it, the loop, the core with its
+// module, the fronts and the clients, and the signals. It decides nothing.
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/cluster"
+	"croftlock/internal/line"
+	"croftlock/internal/logging"
+	"croftlock/internal/netio"
+	"croftlock/internal/platform"
+	"croftlock/internal/proxy"
+	"croftlock/internal/settings"
+	"croftlock/internal/tlslink"
+)
+
+// Schema is every section that the operators' file may have.
+func Schema() settings.Schema {
+	return settings.Schema{logging.Section(), tlslink.Section()}
+}
+
+// Check reads what the operators' file refers to and tells what of it can't be used.
+func Check(file *settings.File) []error {
+	var faults []error
+	if o := file.Value("tls").(tlslink.Options); o.On {
+		m, err := tlslink.Load(o, 1)
+		if err == nil {
+			if f := m.OwnFault(time.Now()); f != nil {
+				err = f
+			}
+		}
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%s: tls: %w", file.Path, err))
+		}
+	}
+	return faults
+}
+
+// Signals takes the signals that a proxy obeys. It comes before anything else: a SIGHUP that nobody takes ends the
+// process.
+func Signals() <-chan os.Signal {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// Logs makes the log what the file says.
+func Logs(file *settings.File) {
+	slog.SetDefault(slog.New(logging.New(os.Stderr, file.Value("log").(logging.Options))))
+}
+
+// Run runs the proxy until it has been told to stop and has nothing left to carry.
+func Run(cfg *platform.Config, file *settings.File, signals <-chan os.Signal) error {
+	Logs(file)
+	runtime.GOMAXPROCS(cfg.Procs())
+	debug.SetMemoryLimit(cfg.MemoryLimit())
+	loop := netio.NewLoop()
+	if err := netio.Attach(loop); err != nil {
+		return fmt.Errorf("netpoll: %v", err)
+	}
+	dialer := netio.NewDialer(loop, cfg.Dialers())
+	opt := proxy.Options{Settings: cfg.Settings, Sessions: cfg.Sessions(), DelayInLoad: cfg.DelayInLoad, Wall: time.Now}
+	open := line.Plain(dialer)
+	link, err := secure(loop, file, &opt)
+	if err != nil {
+		return err
+	}
+	if link != nil {
+		open = through(link)
+	}
+	core := proxy.New(loop, line.NewHosts(loop, open), opt)
+	watch := cluster.NewClient(loop, dialer, cfg.Discovery, cfg.Known.Version, core.Listed)
+	err = core.Run(func(fx brain.Effects) (proxy.Decider, error) { return brain.New(cfg.Settings, cfg.Seed, fx) },
+		watch, cfg.Known)
+	if err != nil {
+		return err
+	}
+	// The listener comes last: a client, or the front's PING, must find the proxy ready.
+	front, err := line.NewFront(loop, core, cfg.Listen, cfg.Newcomers())
+	if err != nil {
+		return fmt.Errorf("listen: %v", err)
+	}
+	slog.Info("ready", "name", cfg.Name, "listen", front.Addr(), "hosts", len(cfg.Known.Hosts), "rev", cfg.Known.Version,
+		"sessions", opt.Sessions)
+	n := &node{cfg: cfg, file: file, link: link, redirect: func(discovery string) { loop.Post(func() { watch.Redirect(discovery) }) },
+		leave: func() { loop.Post(func() { core.Leave(loop.Stop) }) }}
+	go n.obey(signals)
+	loop.Run()
+	slog.Info("stopped")
+	return nil
+}
+
+// secure makes TLS to upstream hosts, where the operators want it; else nil. Files that can't be used end the start: a
+// proxy that can reach nobody must not take clients in.
+func secure(loop *netio.Loop, file *settings.File, opt *proxy.Options) (*tlslink.Link, error) {
+	o := file.Value("tls").(tlslink.Options)
+	if !o.On {
+		return nil, nil
+	}
+	m, err := tlslink.Load(o, 1)
+	if err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	opt.Expiry = o.Expiry
+	// Each handshake that is out holds a descriptor, and one more while its socket changes hands.
+	opt.Sessions = max(1, opt.Sessions-o.Handshakes.AtOnce)
+	link := tlslink.New(loop, m, opt.Wall)
+	link.Run()
+	slog.Info("tls_on", "epoch", m.Epoch, "min_version", o.MinVersion, "key_exchange", strings.Join(o.KeyExchange, ","),
+		"reuse", o.Reuse, "on_expiry", o.OnExpiry)
+	return link, nil
+}
+
+// through opens connections by TLS.
+func through(k *tlslink.Link) line.Opener {
+	return func(to proxy.Target, within time.Duration, limit int, h netio.Handler,
+		done func(*netio.Conn, *netio.Error)) func() {
+		return k.Dial(tlslink.Host(to), within, limit, h, done)
+	}
+}
+
+type node struct {
+	cfg      *platform.Config
+	file     *settings.File
+	link     *tlslink.Link // nil: upstream hosts speak plain TCP
+	redirect func(discovery string)
+	leave    func()
+}
+
+// obey takes signals for as long as the program runs. Files are read here, beside the loop, which must not wait for a
+// disk. A file that can't be used changes nothing.
+func (n *node) obey(signals <-chan os.Signal) {
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			slog.Info("stopping", "signal", s)
+			n.leave()
+			continue
+		}
+		n.reload()
+	}
+}
+
+// reload reads both files again. They are two parties', so a fault in one does not hold up the other.
+func (n *node) reload() {
+	file, err := Schema().Load(n.file.Path)
+	if err != nil {
+		slog.Warn("settings_failed", "file", n.file.Path, "reason", err)
+	} else if n.file.Path != "" {
+		n.file = file
+		Logs(file)
+		slog.Info("settings_reloaded", "file", file.Path)
+	}
+	if n.link != nil {
+		o := n.file.Value("tls").(tlslink.Options)
+		n.link.Reload(&o)
+	}
+	next, later, err := platform.Reload(os.Getenv, n.cfg)
+	if err != nil {
+		slog.Warn("reload_failed", "reason", err)
+		return
+	}
+	slog.Info("reloaded", "discovery", next.Discovery, "at_next_start", strings.Join(later, ","))
+	n.redirect(next.Discovery)
+}
--- /dev/null
+++ b/internal/platform/config_test.go
@@ -0,0 +1,31 @@
+package platform
+
+import (
+	"strings"
+	"testing"
+)
+
+const usable = `{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ffffffffffffffff",
+"limits":{"cores":0.5,"memory_mb":192,"sockets":1024},"known":{"rev":7,"all":true,"targets":[]},
+"settings":{"peers_total":1,"bounds":{"try_limit":5},"lanes":[{"name":"c","on_time":1,"deadline":2,"semantics":"read_like"}],
+"extra":{"tells_load":true,"tells_delay":true}}}`
+
+// A configuration that can't be used is told in one line; one that can keeps within the limits it gives.
+func TestConfig(t *testing.T) {
+	env := func(name string) string { return map[string]string{"NODE_LISTEN": "127.0.0.1:9"}[name] }
+	c, err := Parse([]byte(usable), env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Listen != "127.0.0.1:9" || c.Known.Version != 7 || c.Seed != -1 || !c.DelayInLoad || c.Procs() != 1 ||
+		2*c.Sessions()+c.Newcomers()+c.Dialers() > 1024-spare || 3*c.Sessions() < 1024 || c.MemoryLimit() >= 192<<20 {
+		t.Errorf("%+v", c)
+	}
+	for _, change := range [][2]string{{"{", ""}, {"127.0.0.1:2", "nowhere"}, {`"seed":"ffffffffffffffff"`, `"seed":"x"`},
+		{"read_like", "odd"}, {`"rev":7,`, ""}, {`"settings"`, `"other"`}} {
+		_, err := Parse([]byte(strings.Replace(usable, change[0], change[1], 1)), env)
+		if err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v gave %v", change, err)
+		}
+	}
+}
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"runtime/debug"
 	"time"
 
 	"croftlock/brain"
+	"croftlock/internal/expiry"
 	"croftlock/internal/netio"
 )
 
@@ -34,6 +35,10 @@
 	Sessions int // how many downstreams it takes at most
 	// DelayInLoad: hosts tell both a connection's load and how long messages take, in the same form.
 	DelayInLoad bool
+	// Expiry says what becomes of connections that rest on a certificate when it ends; Wall is the clock that
+	// certificates are read by.
+	Expiry expiry.Policy
+	Wall   func() time.Time
 }
 
 // Core is one proxy.
@@ -55,6 +60,7 @@
 	calls    []call
 	effects  []func()
 
+	planner  *expiry.Planner // nil: connections are kept whatever ends
 	sessions int
 	leaving  bool
 	counts   Counts
@@ -64,6 +70,7 @@
 // Counts are what the core has done since they were last logged.
 type Counts struct {
 	Opened, Served, Refused, Failed, Rejected, Moved, Lost int
+	Expiring                                               int // of Moved: their certificate ends
 	TurnedAway                                             int // for want of room
 }
 
@@ -75,6 +82,7 @@
 // host is an upstream host as this proxy knows it.
 type host struct {
 	id       string
+	zone     string
 	endpoint string
 	state    brain.State
 	up       map[*Request]struct{} // its open connections
@@ -104,6 +112,10 @@
 	c.module, c.discovery = m, d
 	c.Listed(known)
 	c.loop.After(watchEvery, c.watchSessions)
+	if c.opt.Expiry.Move {
+		c.planner = expiry.New(c.opt.Expiry)
+		c.loop.After(expiry.Every, c.moveExpiring)
+	}
 	return nil
 }
 
@@ -139,7 +151,7 @@
 func (c *Core) Rejected(err error) {
 	c.counts.Rejected++
 	if c.counts.Rejected == 1 {
-		log.Printf("event=rejected reason=%q", err)
+		slog.Warn("rejected", "reason", err)
 	}
 }
 
@@ -169,7 +181,7 @@
 func (c *Core) guard(about *Request, f func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			log.Printf("event=panic where=core reason=%q stack=%q", p, debug.Stack())
+			slog.Error("panic", "where", "core", "reason", p, "stack", string(debug.Stack()))
 			if about != nil {
 				about.abandon()
 			}
@@ -231,12 +243,12 @@
 
 func (e *effects) Watch(on bool) { e.later(func() { e.discovery.Watch(on) }) }
 func (e *effects) Fetch()        { e.later(func() { e.discovery.Fetch() }) }
-func (e *effects) Log(s string)  { log.Printf("event=module text=%q", s) }
+func (e *effects) Log(s string)  { slog.Info("module", "text", s) }
 
 // Probe and Tell are not part of this deployment: it forbids probes, and the module sends its peers nothing.
-func (e *effects) Probe(server string) { log.Printf("event=unsupported effect=probe host=%s", server) }
+func (e *effects) Probe(server string) { slog.Error("unsupported", "effect", "probe", "host", server) }
 func (e *effects) Tell(peer int, data []byte) {
-	log.Printf("event=unsupported effect=tell peer=%d bytes=%d", peer, len(data))
+	slog.Error("unsupported", "effect", "tell", "peer", peer, "bytes", len(data))
 }
 
 // Open takes a client's request, and owes it one answer from here on. It gives nil where that is given already.
--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -78,8 +78,8 @@
 	return r, u
 }
 
-func (w *world) Start(endpoint string, _ First, until int64, _ time.Duration, ev UpstreamEvents) Upstream {
-	w.note("start %s %d", endpoint, (until-w.now)/1e6)
+func (w *world) Start(to Target, _ First, until int64, _ time.Duration, ev UpstreamEvents) Upstream {
+	w.note("start %s %d", to.Endpoint, (until-w.now)/1e6)
 	u := &fakeUp{w: w, ev: ev}
 	w.ups = append(w.ups, u)
 	return u
--- /dev/null
+++ b/internal/proxy/expiring.go
@@ -0,0 +1,40 @@
+package proxy
+
+import (
+	"log/slog"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/expiry"
+)
+
+// moveExpiring moves the connections whose certificate is about to end, at the planner's pace. Their clients come again
+// by themselves and are placed anew.
+func (c *Core) moveExpiring() {
+	c.loop.After(expiry.Every, c.moveExpiring)
+	if c.leaving {
+		return // all are being moved
+	}
+	standing := make([]expiry.Conn, 0, len(c.requests))
+	first := time.Time{}
+	for id, r := range c.requests {
+		if a := r.out; a != nil && a.up {
+			x := expiry.Conn{ID: id}
+			if e, ok := a.conn.(Expiring); ok {
+				x.Ends = e.Expires()
+			}
+			if !x.Ends.IsZero() && (first.IsZero() || x.Ends.Before(first)) {
+				first = x.Ends
+			}
+			standing = append(standing, x)
+		}
+	}
+	move := c.planner.Plan(c.loop.Now(), c.opt.Wall(), standing)
+	for _, id := range move {
+		c.counts.Expiring++
+		c.requests[id].move(brain.Cancelled)
+	}
+	if len(move) > 0 {
+		slog.Info("moved_expiring", "connections", len(move), "standing", len(standing), "first_ends", first.UTC().Format(time.RFC3339))
+	}
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -75,8 +75,16 @@
 	UpstreamEnded(err *netio.Error)
 }
 
-// Starter opens upstream requests: connect to the endpoint within the time given, send first, and tell ev what
+// Expiring is an Upstream that rests on something that ends, such as a certificate.
+type Expiring interface {
+	Expires() time.Time // zero: on nothing
+}
+
+// Target is an upstream host as a Starter needs to know it.
+type Target struct{ ID, Zone, Endpoint string }
+
+// Starter opens upstream requests: connect to the target within the time given, send first, and tell ev what
 // follows. until is the loop's time at which the proxy stops waiting.
 type Starter interface {
-	Start(endpoint string, first First, until int64, connect time.Duration, ev UpstreamEvents) Upstream
+	Start(to Target, first First, until int64, connect time.Duration, ev UpstreamEvents) Upstream
 }
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -1,7 +1,7 @@
 package proxy
 
 import (
-	"log"
+	"log/slog"
 	"time"
 
 	"croftlock/brain"
@@ -37,7 +37,7 @@
 		passed := c.loop.Now() - began
 		open, pending := c.standing()
 		if passed > int64(frontNotices) && open+pending == 0 && c.sessions == 0 || passed > longest {
-			log.Printf("event=left open=%d pending=%d", open, pending)
+			slog.Info("left", "open", open, "pending", pending)
 			done()
 			return
 		}
--- a/internal/proxy/list.go
+++ b/internal/proxy/list.go
@@ -57,7 +57,7 @@
 		h = &host{id: e.ID, up: map[*Request]struct{}{}, trying: map[*upstreamRequest]struct{}{}}
 		c.hosts[e.ID] = h
 	}
-	h.state = e.State
+	h.state, h.zone = e.State, e.Zone
 	if e.Endpoint == "" || e.Endpoint == h.endpoint {
 		return
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -1,7 +1,7 @@
 package proxy
 
 import (
-	"log"
+	"log/slog"
 	"time"
 
 	"croftlock/brain"
@@ -94,7 +94,7 @@
 	c := a.req.core
 	now := c.loop.Now()
 	left := min(a.sentAt+c.opt.Settings.ConnectTimeout, a.until) - now
-	a.conn = c.starter.Start(a.host.endpoint, a.req.first, a.until, time.Duration(max(left, 1)), a)
+	a.conn = c.starter.Start(Target{a.host.id, a.host.zone, a.host.endpoint}, a.req.first, a.until, time.Duration(max(left, 1)), a)
 }
 
 // adopt restores a connection that was open at a host before. The module hears of it once it stands: it decides
@@ -103,7 +103,7 @@
 	c := r.core
 	h := c.hosts[server]
 	if h == nil {
-		log.Printf("event=adopt_failed host=%s reason=%q", server, "not in the list")
+		slog.Warn("adopt_failed", "host", server, "reason", "not in the list")
 		r.fail()
 		return
 	}
@@ -153,7 +153,7 @@
 			})
 			return
 		}
-		log.Printf("event=adopt_failed host=%s status=%d", a.host.id, status)
+		slog.Warn("adopt_failed", "host", a.host.id, "status", int(status))
 		r.fail()
 		return
 	}
@@ -210,7 +210,7 @@
 	if r.answered {
 		return
 	}
-	log.Printf("event=abandoned request=%s attempts=%d", r.ask.ID, r.attempts)
+	slog.Error("abandoned", "request", r.ask.ID, "attempts", r.attempts)
 	r.fail()
 	r.gone()
 }
@@ -310,7 +310,7 @@
 	case Fault:
 		a.finish(brain.Error, netio.Ended)
 	default:
-		log.Printf("event=odd_answer host=%s request=%s text=%q", a.host.id, r.ask.ID, m.Text)
+		slog.Warn("odd_answer", "host", a.host.id, "request", r.ask.ID, "text", string(m.Text))
 		a.finish(brain.Error, netio.Ended)
 	}
 	return true
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -1,7 +1,7 @@
 package proxy
 
 import (
-	"log"
+	"log/slog"
 	"math"
 	"time"
 
@@ -101,7 +101,7 @@
 			sent := a.waiting[0]
 			if now-sent >= int64(silentAfter) {
 				// The machine has vanished or hangs, and TCP does not tell. The client must not wait for it.
-				log.Printf("event=host_silent host=%s request=%s ms=%d", h.id, r.ask.ID, (now-sent)/1e6)
+				slog.Warn("host_silent", "host", h.id, "request", r.ask.ID, "ms", (now-sent)/1e6)
 				c.counts.Lost++
 				r.move(brain.Reset)
 				continue
@@ -122,9 +122,9 @@
 		return
 	}
 	open, pending := c.standing()
-	log.Printf("event=counts open=%d pending=%d connections=%d opened=%d served=%d refused=%d failed=%d rejected=%d "+
-		"moved=%d lost=%d turned_away=%d", open, pending, c.sessions, n.Opened, n.Served, n.Refused, n.Failed, n.Rejected,
-		n.Moved, n.Lost, n.TurnedAway)
+	slog.Info("counts", "open", open, "pending", pending, "connections", c.sessions, "opened", n.Opened,
+		"served", n.Served, "refused", n.Refused, "failed", n.Failed, "rejected", n.Rejected, "moved", n.Moved,
+		"lost", n.Lost, "turned_away", n.TurnedAway, "expiring", n.Expiring)
 	c.counts = Counts{}
 }
 
--- /dev/null
+++ b/internal/settings/schema.go
@@ -0,0 +1,117 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Section is what a package may be told in the operators' file.
+type Section struct {
+	Name, Doc string
+	// Bind declares the section's fields on f and gives the value that holds them. For a file without the section the
+	// form is empty, and the value is the default.
+	Bind func(f *Form) any
+}
+
+// Schema is all sections that a program knows. Packages bring theirs; none is known here.
+type Schema []Section
+
+// File is a file that was read.
+type File struct {
+	Path   string
+	Root   *Node
+	values map[string]any
+	forms  map[string]*Form
+}
+
+// Value is what the section's Bind gave.
+func (f *File) Value(section string) any { return f.values[section] }
+
+// Load reads the file at path. Without a path the file is empty: all is as by default. The error is Faults wherever the
+// file could be opened.
+func (s Schema) Load(path string) (*File, error) {
+	if path == "" {
+		f, _ := s.Read("", nil)
+		return f, nil
+	}
+	in, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Close()
+	data, err := io.ReadAll(io.LimitReader(in, MaxBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	return s.Read(path, data)
+}
+
+// Read reads a file's bytes; path says where they are from.
+func (s Schema) Read(path string, data []byte) (*File, error) {
+	root, faults := Parse(path, data)
+	f := &File{Path: path, Root: root, values: map[string]any{}, forms: map[string]*Form{}}
+	found := map[string]*Node{}
+	names := make([]string, 0, len(s))
+	for _, x := range s {
+		names = append(names, x.Name)
+	}
+	for _, n := range root.Values() {
+		name := n.Name()
+		switch first := found[name]; {
+		case name == "":
+			faults.Add(n.Pos, "%s, expected (section ...)", n.describe())
+		case !contains(names, name):
+			faults.Add(n.Pos, "section %q is unknown%s", clip(name), nearest(name, names))
+		case first != nil:
+			faults.Add(n.Pos, "section %q stands a second time, first on line %d, expected once", name, first.Pos.Line)
+		default:
+			found[name] = n
+		}
+	}
+	for _, x := range s {
+		form := newForm(found[x.Name], faults, filepath.Dir(path), x.Name)
+		f.values[x.Name] = x.Bind(form)
+		form.done()
+		f.forms[x.Name] = form
+	}
+	return f, faults.Err()
+}
+
+// Show writes every section with the value that each field has, defaults marked, in the form of a file.
+func (s Schema) Show(w io.Writer, f *File) {
+	for i, x := range s {
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		fmt.Fprintf(w, "; %s\n(%s\n", x.Doc, x.Name)
+		showFields(w, f.forms[x.Name], 1)
+		fmt.Fprintln(w, ")")
+	}
+}
+
+func showFields(w io.Writer, form *Form, depth int) {
+	pad := strings.Repeat("  ", depth)
+	for _, d := range form.Fields() {
+		if d.Forms != nil {
+			for _, sub := range d.Forms {
+				fmt.Fprintf(w, "%s(%s  ; %s\n", pad, d.Name, d.Doc)
+				showFields(w, sub, depth+1)
+				fmt.Fprintf(w, "%s)\n", pad)
+			}
+			continue
+		}
+		origin := ""
+		if !d.Set {
+			origin = " (default)"
+		}
+		value := d.Value()
+		if value == "" || value == `""` {
+			fmt.Fprintf(w, "%s; (%s ...)  ; not set: %s; takes %s\n", pad, d.Name, d.Doc, d.Want)
+			continue
+		}
+		fmt.Fprintf(w, "%s(%s %s)  ; %s%s\n", pad, d.Name, value, d.Doc, origin)
+	}
+}
--- /dev/null
+++ b/internal/tlslink/options.go
@@ -0,0 +1,145 @@
+// Package tlslink is TLS from the proxy to its upstream hosts. It owns the files (trust, revocation, the client's pair)
+// and their replacement, what a host's certificate must be, the sessions kept for reuse, the handshakes, and the record
+// layer that netio drives on the loop. When a handshake may begin is decided by the package handshake.
+//
+// Handshakes run on a fixed set of workers beside the loop, on blocking sockets; what stands afterwards is driven on the
+// loop and has no goroutine. There is no way from here to a connection in plain text: whatever goes wrong ends as a
+// connection that never stood, before a byte of any request was written.
+package tlslink
+
+import (
+	"crypto/tls"
+	"strings"
+	"time"
+
+	"croftlock/internal/expiry"
+	"croftlock/internal/handshake"
+	"croftlock/internal/settings"
+)
+
+// Options are what the operators' file says.
+type Options struct {
+	On                         bool
+	Trust, CRLs                []string
+	Certificate, Key, Password string
+	MinVersion                 string
+	Pattern, URI               string            // the name a host must show; one of them
+	Names                      map[string]string // by uid, before the pattern
+	KeyExchange                []string
+	Reuse                      bool
+	Sessions                   int
+	Expiry                     expiry.Policy
+	OnExpiry                   string
+	Workers                    int
+	Handshakes                 handshake.Limits
+}
+
+// Defaults are the options without a file: off, and the safer choice wherever there is one.
+func Defaults() Options {
+	o := Options{MinVersion: "1.3", KeyExchange: []string{"x25519mlkem768", "x25519"}, Reuse: true, Sessions: 256,
+		OnExpiry: "keep", Expiry: expiry.Policy{Before: 10 * time.Minute, Share: 0.1}, Handshakes: handshake.Defaults()}
+	o.Handshakes.AtOnce = 8
+	return o
+}
+
+var exchanges = map[string]tls.CurveID{"x25519mlkem768": tls.X25519MLKEM768, "x25519": tls.X25519, "p256": tls.CurveP256,
+	"p384": tls.CurveP384}
+
+// Section is the operators' say.
+func Section() settings.Section {
+	return settings.Section{Name: "tls", Doc: "TLS to upstream hosts", Bind: func(f *settings.Form) any {
+		o := Defaults()
+		f.Bool("servers", "whether upstream hosts are reached by TLS; there is no fallback", &o.On)
+		f.Paths("trust", "bundles of the authorities that sign hosts' certificates", &o.Trust)
+		f.Paths("crl", "lists of certificates taken back; one that has run out counts as no list: nothing passes", &o.CRLs)
+		f.Path("certificate", "the proxy's own certificate with its chain, shown to hosts", &o.Certificate)
+		f.Path("key", "its key, readable by its owner alone", &o.Key)
+		f.Path("key-password-file", "file with the key's password, readable by its owner alone", &o.Password)
+		f.Enum("min-version", "oldest version of TLS that is spoken", &o.MinVersion, "1.3", "1.2")
+		f.Group("name", "the name that a host's certificate must bear", func(f *settings.Form) {
+			want := "a pattern of {uid}, {zone}, {host} and plain text, with {uid} or {host} in it"
+			f.Text("pattern", "a DNS name or address", want, &o.Pattern, func(s string) bool { return goodPattern(s) && !strings.Contains(s, "/") })
+			f.Text("uri", "a URI name", want+", beginning with scheme://", &o.URI, func(s string) bool {
+				return goodPattern(s) && strings.Index(s, "://") > 0
+			})
+			f.Pairs("map", "names of single hosts by uid, before the pattern", `("uid" "name")`, &o.Names,
+				func(k, v string) bool { return k != "" && v != "" && !strings.ContainsAny(v, "{} ") })
+			if o.Pattern != "" && o.URI != "" {
+				f.Fault("uri", "both a pattern and a uri, expected one of them")
+			}
+		})
+		f.Enums("key-exchange", "key exchanges, the preferred first", &o.KeyExchange, "x25519mlkem768", "x25519", "p256", "p384")
+		f.Bool("reuse", "whether sessions are resumed", &o.Reuse)
+		f.Int("sessions", "sessions kept, of all hosts together", &o.Sessions, 1, 100000)
+		f.Enum("on-expiry", "what becomes of standing connections when a certificate ends", &o.OnExpiry, "keep", "move")
+		f.Duration("move-before", "how long before the end moving begins", &o.Expiry.Before, time.Second, 30*24*time.Hour)
+		f.Percent("move-share", "connections moved in a minute at most", &o.Expiry.Share, 0.001, 1)
+		o.Expiry.Move = o.OnExpiry == "move"
+		f.Group("handshakes", "what handshakes may take", func(f *settings.Form) {
+			h := &o.Handshakes
+			f.Percent("cpu", "part of one core", &h.CPU, 0.01, 1)
+			rate, host := int(h.Rate), int(h.HostRate)
+			f.Int("rate", "full handshakes a second", &rate, 1, 100000)
+			f.Int("host-rate", "full handshakes a second with one host", &host, 1, 100000)
+			h.Rate, h.HostRate = float64(rate), float64(host)
+			f.Int("at-once", "handshakes out; each holds a worker and a descriptor", &h.AtOnce, 1, 128)
+			f.Int("host-at-once", "handshakes out with one host", &h.HostAtOnce, 1, 128)
+			f.Int("queue", "requests that wait", &h.Queue, 1, 100000)
+			f.Duration("burst", "how long unused budget is saved", &h.Burst, time.Millisecond, 10*time.Second)
+		})
+		if o.On && len(o.Trust) == 0 {
+			f.Fault("servers", "tls to servers without trust, expected (trust \"bundle.pem\" ...)")
+		}
+		if o.On && o.Pattern == "" && o.URI == "" && len(o.Names) == 0 {
+			f.Fault("servers", "tls to servers without a name to expect, expected (name (pattern \"...\"))")
+		}
+		if (o.Certificate == "") != (o.Key == "") {
+			f.Fault("key", "a certificate without its key or a key without its certificate, expected both")
+		}
+		if o.Password != "" && o.Key == "" {
+			f.Fault("key-password-file", "a password for no key, expected (key ...) too")
+		}
+		return o
+	}}
+}
+
+// goodPattern tells whether a pattern has known places only, and one that tells hosts apart.
+func goodPattern(s string) bool {
+	apart := strings.Contains(s, "{uid}") || strings.Contains(s, "{host}")
+	rest := strings.NewReplacer("{uid}", "", "{zone}", "", "{host}", "").Replace(s)
+	return apart && !strings.ContainsAny(rest, "{} \t")
+}
+
+// Files are all files that the options name.
+func (o *Options) Files() []string {
+	files := append(append([]string{}, o.Trust...), o.CRLs...)
+	for _, f := range []string{o.Certificate, o.Key, o.Password} {
+		if f != "" {
+			files = append(files, f)
+		}
+	}
+	return files
+}
+
+// Name is what a host's certificate must bear.
+type Name struct {
+	Text string
+	URI  bool
+}
+
+// Expect gives the name for a host; ok is false where the options have none for it, so that no certificate fits.
+func (o *Options) Expect(uid, zone, host string) (name Name, ok bool) {
+	if n := o.Names[uid]; n != "" {
+		return Name{n, strings.Contains(n, "://")}, true
+	}
+	pattern := o.Pattern + o.URI
+	if pattern == "" {
+		return Name{}, false
+	}
+	for _, p := range [][2]string{{"{uid}", uid}, {"{zone}", zone}, {"{host}", host}} {
+		if strings.Contains(pattern, p[0]) && p[1] == "" {
+			return Name{}, false
+		}
+	}
+	return Name{strings.NewReplacer("{uid}", uid, "{zone}", zone, "{host}", host).Replace(pattern), o.URI != ""}, true
+}
--- /dev/null
+++ b/internal/tlslink/peer.go
@@ -0,0 +1,88 @@
+package tlslink
+
+import (
+	"crypto/tls"
+	"sync/atomic"
+	"time"
+)
+
+// peer is how one host is spoken to under one epoch. It is made once and shared by all handshakes with the host.
+type peer struct {
+	key      sessionKey
+	material *Material
+	config   *tls.Config
+	cache    *cache
+	wall     func() time.Time
+	until    atomic.Int64 // of the chain that was last verified, Unix nanoseconds
+}
+
+func newPeer(m *Material, uid string, name Name, sessions *cache, wall func() time.Time) *peer {
+	p := &peer{key: sessionKey{uid, name, m.Epoch}, material: m, cache: sessions, wall: wall}
+	p.config = &tls.Config{
+		Time:       wall,
+		MinVersion: tls.VersionTLS13,
+		// Verification is this package's own: see verify, which runs on every handshake, resumed ones included. Go's would
+		// know neither URI names nor revocation lists, and would look for a host name in a resumed session's chain that
+		// was verified for a URI.
+		InsecureSkipVerify: true,
+		VerifyConnection:   p.verify,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			if m.own == nil {
+				return &tls.Certificate{}, nil // the host says whether it can do without
+			}
+			return m.own, nil
+		},
+		// Lines are short: a record each, not several for the longer ones.
+		DynamicRecordSizingDisabled: true,
+		Renegotiation:               tls.RenegotiateNever,
+	}
+	if !name.URI {
+		p.config.ServerName = name.Text
+	}
+	if m.opt.MinVersion == "1.2" {
+		p.config.MinVersion = tls.VersionTLS12
+	}
+	for _, x := range m.opt.KeyExchange {
+		p.config.CurvePreferences = append(p.config.CurvePreferences, exchanges[x])
+	}
+	if m.opt.Reuse {
+		p.config.ClientSessionCache = p
+	} else {
+		p.config.SessionTicketsDisabled = true
+	}
+	return p
+}
+
+func (p *peer) verify(cs tls.ConnectionState) error {
+	until, err := p.material.Verify(cs.PeerCertificates, p.key.name, p.wall())
+	if err == nil {
+		p.until.Store(until.UnixNano())
+	}
+	return err
+}
+
+// Get and Put make it the cache of its own sessions: what crypto/tls would take for the key is a name or an address,
+// which two hosts or two epochs can share.
+func (p *peer) Get(string) (*tls.ClientSessionState, bool) {
+	s := p.cache.get(p.key, p.wall())
+	return s, s != nil
+}
+
+// Put keeps a session that the host has offered.
+func (p *peer) Put(_ string, s *tls.ClientSessionState) {
+	p.cache.put(p.key, s, time.Unix(0, p.until.Load()))
+}
+
+// resumable tells whether there is a session to take up.
+func (p *peer) resumable() bool {
+	return p.config.ClientSessionCache != nil && p.cache.get(p.key, p.wall()) != nil
+}
+
+// ends is when the first certificate that a new connection rests on ends.
+func (p *peer) ends() time.Time {
+	t := time.Unix(0, p.until.Load())
+	if p.material.own != nil {
+		t = earlier(t, p.material.ownEnd)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/tlslink/session.go
@@ -0,0 +1,129 @@
+package tlslink
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"croftlock/internal/netio"
+)
+
+// mostHeld bounds the sealed bytes of a connection that nobody has opened: what netpoll reads at once, while its input is
+// at the limit. One record beyond that is crypto/tls's own (16 KiB and some).
+const mostHeld = 128 << 10
+
+// session is a standing connection's record layer. crypto/tls does the work; instead of a socket it has the wire below,
+// which says "not now" where a socket would block. crypto/tls keeps what it has read of a record and takes it up again.
+// After the handshake everything happens on the loop.
+type session struct {
+	wire    *wire
+	tls     *tls.Conn
+	resumed bool
+	ends    time.Time // of the first certificate that it rests on
+	opened  bool      // application data has come
+}
+
+var _ netio.Layer = (*session)(nil)
+
+// Expires is when the first certificate that the connection rests on ends.
+func (s *session) Expires() time.Time { return s.ends }
+
+func (s *session) Attach(send func(p []byte)) { s.wire.attach(send) }
+
+func (s *session) Take(p []byte) bool { return s.wire.in.Append(p) == len(p) }
+
+func (s *session) Open(p []byte) (int, error) {
+	n, err := s.tls.Read(p)
+	s.opened = s.opened || n > 0
+	if errors.Is(err, errNotNow) {
+		return n, nil
+	}
+	if _, alert := alertOf(err); alert && !s.opened {
+		err = &lateRefusal{classify(err, true)}
+	}
+	return n, err
+}
+
+// lateRefusal is a handshake that the host turned down after this side had finished it. In TLS 1.3 a client is done
+// before the server has seen its certificate, and may have sent its request by then. The server reads no request of a
+// connection whose handshake it refuses, so nothing can have acted on it.
+type lateRefusal struct{ *Failure }
+
+func (l *lateRefusal) Unwrap() error    { return l.Failure }
+func (l *lateRefusal) NeverStood() bool { return l.Reason == TurnedDown }
+
+func (s *session) Seal(p []byte) error {
+	_, err := s.tls.Write(p)
+	return err
+}
+
+func (s *session) End() { s.tls.CloseWrite() }
+
+func (s *session) Holds() int { return s.wire.in.Len() }
+
+// errNotNow is what a socket that must not block says. crypto/tls goes on after errors that are temporary.
+var errNotNow error = notNow{}
+
+type notNow struct{}
+
+func (notNow) Error() string   { return "no more for now" }
+func (notNow) Timeout() bool   { return false }
+func (notNow) Temporary() bool { return true }
+
+// wire is the net.Conn below crypto/tls: a socket during the handshake, which counts what this side computes between
+// waits, and two ends of the loop afterwards.
+type wire struct {
+	raw   net.Conn
+	heard bool      // something has come
+	mark  time.Time // since when this side computes
+	spent time.Duration
+
+	in   netio.Buffer // sealed, not opened
+	send func(p []byte)
+}
+
+func (w *wire) attach(send func(p []byte)) {
+	w.raw, w.send, w.in = nil, send, netio.NewBuffer(mostHeld)
+}
+
+func (w *wire) Read(p []byte) (int, error) {
+	if w.raw != nil {
+		w.pause()
+		n, err := w.raw.Read(p)
+		w.heard = w.heard || n > 0
+		w.mark = time.Now()
+		return n, err
+	}
+	if w.in.Len() == 0 {
+		return 0, errNotNow
+	}
+	n := copy(p, w.in.Bytes())
+	w.in.Consume(n)
+	return n, nil
+}
+
+func (w *wire) Write(p []byte) (int, error) {
+	if w.raw != nil {
+		w.pause()
+		n, err := w.raw.Write(p)
+		w.mark = time.Now()
+		return n, err
+	}
+	if w.send == nil {
+		return 0, io.ErrClosedPipe
+	}
+	w.send(p)
+	return len(p), nil
+}
+
+func (w *wire) pause() { w.spent += time.Since(w.mark) }
+
+// The rest of net.Conn; crypto/tls asks for none of it here but the address, for a cache key that is not used.
+func (w *wire) Close() error                     { return nil }
+func (w *wire) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+func (w *wire) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+func (w *wire) SetDeadline(time.Time) error      { return nil }
+func (w *wire) SetReadDeadline(time.Time) error  { return nil }
+func (w *wire) SetWriteDeadline(time.Time) error { return nil }
