--- a/internal/command/main_test.go
+++ b/internal/command/main_test.go
@@ -19,7 +19,7 @@
 // TestMain lets the test's own binary run as the program, so that signals meet a whole process.
 func TestMain(m *testing.M) {
 	if os.Getenv("CROFTLOCK_TEST_RUN") != "" {
-		os.Exit(Run(nil, os.Getenv))
+		os.Exit(Run(os.Args[1:], os.Getenv))
 	}
 	os.Exit(m.Run())
 }
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"bufio"
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
@@ -8,6 +9,8 @@
 	"net"
 	"os"
 	"runtime"
+
+	"croftlock/internal/line"
 )
 
 // relayOptions are those of the program that croftlock's TLS is compared with: a plain relay with two goroutines a
@@ -50,9 +53,27 @@
 		up = tls.Client(up, config)
 	}
 	go func() {
-		io.Copy(up, c)
+		pass(up, c, nil)
 		up.Close()
 		c.Close()
 	}()
-	io.Copy(c, up)
+	// The same work as the proxy's: whole lines, and what the host's mean.
+	pass(c, up, func(text []byte) { line.ParseHost(text) })
+}
+
+// pass hands lines on until either side ends.
+func pass(to io.Writer, from io.Reader, look func(text []byte)) {
+	in := bufio.NewReaderSize(from, line.Max)
+	for {
+		text, err := in.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		if look != nil {
+			look(text)
+		}
+		if _, err := to.Write(text); err != nil {
+			return
+		}
+	}
 }
--- a/internal/tlslink/link.go
+++ b/internal/tlslink/link.go
@@ -255,7 +255,7 @@
 
 // run connects and shakes hands. It gives a socket that is in nobody's hands.
 func (j *job) run(turn chan struct{}) (s *session, fd int, spent time.Duration, f *Failure) {
-	w := &wire{turn: turn}
+	w := &wire{turn: turn, in: netio.NewBuffer(mostHeld)}
 	defer func() {
 		if p := recover(); p != nil {
 			slog.Error("panic", "where", "handshake", "reason", p, "stack", string(debug.Stack()))
--- a/internal/tlslink/session.go
+++ b/internal/tlslink/session.go
@@ -15,6 +15,9 @@
 // at the limit. One record beyond that is crypto/tls's own (16 KiB and some).
 const mostHeld = 128 << 10
 
+// handshakeRead is how much is read at once while hands are shaken.
+const handshakeRead = 4 << 10
+
 // session is a standing connection's record layer. crypto/tls does the work; instead of a socket it has the wire below,
 // which says "not now" where a socket would block. crypto/tls keeps what it has read of a record and takes it up again.
 // After the handshake everything happens on the loop.
@@ -24,6 +27,7 @@
 	resumed bool
 	ends    time.Time                   // of the first certificate that it rests on
 	opened  bool                        // application data has come
+	more    bool                        // crypto/tls may hold plain text that the last call of Open had no room for
 	failed  func(f *Failure, late bool) // told once of an end that is not in order; nil: nobody is
 }
 
@@ -37,8 +41,12 @@
 func (s *session) Take(p []byte) bool { return s.wire.in.Append(p) == len(p) }
 
 func (s *session) Open(p []byte) (int, error) {
+	if !s.more && !s.wire.whole() {
+		return 0, nil // crypto/tls could only say so itself, at the price of an error for every line
+	}
 	n, err := s.tls.Read(p)
 	s.opened = s.opened || n > 0
+	s.more = n == len(p)
 	if errors.Is(err, errNotNow) {
 		return n, nil
 	}
@@ -94,25 +102,48 @@
 	spent time.Duration
 
 	in   netio.Buffer // sealed, not opened
+	left int          // of the record that crypto/tls has a part of
 	send func(p []byte)
 }
 
-func (w *wire) attach(send func(p []byte)) {
-	w.raw, w.send, w.in = nil, send, netio.NewBuffer(mostHeld)
+// A record begins with its type, a version and the length of what follows.
+const recordHead = 5
+
+// record is how much crypto/tls may have next: it is given no more than one record at a time, so that it never holds a
+// part of the next one, and how much there is to open can be told from here.
+func (w *wire) record() int {
+	if w.left > 0 {
+		return w.left
+	}
+	if b := w.in.Bytes(); len(b) >= recordHead {
+		return recordHead + int(b[3])<<8 + int(b[4])
+	}
+	return recordHead
 }
 
+// whole tells whether a whole record, or all that is left of one, has come.
+func (w *wire) whole() bool { return w.in.Len() >= w.record() }
+
+func (w *wire) attach(send func(p []byte)) { w.raw, w.send = nil, send }
+
 func (w *wire) Read(p []byte) (int, error) {
-	if w.raw != nil {
+	for w.in.Len() < min(recordHead, w.record()) {
+		if w.raw == nil {
+			return 0, errNotNow
+		}
+		space := w.in.Reserve(handshakeRead)
 		w.pause()
-		n, err := w.raw.Read(p)
-		w.heard = w.heard || n > 0
+		n, err := w.raw.Read(space)
 		w.compute()
-		return n, err
-	}
-	if w.in.Len() == 0 {
-		return 0, errNotNow
+		w.heard = w.heard || n > 0
+		w.in.Extend(n)
+		if n == 0 && err != nil {
+			return 0, err
+		}
 	}
-	n := copy(p, w.in.Bytes())
+	w.left = w.record()
+	n := copy(p[:min(len(p), w.left)], w.in.Bytes())
+	w.left -= n
 	w.in.Consume(n)
 	return n, nil
 }
--- a/internal/tlslink/watch.go
+++ b/internal/tlslink/watch.go
@@ -23,9 +23,16 @@
 // Reload has the files read again at once, by the options given or, for nil, by those in use. Whether hosts are reached
 // by TLS, and the workers and the budget, stay as they are until the next start. It may be called from any goroutine.
 func (k *Link) Reload(o *Options) {
-	select {
-	case k.files <- reload{o}:
-	default: // one is waiting; the files will be looked at anyway
+	for {
+		select {
+		case k.files <- reload{o}:
+			return
+		default:
+		}
+		select {
+		case <-k.files: // it was not looked at yet; the newer one counts
+		default:
+		}
 	}
 }
 
