Begin the lab's tables by their heads, and drop what the change left unused

A second reading found tables begun by whichever row came first, with a filter and counts of tables to undo the repeats (Report.Head now begins one), the budget's failure written out three times, a wrapper of one call, and a method and a counter that nobody used.

--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -101,7 +101,7 @@
 			opened.Done()
 			if client == nil {
 				if err == nil {
-					err = errorf("client %d got %s", i, a.Text)
+					err = fmt.Errorf("client %d got %s", i, a.Text)
 				}
 				errs <- err
 				return
@@ -179,7 +179,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lost = append(c.lost, errorf(format, args...).Error())
+	c.lost = append(c.lost, fmt.Sprintf(format, args...))
 }
 
 // between are the milliseconds that lines took which were sent in a span of time.
@@ -200,5 +200,3 @@
 	c.stop.Store(true)
 	c.all.Wait()
 }
-
-func errorf(format string, args ...any) error { return fmt.Errorf(format, args...) }
--- a/internal/lab/proc.go
+++ b/internal/lab/proc.go
@@ -204,16 +204,6 @@
 	}
 }
 
-// Ended tells whether the process is gone.
-func (p *Process) Ended() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // apart gives the process a core of its own and this program the others, so that what stand-ins compute is not taken for
 // a delay of the proxy's. Without cores enough it tells false and changes nothing.
 func (p *Process) apart() bool {
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -43,7 +43,17 @@
 	Got  string
 }
 
-// Row adds a row to the table with the given title.
+// Head begins the table with the given title; a table that has begun keeps its head.
+func (r *Report) Head(title string, names ...string) {
+	for _, t := range r.Tables {
+		if t.Title == title {
+			return
+		}
+	}
+	r.Tables = append(r.Tables, Table{Title: title, Head: names})
+}
+
+// Row adds a row to the table with the given title, which Head has begun.
 func (r *Report) Row(title string, cells ...any) {
 	row := make([]string, len(cells))
 	for i, c := range cells {
@@ -55,7 +65,7 @@
 			return
 		}
 	}
-	r.Tables = append(r.Tables, Table{Title: title, Head: row})
+	panic("no table " + title)
 }
 
 func text(x any) string {
--- a/internal/lab/tls.go
+++ b/internal/lab/tls.go
@@ -131,13 +131,12 @@
 	f.servers[0].Drain()
 	time.Sleep(2 * time.Second)
 	standing := 0
+	r.Head("servers", "server", "opened", "standing")
 	for _, s := range f.servers {
 		all, _ := s.Opened()
-		r.Row("servers", "server", "opened", "standing")
 		r.Row("servers", s.UID, all, s.Standing())
 		standing += s.Standing()
 	}
-	r.Tables[0].Rows = dropHeads(r.Tables[0])
 	lines := c.between(r.Began, time.Now())
 	c.leave()
 	err = p.Stop()
@@ -150,14 +149,3 @@
 	r.Set("line_ms_median", lines.median())
 	return nil
 }
-
-// dropHeads removes rows that repeat the head, which a loop adds again.
-func dropHeads(t Table) [][]string {
-	var out [][]string
-	for _, row := range t.Rows {
-		if strings.Join(row, "\t") != strings.Join(t.Head, "\t") {
-			out = append(out, row)
-		}
-	}
-	return out
-}
--- a/internal/lab/tlsbad.go
+++ b/internal/lab/tlsbad.go
@@ -51,7 +51,7 @@
 	all.Wait()
 	bytes, bad := int64(0), 0
 	const title = "bad servers; the client waits 2 s, connects may take 0.25 s"
-	r.Row(title, "server", "client's answer", "after", "reason in the log", "connections", "request bytes seen", "as stated")
+	r.Head(title, "server", "client's answer", "after", "reason in the log", "connections", "request bytes seen", "as stated")
 	for _, x := range rows {
 		reason := x.reason
 		if reason == "" {
--- a/internal/lab/tlscost.go
+++ b/internal/lab/tlscost.go
@@ -55,7 +55,7 @@
 		}
 	}
 	const title = "on the proxy, median (least to most) of three interleaved rounds"
-	r.Row(title, "variant", "CPU ms to open and close", "ms to UP, median", "CPU us a line there and back", "KiB an idle connection", "descriptors")
+	r.Head(title, "variant", "CPU ms to open and close", "ms to UP, median", "CPU us a line there and back", "KiB an idle connection", "descriptors")
 	for i, v := range variants {
 		x := results[i]
 		r.Row(title, v.name, x.open, x.took, x.line, x.memory, x.descriptors)
@@ -189,7 +189,7 @@
 		return err
 	}
 	const title = "one handshake, microseconds that each side computes, median (10% to 90%) of 300"
-	r.Row(title, "key exchange", "kind", "client", "server")
+	r.Head(title, "key exchange", "kind", "client", "server")
 	for _, x := range []struct {
 		name string
 		id   tls.CurveID
@@ -241,7 +241,7 @@
 		return err
 	}
 	const title = "verification of one chain, microseconds, median (10% to 90%) of 300"
-	r.Row(title, "how", "time")
+	r.Head(title, "how", "time")
 	var first, again series
 	for range 300 {
 		m, err := tlslink.Load(tlslink.Options{Trust: []string{trust}}, 1)
--- a/internal/lab/tlsrotation.go
+++ b/internal/lab/tlsrotation.go
@@ -71,7 +71,7 @@
 		{"the servers' certificates once more", servers(other)},
 	}
 	const title = "replacements"
-	r.Row(title, "at", "what", "taken after", "epoch")
+	r.Head(title, "at", "what", "taken after", "epoch")
 	began := time.Now()
 	failed := make(chan error, 1)
 	go func() {
@@ -130,7 +130,7 @@
 		}
 	}
 	kept := len(p.Log("event=tls_files_kept"))
-	r.Row("new connections", "UP", "BUSY", "ERR", "NONE", "late", "p50 ms", "p99 ms")
+	r.Head("new connections", "UP", "BUSY", "ERR", "NONE", "late", "p50 ms", "p99 ms")
 	r.Row("new connections", t.count("UP"), t.count("BUSY"), t.count("ERR"), t.count("NONE"), t.late, t.took.median(), t.took.quantile(0.99))
 	c.stop.Store(true)
 	ended := p.Stop()
--- a/internal/lab/tlsstorm.go
+++ b/internal/lab/tlsstorm.go
@@ -119,15 +119,11 @@
 
 	calmLines, stormLines := calm.between(calmFrom, calmTo), calm.between(began, stormTo)
 	const lines = "lines of the 300 that stand, milliseconds there and back"
-	if len(r.Tables) == 0 {
-		r.Row(lines, "handshakes", "when", "lines", "p50", "p90", "p99", "most")
-	}
+	r.Head(lines, "handshakes", "when", "lines", "p50", "p90", "p99", "most")
 	r.Row(lines, name, "calm", len(calmLines), calmLines.median(), calmLines.quantile(0.9), calmLines.quantile(0.99), calmLines.quantile(1))
 	r.Row(lines, name, "storm", len(stormLines), stormLines.median(), stormLines.quantile(0.9), stormLines.quantile(0.99), stormLines.quantile(1))
 	const title = "handshakes in the storm"
-	if len(r.Tables) == 1 {
-		r.Row(title, "handshakes", "server", "full", "resumed", "most counted in a second", "budget")
-	}
+	r.Head(title, "handshakes", "server", "full", "resumed", "most counted in a second", "budget")
 	within := true
 	for _, s := range f.servers[1:] {
 		list := s.Handshakes()[shakes[s.UID]:]
@@ -144,9 +140,7 @@
 	}
 	a := gone.answers
 	const answers = "answers to the 500"
-	if len(r.Tables) == 2 {
-		r.Row(answers, "handshakes", "UP", "BUSY", "ERR", "NONE", "late", "p50 ms", "p99", "all placed after", "proxy CPU s")
-	}
+	r.Head(answers, "handshakes", "UP", "BUSY", "ERR", "NONE", "late", "p50 ms", "p99", "all placed after", "proxy CPU s")
 	r.Row(answers, name, a.count("UP"), a.count("BUSY"), a.count("ERR"), a.count("NONE"), a.late, a.took.median(), a.took.quantile(0.99), placed, cpu.Seconds())
 	lost := append(append([]string{}, calm.lost...), gone.lost...)
 	_, twice := f.servers[1].Opened()
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -384,8 +384,6 @@
 
 var errFlood = errors.New("more input than the limit")
 
-func closeFD(fd int) { unix.Close(fd) }
-
 // shut closes the socket, whoever holds it.
 func (c *Conn) shut() {
 	c.linger.Stop()
--- a/internal/netio/layer.go
+++ b/internal/netio/layer.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
 // Layer stands between a socket and the handler of its connection: it opens what the peer has sealed and seals what goes
@@ -47,7 +48,7 @@
 func Adopt(l *Loop, fd int, layer Layer, limit int, h Handler, done func(*Conn)) error {
 	np, err := netpoll.NewFDConnection(fd)
 	if err != nil {
-		closeFD(fd)
+		unix.Close(fd)
 		return err
 	}
 	c := newConn(l, np, limit)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -31,7 +31,6 @@
 	conns      map[net.Conn]bool // true: its client has its UP
 	handshakes []Shake
 	opened     map[string]int // requests by id: 2 means that one ran twice
-	lines      int
 	seen       map[string]int // clients' certificates, by serial
 }
 
@@ -203,9 +202,6 @@
 		if s.Silent.Load() {
 			continue
 		}
-		s.mu.Lock()
-		s.lines++
-		s.mu.Unlock()
 		if strings.HasPrefix(line, "BYE") {
 			fmt.Fprint(c, "BYE\r\n")
 			return
--- a/internal/tlslink/link.go
+++ b/internal/tlslink/link.go
@@ -87,7 +87,7 @@
 	p, f := k.peer(t)
 	if f == nil {
 		if r := k.budget.Ask(k.loop.Now(), d.id, t.ID, p.resumable(), d.deadline); r != handshake.None {
-			f = &Failure{Reason: NoBudget, Step: "queue", Err: errors.New(r.String())}
+			f = noBudget(r)
 		}
 	}
 	if f != nil {
@@ -100,6 +100,11 @@
 	return d.drop
 }
 
+// noBudget is what the budget's refusal means to whoever dials.
+func noBudget(r handshake.Refusal) *Failure {
+	return &Failure{Reason: NoBudget, Step: "queue", Err: errors.New(r.String())}
+}
+
 // peer gives how a host is spoken to now, or why it can't be.
 func (k *Link) peer(t Host) (*peer, *Failure) {
 	m := k.material
@@ -130,7 +135,7 @@
 	begin, late, again := k.budget.Next(k.loop.Now())
 	for _, id := range late {
 		if d := k.dials[id]; d != nil {
-			k.loop.Post(func() { d.fail(&Failure{Reason: NoBudget, Step: "queue", Err: errors.New(handshake.NoTime.String())}) })
+			k.loop.Post(func() { d.fail(noBudget(handshake.NoTime)) })
 		}
 	}
 	for _, id := range begin {
@@ -160,7 +165,7 @@
 func (d *dial) late() {
 	if d.job == nil {
 		d.link.budget.Drop(d.id)
-		d.fail(&Failure{Reason: NoBudget, Step: "queue", Err: errors.New(handshake.NoTime.String())})
+		d.fail(noBudget(handshake.NoTime))
 		return
 	}
 	d.job.abort()
