Give out by lot what thin traffic leaves of a cold server's budget

Cause, brain.go: coldAllows let a balancer's budget ripen to one whole connection and lose it again within the rule's window (the lines on ripe), which is right against waves. At 80 balancers with a request in half a minute each, 0.7 of them hold a ripe turn at any moment and a request meets it one time in sixteen. coldRate took its rate from connections that ended here: nothing before the first one and after each restart.

Ruled out: discovery (news reaches live proxies within 0.2 s of one another, 16 calls of some 600 failed, all 4 s after the start), the cap on connections (no attempt came back as full, connects failed only towards hosts that were gone).

Change: the part of the budget that ripens while nobody comes goes to requests by lot, chance = unused budget of all balancers over the flow of such requests at all of them. The flow is what was seen here and, where that is little, what the tenants' quotas let expect; clients that come again are counted as a wave, by the share of the fleet that has begun to send its clients away. The draw belongs to request and server. At 3 proxies nearly nothing is left to the lot: one code path.

--- a/brain/api.go
+++ b/brain/api.go
@@ -151,6 +151,14 @@
 	Moot
 )
 
+// String names an outcome as the log writes it.
+func (s Status) String() string {
+	if s < OK || s > Moot {
+		return "unknown"
+	}
+	return [...]string{"ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"}[s]
+}
+
 // ProvesNotRun tells whether an attempt that ended so surely had no effect.
 func (s Status) ProvesNotRun() bool { return s == Full || s == ConnectFailed || s == Moot }
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,6 +23,10 @@
 	quarantineCap = 8.0   // cap over first quarantine: three doublings; a day would outlast every fault seen
 	slack         = 1.0   // turns by which a tie-break may run ahead of the rotation
 	coldSafety    = 2.5   // what a full server takes, over what an average one gets: it has as much room
+	usualPart     = 0.4   // part of the tenants' quotas that is asked for, where too little was seen to tell
+	freshLuck     = 0.6   // part of a cold budget that fresh connections get by lot where traffic is thin
+	waveLuck      = 0.4   // and the part for those that come again, all at once
+	farLuck       = 0.75  // a lot counts so much in another zone, and as much more in the own
 	zoneBias      = 100.0 // how fast a crossing's price takes turns from other zones
 	slowAt        = 0.33  // message delay, in shortest aims, that halves a server's turns; notes begin here
 	sharedPart    = 0.5   // when this part of the evidence fails, the fault is nobody's own
@@ -59,6 +63,7 @@
 	load       float64    // their load
 	idle       []Time     // since when connections of ended streams lie idle
 	eff        float64    // scratch: weight in the pick under way
+	lucky      bool       // scratch: cold, and drawn by lot in the pick under way
 }
 
 type request struct {
@@ -80,6 +85,7 @@
 	ranAt    Time
 	closed   bool // answered; only outcomes are awaited
 	moved    bool
+	flow     float64 // how many like it come a second, all balancers together
 }
 
 // Brain is one balancer's decisions.
@@ -106,6 +112,13 @@
 	classCost []float64
 	rate      float64 // fresh connections a second, in mean connections, smoothed
 	rateAt    Time
+	fresh     float64 // first tries of late, fading as rate does
+	again     float64 // requests that came again within the window of a fall, fading
+	againAt   Time
+	usual     float64 // fresh connections a second that the settings let expect here; 0: they tell nothing
+	standing  float64 // and open connections, at all balancers
+	left      float64 // weight of servers that have begun to send their clients away, fading
+	leftAt    Time
 	started   Time
 	setup     float64 // smoothed set-up time and its deviation
 	setupDev  float64
@@ -160,6 +173,10 @@
 	}
 	b.classCost, b.asked = make([]float64, len(cfg.Classes)), make([]float64, len(cfg.Classes))
 	b.tenants = make([]int, len(cfg.Tenants))
+	for _, t := range cfg.Tenants {
+		b.usual += usualPart * t.QuotaPerS / float64(cfg.Peers)
+		b.standing += usualPart * t.QuotaConnections
+	}
 	// A first quarantine outlasts every request that saw the failure, so that none meets it twice.
 	b.qInit, b.qMax = longest, Time(float64(longest)*quarantineCap)
 	if cfg.QuarantineInit >= 0 {
@@ -238,6 +255,10 @@
 		if s.weight <= 0 {
 			s.weight = 1
 		}
+		if s.state == Ready && e.State != Ready {
+			b.fadeLeft()
+			b.left += s.weight
+		}
 		s.state = e.State
 	}
 	for _, s := range b.servers {
@@ -299,6 +320,7 @@
 		return
 	}
 	r.deadline = now + q.Left
+	b.arrives(r)
 	b.asked[r.Class] += r.cost
 	if b.restraint > 0 && b.rank(r) < b.restraint {
 		b.giveUp(r)
@@ -386,8 +408,50 @@
 	if b.now == b.rateAt {
 		return
 	}
-	b.rate *= math.Exp(-float64(b.now-b.rateAt) / 1e9 / b.rateTau())
-	b.rateAt = b.now
+	f := math.Exp(-float64(b.now-b.rateAt) / 1e9 / b.rateTau())
+	b.rate, b.fresh, b.rateAt = b.rate*f, b.fresh*f, b.now
+}
+
+// arrives counts a try as a fresh one or one of a wave.
+func (b *Brain) arrives(r *request) {
+	b.fadeRate()
+	b.again *= math.Exp(-float64(b.now-b.againAt) / float64(b.cfg.Fall+1))
+	b.againAt = b.now
+	r.flow = b.flow(r)
+	if r.Repeat || r.Returned {
+		b.again++
+	} else {
+		b.fresh++
+	}
+}
+
+// flow is how many connections like this one come a second, all balancers together: what was seen here, and
+// where that is little, what the settings let expect. One balancer of many sees a request in half a minute,
+// and of a wave one or none: what it has counted alone would be nothing or far too much.
+func (b *Brain) flow(r *request) float64 {
+	peers := float64(b.cfg.Peers)
+	if !r.Repeat && !r.Returned {
+		return peers * b.believe(b.fresh, b.rateTau(), b.usual)
+	}
+	// A wave: what one server holds comes back together, or all that drain.
+	b.fadeLeft()
+	part := max(1/float64(max(1, len(b.servers))), b.left/max(b.fleet, 1))
+	fall := float64(b.cfg.Fall) / 1e9
+	return peers * b.believe(b.again, fall, part*b.standing/peers/fall)
+}
+
+// believe is the rate behind n events in a time, where so many a second were expected before any was seen; 0:
+// none known.
+func (b *Brain) believe(n, seconds, expected float64) float64 {
+	if expected <= 0 {
+		return (n + 1) / seconds
+	}
+	return (n + 1) / (seconds + 1/expected)
+}
+
+func (b *Brain) fadeLeft() {
+	b.left *= math.Exp(-float64(b.now-b.leftAt) / float64(2*b.cfg.Fall+1))
+	b.leftAt = b.now
 }
 
 // place sends a request to the server whose turn it is, or holds it, or gives its final answer.
@@ -553,6 +617,9 @@
 		}
 		// Load as held, not as it would be: else all balancers begin with the same large servers.
 		l := (s.load - b.reuse(s)) / s.eff
+		if s.lucky {
+			l -= math.MaxFloat32 // the lot says how often it is its turn; a tie-break on top would halve that
+		}
 		if l < least || l == least && s.lag > best.lag {
 			best, least = s, l
 		}
@@ -592,7 +659,7 @@
 			return false
 		}
 	}
-	return b.coldAllows(s, cost)
+	return b.coldAllows(s, r, cost)
 }
 
 // available is the pool: not in quarantine, its trial not taken, not full of late, not tried for this
@@ -659,7 +726,11 @@
 // all keep to the whole.
 func (b *Brain) coldRate(s *server) float64 {
 	b.fadeRate()
-	return coldSafety * b.cfg.FallMultiple * b.warmth(s) * b.rate * s.weight / max(b.fleet, s.weight)
+	rate := b.rate
+	if b.usual > 0 {
+		rate = b.believe(b.rate*b.rateTau(), b.rateTau(), b.usual)
+	}
+	return coldSafety * b.cfg.FallMultiple * b.warmth(s) * rate * s.weight / max(b.fleet, s.weight)
 }
 
 // measure keeps the weight of the fleet that the rate belongs to: it sinks slowly, since a fleet that has
@@ -677,8 +748,9 @@
 
 // coldAllows tells whether the cold budget bears a connection now. A budget that has ripened is lost unless
 // it is used within the rule's window: else many sparse balancers keep theirs, and a wave spends them all
-// at once.
-func (b *Brain) coldAllows(s *server, cost float64) bool {
+// at once. What is lost so is given out by lot.
+func (b *Brain) coldAllows(s *server, r *request, cost float64) bool {
+	s.lucky = false
 	if b.warmth(s) >= 1 {
 		return true
 	}
@@ -688,11 +760,40 @@
 	if ripe := 1 + rate*float64(b.cfg.Fall); s.tokens > ripe {
 		s.tokens = math.Mod(s.tokens, ripe)
 	}
-	return s.tokens >= 1 && cost <= max(2, rate*float64(b.cfg.Peers)*float64(b.cfg.Fall))
+	if cost > max(2, rate*float64(b.cfg.Peers)*float64(b.cfg.Fall)) {
+		return false
+	}
+	s.lucky = s.tokens < 1 && b.lot(s, r)
+	return s.tokens >= 1 || s.lucky
+}
+
+// lot gives a request a chance at a cold server, such that all balancers' requests together use the part of
+// its budget that ripened where nobody came for it. With a request in half a minute at each of eighty
+// balancers that is nearly all: the server would stand empty while the others carry its part. The draw
+// belongs to request and server, so that asking again does not draw again.
+func (b *Brain) lot(s *server, r *request) bool {
+	if b.usual <= 0 || r.flow <= 0 {
+		return false
+	}
+	luck := freshLuck
+	if r.Repeat || r.Returned {
+		luck = waveLuck
+	}
+	if len(b.zones) > 1 {
+		if s.zone == b.zone {
+			luck *= 2 - farLuck
+		} else {
+			luck *= farLuck
+		}
+	}
+	seconds := float64(b.cfg.Fall) / 1e9
+	unused := math.Exp(-(b.fresh/b.rateTau() + b.again/seconds) * seconds)
+	p := luck * unused * b.coldRate(s) * float64(b.cfg.Peers) / r.flow
+	return float64(hash(r.ID+s.id)%(1<<20)) < p*(1<<20)
 }
 
 func (b *Brain) spendCold(s *server, cost float64) {
-	if b.warmth(s) < 1 {
+	if b.warmth(s) < 1 && s.tokens >= 1 {
 		s.tokens -= cost
 	}
 }
--- /dev/null
+++ b/brain/fleet_test.go
@@ -0,0 +1,158 @@
+package brain
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+)
+
+// manyBalancers are n instances with the settings of a grown fleet: 11 servers, a fresh connection in half a minute at
+// each balancer.
+func manyBalancers(t *testing.T, n int, seed int64) []*fake {
+	t.Helper()
+	var all []*fake
+	for me := 0; me < n; me++ {
+		cfg := settings()
+		cfg.Me, cfg.Peers, cfg.Zones = me, n, []string{"a"}
+		cfg.ColdFrom, cfg.WarmUp, cfg.FallMultiple, cfg.Fall = 0.14, 23*sec, 4, 2*sec
+		cfg.Classes = []Class{{Name: "x", Aim: 800 * ms, Deadline: 4800 * ms, MessageAim: 150 * ms}}
+		cfg.Tenants = []Tenant{{Name: "t", QuotaPerS: 5, Share: 1, QuotaConnections: 240}}
+		f := start(t, cfg, fleet(11)...)
+		f.b.rng = rand.New(rand.NewSource(seed*1000 + int64(me)))
+		all = append(all, f)
+	}
+	return all
+}
+
+// replay gives requests at moments to balancers by chance, each of which stands at once, and tells when connections were
+// sent to server.
+func replay(all []*fake, rng *rand.Rand, at []Time, returned bool, server string) []Time {
+	var sent []Time
+	for i, now := range at {
+		f := all[rng.Intn(len(all))]
+		f.run(now - f.now)
+		from, id := len(f.sends), fmt.Sprintf("%x-%d", rng.Int63(), i)
+		f.b.Request(f.now, Request{ID: id, Tenant: 0, Returned: returned, Left: 4800 * ms})
+		for _, s := range f.sends[from:] {
+			f.stands(s.req)
+			if s.server == server {
+				sent = append(sent, now)
+			}
+		}
+	}
+	return sent
+}
+
+// within counts the most moments in any window.
+func within(at []Time, window Time) int {
+	most := 0
+	for i := range at {
+		n := 0
+		for _, x := range at[i:] {
+			if x < at[i]+window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestThinTrafficUsesTheColdBudget: at 80 balancers with a request each half a minute a cold server's budget ripens where
+// nobody comes for it. It got next to nothing while the others carried its part.
+func TestThinTrafficUsesTheColdBudget(t *testing.T) {
+	const seeds = 20
+	total, bound := 0, 0.0
+	for seed := int64(1); seed <= seeds; seed++ {
+		rng := rand.New(rand.NewSource(seed))
+		all := manyBalancers(t, 80, seed)
+		up := 110 * sec
+		var at []Time
+		for now := 100 * sec; now < 130*sec; now += Time(rng.ExpFloat64() / 2.4 * 1e9) {
+			at = append(at, now)
+		}
+		for i, f := range all {
+			f.b.Members(up, ListDelta, 2, []Entry{{ID: "s03", Zone: "a", Weight: 1, Since: up}})
+			f.now = up
+			if i%2 == 0 { // half of them have just been restarted
+				all[i] = manyBalancers(t, 80, seed+100)[i]
+				all[i].b.Members(up, ListDelta, 2, []Entry{{ID: "s03", Zone: "a", Weight: 1, Since: up}})
+				all[i].now = up
+			}
+		}
+		var later []Time
+		for _, x := range at {
+			if x > up && x < up+10*sec {
+				later = append(later, x)
+			}
+		}
+		sent := replay(all, rng, later, false, "s03")
+		total += len(sent)
+		// Two seconds bear 2.1 at the end; chance brings more now and then, but no wave.
+		if n := within(sent, 2*sec); n > 6 {
+			t.Errorf("seed %d: %d connections within 2 s at a cold server", seed, n)
+		}
+	}
+	// What it bears in 10 s: four times its present share of the 5 a second that 11 servers bear.
+	for s := 0.0; s < 10; s++ {
+		bound += 4 * (0.14 + 0.86*s/23) * 5.0 / 11
+	}
+	t.Logf("%.1f connections of %.1f in a cold server's first 10 s", float64(total)/seeds, bound)
+	if got := float64(total) / seeds; got < bound/4 || got > bound {
+		t.Fatalf("a cold server got %.1f connections in its first 10 s, and bears %.1f", got, bound)
+	}
+}
+
+// TestWaveOverManyBalancersSparesAColdServer: what two servers held comes back at once, a request or none at each
+// balancer, which can't tell alone that it is a wave.
+func TestWaveOverManyBalancersSparesAColdServer(t *testing.T) {
+	const seeds = 30
+	total := 0
+	for seed := int64(1); seed <= seeds; seed++ {
+		rng := rand.New(rand.NewSource(seed))
+		all := manyBalancers(t, 80, seed)
+		up := 110 * sec
+		for _, f := range all {
+			f.b.Members(up, ListDelta, 2, []Entry{{ID: "s03", Zone: "a", Weight: 1, Since: up},
+				{ID: "s04", Zone: "a", Weight: 1, State: Draining}, {ID: "s05", Zone: "a", Weight: 1, State: Draining}})
+			f.now = up
+		}
+		var at []Time
+		for i := 0; i < 30; i++ {
+			at = append(at, up+sec+Time(i)*40*ms)
+		}
+		sent := replay(all, rng, at, true, "s03")
+		total += len(sent)
+		if len(sent) > 4 {
+			t.Errorf("seed %d: a wave of 30 brought %d connections to a cold server", seed, len(sent))
+		}
+	}
+	// 1.2 s at four times 0.17 of 0.45 a second: 0.4 connections.
+	if mean := float64(total) / seeds; mean > 0.6 {
+		t.Fatalf("waves bring %.2f connections to a cold server that bears 0.4", mean)
+	}
+}
+
+// TestQuotasThatSayNothing: without quotas, with one balancer, or with a number outside the fleet, nothing divides by zero
+// and requests are placed.
+func TestQuotasThatSayNothing(t *testing.T) {
+	for _, c := range []struct {
+		peers, me int
+		quota     float64
+	}{{1, 0, 0}, {1, 0, 5}, {80, 99, 5}, {3, 1, 0}} {
+		cfg := settings()
+		cfg.Me, cfg.Peers = c.me, c.peers
+		cfg.Tenants = []Tenant{{Name: "t", QuotaPerS: c.quota}}
+		es := fleet(3)
+		es[0].Since = 99 * sec
+		f := start(t, cfg, es...)
+		for i := 0; i < 50; i++ {
+			f.b.Request(f.now, Request{ID: fmt.Sprint(i), Tenant: 0, Returned: i%2 == 0, Left: 2 * sec})
+			f.stands(fmt.Sprint(i))
+			f.now += 50 * ms
+		}
+		if len(f.sends) < 40 {
+			t.Errorf("%+v: %d of 50 requests sent", c, len(f.sends))
+		}
+	}
+}
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -85,6 +85,7 @@
 	zone     string
 	endpoint string
 	state    brain.State
+	since    brain.Time            // its latest start, as discovery says
 	up       map[*Request]struct{} // its open connections
 	trying   map[*upstreamRequest]struct{}
 	delay    messageDelay
@@ -285,6 +286,10 @@
 		r.adopt(o.At)
 		return r
 	}
+	if tracing() {
+		slog.Debug("asked", "request", o.ID, "group", o.Group, "tenant", o.Tenant, "repeat", o.Repeat, "returned", o.Returned,
+			"ms", wait.Milliseconds())
+	}
 	// The module answers by the deadline. Should it not, the client gets its answer all the same.
 	r.overdue = c.loop.After(wait+overdueAfter, r.abandon)
 	c.decide(r, func(now brain.Time) {
--- a/internal/proxy/list.go
+++ b/internal/proxy/list.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"log/slog"
+
 	"croftlock/brain"
 	"croftlock/internal/netio"
 )
@@ -57,7 +59,10 @@
 		h = &host{id: e.ID, up: map[*Request]struct{}{}, trying: map[*upstreamRequest]struct{}{}}
 		c.hosts[e.ID] = h
 	}
-	h.state, h.zone = e.State, e.Zone
+	if tracing() && (h.state != e.State || h.since != e.Since || h.endpoint == "") {
+		slog.Debug("host", "host", e.ID, "zone", e.Zone, "state", int(e.State), "weight", e.Weight, "since_ms", e.Since/1e6)
+	}
+	h.state, h.zone, h.since = e.State, e.Zone, e.Since
 	if e.Endpoint == "" || e.Endpoint == h.endpoint {
 		return
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -49,6 +50,10 @@
 	waiting []int64 // when the client's lines went up that no line has come back for
 }
 
+// tracing tells whether the log takes the life of each request. Asked before a line is put together: with 80 proxies to
+// a few machines, what each of them spends on lines that nobody reads is time that clients wait.
+func tracing() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
+
 // send begins an attempt.
 func (c *Core) send(id, server string, timeout brain.Time) {
 	r := c.requests[id]
@@ -85,6 +90,9 @@
 	a := &upstreamRequest{req: r, number: number, host: h, sentAt: now, until: until}
 	r.out = a
 	h.trying[a] = struct{}{}
+	if tracing() {
+		slog.Debug("attempt", "request", r.ask.ID, "number", number, "host", h.id, "left_ms", (r.deadline-now)/1e6)
+	}
 	a.timer = c.loop.After(time.Duration(until-now), func() { a.finish(brain.Timeout, netio.Ended) })
 	a.dial()
 }
@@ -140,6 +148,10 @@
 func (a *upstreamRequest) outcome(status brain.Status) {
 	r, c := a.req, a.req.core
 	elapsed := c.loop.Now() - a.sentAt
+	if tracing() {
+		slog.Debug("outcome", "request", r.ask.ID, "number", a.number, "host", a.host.id, "status", status.String(),
+			"up", a.up, "ms", elapsed/1e6)
+	}
 	if r.adopted && !a.up {
 		if r.answered {
 			r.forget()
@@ -181,6 +193,10 @@
 		return
 	}
 	r.core.counts.Refused++
+	if tracing() {
+		slog.Debug("refused", "request", r.ask.ID, "attempts", r.attempts, "after_ms", after.Milliseconds(),
+			"left_ms", (r.deadline-r.core.loop.Now())/1e6)
+	}
 	r.answer(func() { r.down.Refuse(after) })
 }
 
@@ -327,6 +343,10 @@
 	c.counts.Served++
 	r.down.Serve(m)
 	elapsed := c.loop.Now() - a.sentAt
+	if tracing() {
+		slog.Debug("stands", "request", r.ask.ID, "number", a.number, "host", a.host.id, "adopted", r.adopted,
+			"ms", elapsed/1e6)
+	}
 	c.decide(nil, func(now brain.Time) {
 		if r.adopted {
 			c.module.Open(now, r.ask, a.host.id)
