Keep a group's connections to few servers, by an order drawn alike at every proxy

Cause: the tie-break in rotate (brain.go, the lines on l) knew load only. One proxy alone sees its own connections' groups and keeps them together by chance; eighty with a request each put every group everywhere.

Change: within the rotation's slack a server counts three connections more for a group it is not known to hold, less for the first two in the group's own order of the zone's warm servers, hashed from names and so the same everywhere. Of a group, half of a zone's cold servers draw lots. The order is kept until the list changes, 256 groups at most.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,6 +26,8 @@
 	usualPart     = 0.4   // part of the tenants' quotas that is asked for, where too little was seen to tell
 	freshLuck     = 0.6   // part of a cold budget that fresh connections get by lot where traffic is thin
 	waveLuck      = 0.4   // and the part for those that come again, all at once
+	groupCost     = 3.0   // mean connections that a group's first costs a server on top
+	ordersKept    = 256   // groups whose order of servers is remembered
 	farLuck       = 0.75  // a lot counts so much in another zone, and as much more in the own
 	zoneBias      = 100.0 // how fast a crossing's price takes turns from other zones
 	slowAt        = 0.33  // message delay, in shortest aims, that halves a server's turns; notes begin here
@@ -126,6 +128,7 @@
 	good, bad float64 // recent set-ups that stood and that timed out, fading
 	fadeAt    Time
 	scratch   []*server
+	orders    map[string][]int32 // of servers, by group; until the list changes
 
 	tried, stood float64 // attempts of late, and those that stood, fading
 	triedAt      Time
@@ -158,7 +161,7 @@
 		}
 	}
 	b := &Brain{cfg: cfg, fx: fx, rng: rand.New(rand.NewSource(seed)), byID: map[string]*server{},
-		zones: map[string]int{}, requests: map[string]*request{}, meanCost: 0, started: -1}
+		zones: map[string]int{}, requests: map[string]*request{}, orders: map[string][]int32{}, started: -1}
 	for _, z := range cfg.Zones {
 		b.zoneOf(z)
 	}
@@ -269,6 +272,7 @@
 	if added {
 		sort.Slice(b.servers, func(i, j int) bool { return b.servers[i].id < b.servers[j].id })
 	}
+	clear(b.orders)
 	if !b.haveList && len(b.servers) > 0 {
 		b.haveList = true
 		// Balancers start their rotations at places spread over the common order, so that many sparse
@@ -616,7 +620,7 @@
 			continue
 		}
 		// Load as held, not as it would be: else all balancers begin with the same large servers.
-		l := (s.load - b.reuse(s)) / s.eff
+		l := (s.load + b.strange(s, r) - b.reuse(s)) / s.eff
 		if s.lucky {
 			l -= math.MaxFloat32 // the lot says how often it is its turn; a tie-break on top would halve that
 		}
@@ -630,6 +634,53 @@
 	return best
 }
 
+// strange is what a server pays for a group that it does not hold yet. Where other balancers put a group's
+// connections is not known here, but all can keep to one order of its servers, drawn from their names, so
+// that few servers pay for it and not each of them.
+func (b *Brain) strange(s *server, r *request) float64 {
+	if r.Group == "" {
+		return 0
+	}
+	for _, o := range s.conns {
+		if o.Group == r.Group {
+			return 0
+		}
+	}
+	place := 0.0
+	for _, i := range b.order(r.Group) {
+		o := b.servers[i]
+		if o == s || place >= 2 {
+			break
+		}
+		if o.zone == s.zone && b.warmth(o) >= 1 {
+			place++
+		}
+	}
+	return groupCost * max(1, b.meanCost) * place / 2
+}
+
+// order is the order of servers that a group's connections keep to, the same at every balancer.
+func (b *Brain) order(group string) []int32 {
+	if o := b.orders[group]; o != nil {
+		return o
+	}
+	draw := make([]float64, len(b.servers))
+	o := make([]int32, 0, len(b.servers))
+	for i, s := range b.servers {
+		if s.state == Ready {
+			u := (float64(hash(group+s.id)>>11) + 0.5) / (1 << 53)
+			draw[i] = -math.Log(u) / s.weight // a larger server comes sooner
+			o = append(o, int32(i))
+		}
+	}
+	sort.Slice(o, func(i, j int) bool { return draw[o[i]] < draw[o[j]] })
+	if len(b.orders) >= ordersKept {
+		clear(b.orders)
+	}
+	b.orders[group] = o
+	return o
+}
+
 // reuse is what an idle connection of this balancer's to a server is worth in load: where opening one
 // costs, a turn goes to a server that needs none.
 func (b *Brain) reuse(s *server) float64 {
@@ -786,6 +837,23 @@
 			luck *= farLuck
 		}
 	}
+	if r.Group != "" {
+		// Half of a zone's cold servers take a group: each pays for it, and bears little as yet.
+		cold, before := 0, 0
+		for _, i := range b.order(r.Group) {
+			if o := b.servers[i]; o.zone == s.zone && b.warmth(o) < 1 {
+				cold++
+				if o == s {
+					before = cold
+				}
+			}
+		}
+		take := (cold + 1) / 2
+		if before > take {
+			return false
+		}
+		luck *= float64(cold) / float64(take)
+	}
 	seconds := float64(b.cfg.Fall) / 1e9
 	unused := math.Exp(-(b.fresh/b.rateTau() + b.again/seconds) * seconds)
 	p := luck * unused * b.coldRate(s) * float64(b.cfg.Peers) / r.flow
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -22,7 +22,7 @@
 
 // fake records the actions of one brain and lets a test answer them.
 type fake struct {
-	t        *testing.T
+	t        testing.TB
 	b        *Brain
 	now      Time
 	sends    []sent
@@ -83,7 +83,7 @@
 		QuarantineInit: -1, QuarantineMax: -1}
 }
 
-func start(t *testing.T, cfg Config, servers ...Entry) *fake {
+func start(t testing.TB, cfg Config, servers ...Entry) *fake {
 	t.Helper()
 	f := &fake{t: t, now: 100 * sec, attempts: map[string]int{}, out: map[string]bool{},
 		answers: map[string]int{}, refused: map[string]Time{}, failed: map[string]bool{}}
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -81,6 +81,9 @@
 	} else {
 		a.load = max(x, math.SmallestNonzeroFloat64)
 	}
+	if tracing() {
+		slog.Debug("told", "request", a.req.ask.ID, "host", a.host.id, "delay", kind == brain.NoteDelay, "value", x)
+	}
 	c.decide(nil, func(now brain.Time) { c.module.Note(now, a.req.ask.ID, a.number, kind, x) })
 }
 
