Take a connection's first figure for the delay it is, also on thin traffic

A proxy with one connection at a host hears of its trouble on that one, before any load: isDelay (sessions.go, the line on load == 0) held a first figure of 500 or more for a load, the next was then near the connection's load (679, 1064, 1668), and so on: the module never heard of the delay and believed in a thousandth of the load.

Change: a first figure under 1,500 is a delay (the smallest load seen is 1,747), a figure under 4,000 that comes on a steady second after another such is one, and a run of delays is followed on connections without a load too.

What is claimed is the figures told right. Clients that are moved so come back through proxies that know nothing of the host's trouble: that comes next.

--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -29,8 +29,9 @@
 	slow   bool  // the last note said so
 	oldest int64 // scratch: when the oldest line without an answer went up
 
-	told   float64 // milliseconds, as the host last said itself
-	toldAt int64
+	told    float64 // milliseconds, as the host last said itself
+	toldAt  int64
+	smallAt int64 // when its last figure came that may have been a delay, whatever it was taken for
 }
 
 func (d *messageDelay) answered(now, sent int64) { d.took, d.at = now-sent, now }
@@ -45,6 +46,13 @@
 	delayStepMS = 2000
 	// leastLoad is under any load that was seen: the smallest was 1,747.
 	leastLoad = 500
+	// leastFirst is under any first load that was seen, and over most delays. A proxy with one connection at a host hears
+	// of its trouble on that one, often before its load; taken for a load, that hides the trouble for good.
+	leastFirst = 1500
+	// mostDelay is over any delay that was seen.
+	mostDelay = 4000
+	// steadyBy is how far apart from a full second two delays may come.
+	steadyBy = int64(40 * time.Millisecond)
 	// likeLoad is how many times over a connection's load may change for a figure to be taken for it.
 	likeLoad = 3
 	// delayRun is how soon the next delay of a run follows.
@@ -61,9 +69,21 @@
 // acceptance. From then on a figure near that of a connection with a small load is a load again: taken for a delay of two
 // seconds it makes the module move clients off a sound host and refuse new ones. load is the connection's last one, 0
 // before the first.
+//
+// Delays come on a steady second, which two changes of load hardly do: that shows those that were not seen at first.
 func (d *messageDelay) isDelay(now int64, x, load float64) bool {
-	if load == 0 {
-		return x < leastLoad
+	steady := d.smallAt > 0 && max(now-d.smallAt-noteEvery, d.smallAt+noteEvery-now) < steadyBy
+	if x < mostDelay {
+		d.smallAt = now
+	}
+	if x < leastLoad || steady && x < mostDelay {
+		return true
+	}
+	if load == 0 && x < leastFirst {
+		return true
+	}
+	if load == 0 && (d.toldAt == 0 || now-d.toldAt >= delayRun) {
+		return false
 	}
 	if d.toldAt > 0 && now-d.toldAt < delayRun {
 		return math.Abs(x-d.told) < delayStepMS && math.Abs(x-d.told) <= math.Abs(x-load)
@@ -78,6 +98,9 @@
 	kind := brain.NoteLoad
 	if c.opt.DelayInLoad && d.isDelay(now, x, a.load) {
 		kind, d.told, d.toldAt = brain.NoteDelay, x, now
+		if a.load < mostDelay {
+			a.load = 0 // it may have been a delay itself
+		}
 	} else {
 		a.load = max(x, math.SmallestNonzeroFloat64)
 	}
