Tell all proxies of a stalled server, by one of those that see it

What one proxy learns in a second on 3 proxies, on 80 most learn by sending there.

Change: package peers carries datagrams between the proxies (until now Tell was refused by the core); where the settings allow it, a balancer that sees a server's messages take over an aim tells all, six bytes a server, after a wait by chance of up to 0.6 s and unless another has told within 2 s. The others lower that server's turns as if they had seen it; who has news of its own keeps to that. Strangers, long datagrams and what a busy loop is late for are dropped and counted.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,6 +27,8 @@
 	freshLuck     = 0.85  // part of a cold budget that fresh connections get by lot where traffic is thin
 	waveLuck      = 0.5   // and the part for those that come again, all at once
 	groupCost     = 3.0   // mean connections that a group's first costs a server on top
+	tellEvery     = 2e9   // a server's trouble is told to all balancers at most so often
+	tellWithin    = 6e8   // by one of those that see it, whoever draws the shortest wait
 	ordersKept    = 256   // groups whose order of servers is remembered
 	farLuck       = 0.75  // a lot counts so much in another zone, and as much more in the own
 	zoneBias      = 100.0 // how fast a crossing's price takes turns from other zones
@@ -59,6 +61,8 @@
 	illAt      Time
 	delay      float64 // last message delay told, over the shortest message aim
 	delayAt    Time
+	toldAt     Time    // when some balancer last told of it
+	telling    bool    // to be told unless another does before
 	tokens     float64 // cold budget left, in mean connections
 	tokensAt   Time
 	conns      []*request // open connections placed by this balancer
@@ -1149,8 +1153,36 @@
 // Probed takes a probe's result. Nothing is decided by probes so far: they cost the servers work.
 func (b *Brain) Probed(now Time, id string, status Status, elapsed Time, load []float64) { b.tick(now) }
 
-// Peer takes a message from another balancer. None is sent so far.
-func (b *Brain) Peer(now Time, from int, data []byte) { b.tick(now) }
+// Peer takes a message from another balancer: which servers make messages wait. Where each balancer holds a
+// connection or two, most would learn of a stalled server by sending to it.
+func (b *Brain) Peer(now Time, from int, data []byte) {
+	b.tick(now)
+	readTold(data, func(id uint32, x float64) {
+		for _, s := range b.servers {
+			if uint32(s.hash) == id {
+				s.toldAt = now
+				if len(s.conns) == 0 || now-s.delayAt > tellEvery {
+					s.delay, s.delayAt = x, now
+				}
+			}
+		}
+	})
+}
+
+// tell tells all of the servers that are stalled as seen here, unless another balancer has.
+func (b *Brain) tell() {
+	var data []byte
+	for _, s := range b.servers {
+		if s.telling && b.now-s.toldAt >= tellEvery && s.state == Ready && b.slowness(s) >= 1 {
+			s.toldAt = b.now
+			data = appendTold(data, uint32(s.hash), s.delay)
+		}
+		s.telling = false
+	}
+	if len(data) > 0 {
+		b.fx.Tell(-1, data)
+	}
+}
 
 // Note takes news about an open connection.
 func (b *Brain) Note(now Time, id string, attempt int, kind NoteKind, value float64) {
@@ -1182,6 +1214,10 @@
 	if x < 1 {
 		return
 	}
+	if b.cfg.MayTell && b.cfg.Peers > 1 && !s.telling && b.now-s.toldAt >= tellEvery {
+		s.telling = true
+		b.fx.After(max(b.cfg.Tick, Time(tellWithin*b.rng.Float64())), "tell")
+	}
 	// In proportion to its load: a few heavy connections are what overfills a server, and moving them is
 	// cheaper than moving the many light ones.
 	for _, r := range s.conns {
@@ -1203,6 +1239,8 @@
 		b.ask()
 	case "sweep":
 		b.sweep()
+	case "tell":
+		b.tell()
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -35,6 +35,7 @@
 	cancels  []string
 	watches  []Time
 	timers   []timer
+	told     [][]byte
 	trace    []string
 }
 
@@ -66,7 +67,7 @@
 func (f *fake) Cancel(r string, n int) { f.cancels = append(f.cancels, r); f.say("cancel %s %d", r, n) }
 func (f *fake) Move(r string)          { f.moves = append(f.moves, r); f.say("%d move %s", f.now, r) }
 func (f *fake) Probe(s string)         { f.say("probe %s", s) }
-func (f *fake) Tell(p int, d []byte)   { f.say("tell %d %s", p, d) }
+func (f *fake) Tell(p int, d []byte)   { f.told = append(f.told, d); f.say("tell %d %x", p, d) }
 func (f *fake) Watch(on bool)          { f.watches = append(f.watches, f.now); f.say("watch %v", on) }
 func (f *fake) Fetch()                 { f.say("fetch") }
 func (f *fake) After(d Time, token string) {
--- a/internal/line/conns_test.go
+++ b/internal/line/conns_test.go
@@ -23,6 +23,7 @@
 func (refuser) Note(brain.Time, string, int, brain.NoteKind, float64)    {}
 func (refuser) Members(brain.Time, brain.ListKind, int64, []brain.Entry) {}
 func (refuser) Timer(brain.Time, string)                                 {}
+func (refuser) Peer(brain.Time, int, []byte)                             {}
 func (refuser) Outcome(brain.Time, string, int, brain.Status, brain.Time, bool, []float64) {
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"croftlock/internal/line"
 	"croftlock/internal/logging"
 	"croftlock/internal/netio"
+	"croftlock/internal/peers"
 	"croftlock/internal/platform"
 	"croftlock/internal/proxy"
 	"croftlock/internal/settings"
@@ -85,6 +86,15 @@
 	if err != nil {
 		return err
 	}
+	if s := cfg.Settings; s.MayTell && cfg.Peers.Listen != "" && s.Peers > 1 {
+		// Messages help, and a proxy without them serves all the same.
+		told, err := peers.Open(loop, cfg.Peers, s.Me, core.PeerTold)
+		if err != nil {
+			slog.Warn("peers_off", "reason", err)
+		} else {
+			core.SetPeers(told)
+		}
+	}
 	// The listener comes last: a client, or the front's PING, must find the proxy ready.
 	front, err := line.NewFront(loop, core, cfg.Listen, cfg.Newcomers())
 	if err != nil {
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,131 @@
+// Package peers carries the decision module's short messages between the proxies of a tier, as datagrams. It owns the
+// socket and who may speak on it; what a message says is the module's.
+//
+// Datagrams are the one thing here that does not run on netpoll, which serves streams only: one goroutine reads them and
+// posts them to the loop.
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"croftlock/internal/netio"
+)
+
+const (
+	// Longest is the longest datagram that the platform allows; a longer one would void the run.
+	Longest = 256
+	// backlog bounds what is read but not taken yet: messages are news, and those that a busy loop is late for are old.
+	backlog = 64
+)
+
+// Addresses are where the proxies of the tier are reached from here.
+type Addresses struct {
+	Listen string   // own
+	Peers  []string // by number, the own included
+	All    string   // reaches every proxy of the tier; "" where there is none
+}
+
+// Link sends and takes messages. Tell belongs to the loop.
+type Link struct {
+	conn    *net.UDPConn
+	to      []netip.AddrPort
+	all     netip.AddrPort
+	me      int
+	dropped atomic.Int64
+	failed  bool
+}
+
+// Open listens, and has take called on the loop with each message that comes from a known peer and the sender's number.
+func Open(l *netio.Loop, a Addresses, me int, take func(from int, data []byte)) (*Link, error) {
+	k := &Link{me: me}
+	from := map[netip.AddrPort]int{}
+	for i, s := range a.Peers {
+		p, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, fmt.Errorf("peer %d: %q is no address with a port", i, s)
+		}
+		k.to = append(k.to, p)
+		from[p] = i
+	}
+	if a.All != "" {
+		p, err := netip.ParseAddrPort(a.All)
+		if err != nil {
+			return nil, fmt.Errorf("peers_all: %q is no address with a port", a.All)
+		}
+		k.all = p
+	}
+	own, err := netip.ParseAddrPort(a.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %q is no address with a port", a.Listen)
+	}
+	if k.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(own)); err != nil {
+		return nil, err
+	}
+	go k.read(l, from, take)
+	return k, nil
+}
+
+func (k *Link) read(l *netio.Loop, from map[netip.AddrPort]int, take func(int, []byte)) {
+	var waiting atomic.Int32
+	buf := make([]byte, Longest+1)
+	for {
+		n, addr, err := k.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an earlier datagram of ours met a closed port: that says nothing of the next one
+		}
+		sender, known := from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
+		if !known || sender == k.me || n > Longest || waiting.Load() >= backlog {
+			k.dropped.Add(1)
+			continue
+		}
+		data := append([]byte(nil), buf[:n]...)
+		waiting.Add(1)
+		l.Post(func() {
+			waiting.Add(-1)
+			take(sender, data)
+		})
+	}
+}
+
+// Tell sends a message to a peer, or to all with a number under 0. It may be lost, and nobody hears of that.
+func (k *Link) Tell(peer int, data []byte) {
+	if len(data) == 0 || len(data) > Longest {
+		slog.Error("peer_message", "bytes", len(data), "most", Longest)
+		return
+	}
+	switch {
+	case peer >= 0 && peer < len(k.to):
+		k.send(k.to[peer], data)
+	case peer >= 0:
+		slog.Error("peer_message", "peer", peer, "peers", len(k.to))
+	case k.all.IsValid():
+		k.send(k.all, data)
+	default:
+		for i, to := range k.to {
+			if i != k.me {
+				k.send(to, data)
+			}
+		}
+	}
+}
+
+func (k *Link) send(to netip.AddrPort, data []byte) {
+	if _, err := k.conn.WriteToUDPAddrPort(data, to); err != nil && !k.failed {
+		k.failed = true
+		slog.Warn("peer_failed", "to", to.String(), "reason", err)
+	}
+}
+
+// Dropped is how many datagrams were not taken: from strangers, too long, or more than the loop kept up with.
+func (k *Link) Dropped() int64 { return k.dropped.Load() }
+
+// Close ends it.
+func (k *Link) Close() { k.conn.Close() }
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,111 @@
+package peers
+
+import (
+	"bytes"
+	"net"
+	"testing"
+	"time"
+
+	"croftlock/internal/netio"
+)
+
+type heard struct {
+	from int
+	data []byte
+}
+
+// tier opens n links on loopback; what each hears goes to its channel.
+func tier(t *testing.T, n int, all string) ([]*Link, []chan heard) {
+	t.Helper()
+	var addrs []string
+	for i := 0; i < n; i++ { // ports are found by opening and closing once
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, c.LocalAddr().String())
+		c.Close()
+	}
+	var links []*Link
+	var chans []chan heard
+	for i := 0; i < n; i++ {
+		loop := netio.NewLoop()
+		go loop.Run()
+		t.Cleanup(loop.Stop)
+		ch := make(chan heard, 1000)
+		chans = append(chans, ch)
+		k, err := Open(loop, Addresses{Listen: addrs[i], Peers: addrs, All: all}, i, func(from int, data []byte) {
+			ch <- heard{from, data}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(k.Close)
+		links = append(links, k)
+	}
+	return links, chans
+}
+
+func next(t *testing.T, ch chan heard) heard {
+	t.Helper()
+	select {
+	case h := <-ch:
+		return h
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing heard")
+	}
+	return heard{}
+}
+
+func TestTellsOneAndAll(t *testing.T) {
+	links, chans := tier(t, 4, "")
+	links[1].Tell(3, []byte("one"))
+	if h := next(t, chans[3]); h.from != 1 || string(h.data) != "one" {
+		t.Fatalf("%+v", h)
+	}
+	links[2].Tell(-1, []byte("all"))
+	for _, i := range []int{0, 1, 3} {
+		if h := next(t, chans[i]); h.from != 2 || string(h.data) != "all" {
+			t.Fatalf("%d heard %+v", i, h)
+		}
+	}
+	if len(chans[2]) > 0 {
+		t.Fatal("told itself")
+	}
+}
+
+// TestTakesNothingFromStrangers: what is too long, or from an address that is no peer's, is counted and dropped.
+func TestTakesNothingFromStrangers(t *testing.T) {
+	links, chans := tier(t, 2, "")
+	to := links[0].conn.LocalAddr().(*net.UDPAddr)
+	c, err := net.DialUDP("udp4", nil, to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte("stranger"))
+	links[1].conn.WriteToUDP(bytes.Repeat([]byte("x"), Longest+1), to)
+	for until := time.Now().Add(10 * time.Second); links[0].Dropped() < 2 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	if links[0].Dropped() != 2 || len(chans[0]) > 0 {
+		t.Fatalf("dropped %d of 2, took %d", links[0].Dropped(), len(chans[0]))
+	}
+	links[1].Tell(0, bytes.Repeat([]byte("y"), Longest+1)) // never sent
+	links[1].Tell(7, []byte("nobody"))
+	links[1].Tell(0, nil)
+	links[1].Tell(0, bytes.Repeat([]byte("z"), Longest))
+	if h := next(t, chans[0]); len(h.data) != Longest || h.data[0] != 'z' {
+		t.Fatalf("heard %q", h.data)
+	}
+}
+
+func TestAddressesThatCannotBeUsed(t *testing.T) {
+	for _, a := range []Addresses{{Listen: ""}, {Listen: "x:1"}, {Listen: "127.0.0.1:0", Peers: []string{"y"}},
+		{Listen: "127.0.0.1:0", All: "z"}} {
+		if k, err := Open(netio.NewLoop(), a, 0, nil); err == nil {
+			k.Close()
+			t.Errorf("%+v taken", a)
+		}
+	}
+}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -13,6 +13,7 @@
 
 	"croftlock/brain"
 	"croftlock/internal/cluster"
+	"croftlock/internal/peers"
 	"croftlock/internal/proxy"
 	"croftlock/internal/wire"
 )
@@ -25,6 +26,7 @@
 	Known                   proxy.Change
 	Settings                brain.Config
 	DelayInLoad             bool // hosts tell of loads and of delays
+	Peers                   peers.Addresses
 }
 
 // Limits are the platform's.
@@ -62,11 +64,15 @@
 		Limits    Limits          `json:"limits"`
 		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
+		Own       string          `json:"peer_listen"`
+		Peers     []string        `json:"peers"`
+		All       string          `json:"peers_all"`
 	}
 	if err := json.Unmarshal(data, &f); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits,
+		Peers: peers.Addresses{Listen: f.Own, Peers: f.Peers, All: f.All}}
 	for _, v := range []struct {
 		to   *string
 		name string
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -20,9 +20,15 @@
 	Gone(now brain.Time, id string)
 	Note(now brain.Time, id string, attempt int, kind brain.NoteKind, value float64)
 	Members(now brain.Time, kind brain.ListKind, version int64, entries []brain.Entry)
+	Peer(now brain.Time, from int, data []byte)
 	Timer(now brain.Time, token string)
 }
 
+// Peers carries the module's messages to the other proxies.
+type Peers interface {
+	Tell(peer int, data []byte)
+}
+
 // Discovery is what the decision module may ask of discovery.
 type Discovery interface {
 	Watch(on bool)
@@ -47,6 +53,7 @@
 	opt       Options
 	starter   Starter
 	discovery Discovery
+	peers     Peers // nil: there are none, or the settings forbid it
 	module    Decider
 	classes   map[string]int
 	tenants   map[string]int
@@ -72,6 +79,7 @@
 	Opened, Served, Refused, Failed, Rejected, Moved, Lost int
 	Expiring                                               int // of Moved: their certificate ends
 	TurnedAway                                             int // for want of room
+	Told, Heard                                            int // messages to other proxies, and from them
 }
 
 type call struct {
@@ -246,10 +254,26 @@
 func (e *effects) Fetch()        { e.later(func() { e.discovery.Fetch() }) }
 func (e *effects) Log(s string)  { slog.Info("module", "text", s) }
 
-// Probe and Tell are not part of this deployment: it forbids probes, and the module sends its peers nothing.
+// Probe is not part of this deployment, which forbids them.
 func (e *effects) Probe(server string) { slog.Error("unsupported", "effect", "probe", "host", server) }
+
+// Tell is carried out where peers can be reached; a message may be lost in any case.
 func (e *effects) Tell(peer int, data []byte) {
-	slog.Error("unsupported", "effect", "tell", "peer", peer, "bytes", len(data))
+	e.later(func() {
+		if e.peers != nil {
+			e.counts.Told++
+			e.peers.Tell(peer, data)
+		}
+	})
+}
+
+// SetPeers gives the core its way to the other proxies.
+func (c *Core) SetPeers(p Peers) { c.peers = p }
+
+// PeerTold takes a message from another proxy.
+func (c *Core) PeerTold(from int, data []byte) {
+	c.counts.Heard++
+	c.decide(nil, func(now brain.Time) { c.module.Peer(now, from, data) })
 }
 
 // Open takes a client's request, and owes it one answer from here on. It gives nil where that is given already.
--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -134,7 +134,8 @@
 func (m *fakeModule) Members(_ brain.Time, k brain.ListKind, _ int64, e []brain.Entry) {
 	m.event("members %d %d", k, len(e))
 }
-func (m *fakeModule) Timer(_ brain.Time, token string) { m.event("timer %s", token) }
+func (m *fakeModule) Peer(_ brain.Time, from int, data []byte) { m.event("peer %d %s", from, data) }
+func (m *fakeModule) Timer(_ brain.Time, token string)         { m.event("timer %s", token) }
 
 // A host told its delay in the form of a load: taken for one, it drew clients to the fullest host (G 0.41 for 0.90).
 func TestDelayToldAsLoad(t *testing.T) {
