Let what restraint refuses go to cold servers whose budget bears it

Cause, brain.go Request: restraint refused before pick, so the refused never drew lots, though flow counted them: cold servers got a quarter of their budget just when the others were overloaded.

Change: a request that restraint would refuse is placed if a cold server's budget bears it, else refused at once as before.

With it, in the cluster client: a watch's wait grows with the fleet, 250 ms each proxy from 4 to 20 s. Counted: 80 proxies that call every 4 s are 20 calls a second; discovery answered the 56 restarted proxies at some 14 a second, 0.1 to 4.1 s after their start, and 16 first calls failed after 2 s in its queue. Now 4 a second.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -92,6 +92,7 @@
 	ranAt    Time
 	closed   bool // answered; only outcomes are awaited
 	moved    bool
+	spare    bool    // refused by restraint, unless a cold server's budget bears it
 	flow     float64 // how many like it come a second, all balancers together
 }
 
@@ -331,10 +332,7 @@
 	r.deadline = now + q.Left
 	b.arrives(r)
 	b.asked[r.Class] += r.cost
-	if b.restraint > 0 && b.rank(r) < b.restraint {
-		b.giveUp(r)
-		return
-	}
+	r.spare = b.restraint > 0 && b.rank(r) < b.restraint
 	b.place(r)
 }
 
@@ -475,7 +473,7 @@
 		b.giveUp(r) // it may have run: another attempt could bring the effect twice
 		return
 	}
-	if b.crowded() {
+	if b.crowded() && !r.spare {
 		// Most attempts fail alike, so another server would not help, and each try adds to what jams them:
 		// the wait is spread out and grows with the attempts made.
 		r.waitTo = b.now + Time(float64(c.Aim)*float64(1+r.attempts)*(0.5+b.rng.Float64()))
@@ -483,6 +481,10 @@
 		return
 	}
 	s := b.pick(r)
+	if s == nil && r.spare {
+		b.giveUp(r)
+		return
+	}
 	if s == nil {
 		b.hold(r)
 		return
@@ -598,7 +600,7 @@
 	total, widest, top := 0.0, 0.0, math.Inf(-1)
 	pool := b.scratch[:0]
 	for _, s := range b.servers {
-		if !b.mayTake(s, r, cost) || !all && !b.available(s, r) {
+		if !b.mayTake(s, r, cost) || !all && !b.available(s, r) || r.spare && b.warmth(s) >= 1 {
 			continue
 		}
 		s.eff = b.turnWeight(s)
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -290,3 +290,36 @@
 		t.Errorf("still refuses %.2f after 10 s in which one server of eleven was stalled", f.b.restraint)
 	}
 }
+
+// TestRefusedMayGoToAColdServer: what restraint refuses never came to draw lots, though the lots were counted out for it:
+// cold servers got a quarter of their budget just when the warm ones were overloaded.
+func TestRefusedMayGoToAColdServer(t *testing.T) {
+	f := manyBalancers(t, 80, 3)[0]
+	up := f.now - 8*sec
+	f.b.Members(f.now, ListDelta, 2, []Entry{{ID: "s03", Zone: "a", Weight: 1, Since: up}})
+	cold, warm := 0, 0
+	for i := 0; i < 3000; i++ {
+		f.b.restraint = 1 // what rank draws is below
+		from, id := len(f.sends), fmt.Sprintf("q%d", i)
+		f.b.again = 0
+		f.b.Request(f.now, Request{ID: id, Tenant: 0, Returned: true, Left: 4800 * ms})
+		if len(f.sends) == from {
+			if f.answers[id] != 1 {
+				t.Fatalf("%s has neither an attempt nor its answer at once", id)
+			}
+			continue
+		}
+		if f.last().server == "s03" {
+			cold++
+		} else {
+			warm++
+		}
+		f.stands(id)
+		f.ends(id, Cancelled)
+		f.b.servers[3].tokens = 0
+	}
+	if warm > 0 || cold == 0 || cold > 600 {
+		t.Errorf("%d sent to the cold server, %d to the others", cold, warm)
+	}
+	t.Logf("%d of 3000 to the cold server", cold)
+}
--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -12,11 +12,15 @@
 
 const (
 	path = "/discovery/hosts"
-	// hold is how long discovery may keep a watch waiting. News counts as told 2 s past the end of the wait, so a
-	// call that has gone silent is given up, and made anew, before that; and the shorter the wait, the sooner a
-	// watch that has died unseen is replaced. A call each 4 s is a tenth of what discovery can do for a fleet of
-	// this size.
-	hold = 4 * time.Second
+	// shortHold and longHold bound how long discovery may keep a watch waiting, and holdEach is the part of it that each
+	// proxy of the tier adds. News counts as told 2 s past the end of the wait, so a call that has gone silent is given up,
+	// and made anew, before that; and the shorter the wait, the sooner a watch that has died unseen is replaced. But
+	// discovery is one service for all proxies and works through calls in turn: 80 proxies that each call every 4 s are
+	// 20 calls a second, more than it gets through, and then each call waits and some fail. So the fleet together makes
+	// four a second, up to the longest wait that is sound for one.
+	shortHold = 4 * time.Second
+	longHold  = 20 * time.Second
+	holdEach  = 250 * time.Millisecond
 	// answerWithin is how long past its wait a call may take. Discovery works through calls in turn and gives up
 	// on one after 2 s; waiting that long would let the moment pass at which its news counts as told.
 	answerWithin  = 1200 * time.Millisecond
@@ -36,6 +40,7 @@
 	dialer *netio.Dialer
 	addr   string
 	tell   func(proxy.Change)
+	hold   time.Duration // how long discovery may keep a watch waiting
 
 	rev     int64 // of the list as held, in the numbering of the service at addr; under 0: none is held of it
 	moved   int64 // when addr last changed, until it has answered; 0: it has
@@ -59,9 +64,10 @@
 	done   func(ch proxy.Change, err error)
 }
 
-// NewClient makes a client that holds the list up to rev and gives news to tell.
-func NewClient(l *netio.Loop, d *netio.Dialer, addr string, rev int64, tell func(proxy.Change)) *Client {
-	return &Client{loop: l, dialer: d, addr: addr, rev: rev, tell: tell}
+// NewClient makes a client, one of so many that share discovery, that holds the list up to rev and gives news to tell.
+func NewClient(l *netio.Loop, d *netio.Dialer, addr string, sharing int, rev int64, tell func(proxy.Change)) *Client {
+	hold := min(longHold, max(shortHold, time.Duration(sharing)*holdEach))
+	return &Client{loop: l, dialer: d, addr: addr, hold: hold, rev: rev, tell: tell}
 }
 
 // Watch begins or ends the watch. Asked for again while it goes on, it changes nothing.
@@ -110,7 +116,7 @@
 
 // next makes the watch's next call. The watch goes on only if that comes within 200 ms of the last answer.
 func (c *Client) next() {
-	target, within := fmt.Sprintf("%s?from=%d&hold_ms=%d", path, c.rev, hold.Milliseconds()), hold+answerWithin
+	target, within := fmt.Sprintf("%s?from=%d&hold_ms=%d", path, c.rev, c.hold.Milliseconds()), c.hold+answerWithin
 	if c.rev < 0 {
 		target, within = path, answerWithin
 	}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"croftlock/brain"
 	"croftlock/internal/netio"
@@ -125,7 +126,7 @@
 	t.Cleanup(l.Stop)
 	told := make(chan proxy.Change, 16)
 	old := serve("old")
-	c := NewClient(l, netio.NewDialer(l, 4), old, 90, func(ch proxy.Change) { told <- ch })
+	c := NewClient(l, netio.NewDialer(l, 4), old, 3, 90, func(ch proxy.Change) { told <- ch })
 	l.Post(func() { c.Watch(true) })
 	expect := func(want string) {
 		t.Helper()
@@ -143,3 +144,21 @@
 		t.Errorf("told %+v and %d more", ch, len(told))
 	}
 }
+
+// TestWatchesWaitLongerInALargerFleet: eighty proxies that each call every four seconds are twenty calls a second on a
+// service that works through fourteen; the fleet together makes about four, and one proxy waits no longer than it ever did.
+func TestWatchesWaitLongerInALargerFleet(t *testing.T) {
+	for _, c := range []struct {
+		sharing int
+		want    time.Duration
+	}{{0, 4 * time.Second}, {1, 4 * time.Second}, {3, 4 * time.Second}, {16, 4 * time.Second}, {40, 10 * time.Second},
+		{80, 20 * time.Second}, {1000, 20 * time.Second}} {
+		k := NewClient(nil, nil, "127.0.0.1:1", c.sharing, 0, nil)
+		if k.hold != c.want {
+			t.Errorf("%d proxies: %v, %v expected", c.sharing, k.hold, c.want)
+		}
+		if k.hold+answerWithin >= k.hold+2*time.Second {
+			t.Errorf("%d proxies: a silent call outlives the moment at which its news counts as told", c.sharing)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,7 +80,7 @@
 		open = through(link)
 	}
 	core := proxy.New(loop, line.NewHosts(loop, open), opt)
-	watch := cluster.NewClient(loop, dialer, cfg.Discovery, cfg.Known.Version, core.Listed)
+	watch := cluster.NewClient(loop, dialer, cfg.Discovery, cfg.Settings.Peers, cfg.Known.Version, core.Listed)
 	err = core.Run(func(fx brain.Effects) (proxy.Decider, error) { return brain.New(cfg.Settings, cfg.Seed, fx) },
 		watch, cfg.Known)
 	if err != nil {
