--- /dev/null
+++ b/internal/fleetlog/fleetlog_test.go
@@ -0,0 +1,120 @@
+package fleetlog
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"croftlock/internal/logging"
+)
+
+// write makes a log with the program's own handler, as it would be on disk.
+func write(t *testing.T, dir, name string, events func(say func(event string, kv ...any)), tail string) {
+	t.Helper()
+	var b bytes.Buffer
+	o := logging.Defaults()
+	o.Level, o.Repeat = "debug", 0
+	log := slog.New(logging.New(&b, o))
+	events(func(event string, kv ...any) { log.Debug(event, kv...) })
+	b.WriteString(tail)
+	if err := os.WriteFile(filepath.Join(dir, name), b.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCountsOverProxies(t *testing.T) {
+	dir := t.TempDir()
+	since := time.Now().UnixMilli()
+	for _, p := range []string{"n0.log", "n1.log"} {
+		write(t, dir, p, func(say func(string, ...any)) {
+			say("ready", "name", p)
+			say("host", "host", "s1", "zone", "zone a", "state", 0, "weight", 1.5, "since_ms", since)
+			say("asked", "request", "q"+p, "group", "g", "returned", p == "n1.log", "repeat", false)
+			say("attempt", "request", "adopted", "number", 0, "host", "s0")
+			say("attempt", "request", "q"+p, "number", 0, "host", "s0")
+			say("outcome", "request", "q"+p, "host", "s0", "status", "connect_failed", "up", false)
+			say("attempt", "request", "q"+p, "number", 1, "host", "s1")
+			say("stands", "request", "q"+p, "host", "s1")
+			say("told", "request", "q"+p, "host", "s1", "delay", true, "value", 250.5)
+			say("told", "request", "q"+p, "host", "s1", "delay", false, "value", 99999.0)
+			say("refused", "request", "other")
+		}, "0.1 2026/12/01 10:00:00.000000 event=attempt request=torn host=s")
+	}
+	// What another program wrote, an odd line and an endless one are skipped; a word before the date is not ours to mind.
+	odd := "a stranger's line\n2026/12/01 10:00 event=asked\nx event=y\n" +
+		time.Now().UTC().Format("12.5 2006/01/02 15:04:05.000000") + " event=refused request=\"a b\" after_ms=3\n" +
+		time.Now().UTC().Format("2006/01/02 15:04:05.000000") + " event=attempt host=\"torn\n" +
+		string(bytes.Repeat([]byte("z"), 3*longest)) + "\n"
+	if err := os.WriteFile(filepath.Join(dir, "n2.log"), []byte(odd), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	l, err := ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l.Proxies != 3 || l.Skipped != 2+5 {
+		t.Errorf("%d proxies, %d lines skipped", l.Proxies, l.Skipped)
+	}
+	f := Count(l, time.Hour, 23*time.Second, 2*time.Second)
+	if len(f.Windows) != 1 {
+		t.Fatalf("%d windows", len(f.Windows))
+	}
+	w := f.Windows[0]
+	if w.Asked != 2 || w.Returned != 1 || w.Sent != 4 || w.Stood != 2 || w.Refused != 3 || w.Bad["connect_failed"] != 2 ||
+		w.Open != 2 || w.Places != 1 || w.Started != 2 || w.Listed != 2 {
+		t.Errorf("%+v", w)
+	}
+	if len(f.Hosts) != 2 {
+		t.Fatalf("%d hosts", len(f.Hosts))
+	}
+	if h := f.Hosts[1]; h.Name != "s1" || h.Zone != "zone a" || h.Sent != 2 || h.ColdSent != 2 || h.ColdPeak != 2 || h.Open != 2 ||
+		h.SlowestMS != 250.5 || h.Weight != 1.5 {
+		t.Errorf("%+v", h)
+	}
+	if h := f.Hosts[0]; h.ColdSent != 0 || h.Sent != 2 {
+		t.Errorf("%+v", h)
+	}
+}
+
+// TestRestartHoldsNothing: a proxy that begins again has lost what it held.
+func TestRestartHoldsNothing(t *testing.T) {
+	dir := t.TempDir()
+	write(t, dir, "n0.log", func(say func(string, ...any)) {
+		say("ready")
+		say("stands", "request", "a", "host", "s1")
+		say("ready")
+		say("stands", "request", "b", "host", "s1")
+		say("outcome", "request", "b", "host", "s1", "status", "reset", "up", true)
+	}, "")
+	l, err := ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := Count(l, time.Hour, time.Second, time.Second).Windows[0]; w.Open != 0 || w.Lost != 1 {
+		t.Errorf("%+v", w)
+	}
+}
+
+func TestFoldersThatCannotBeRead(t *testing.T) {
+	empty, foreign := t.TempDir(), t.TempDir()
+	os.WriteFile(filepath.Join(foreign, "x.log"), []byte("nothing of ours\n"), 0o600)
+	for _, dir := range []string{empty, foreign, filepath.Join(empty, "missing")} {
+		if _, err := ReadDir(dir); err == nil {
+			t.Errorf("%s read", dir)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(`2026/12/01 10:00:00.000000 event=asked request=q group=g text="a \"b\" c" level=debug`)
+	f.Add(`1.5 2026/12/01 10:00:00.000000 event=x`)
+	f.Add(" event=")
+	f.Fuzz(func(t *testing.T, line string) {
+		if e, ok := parse(line); ok && (e.Name == "" || e.At.IsZero()) {
+			t.Errorf("%q: %+v", line, e)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,62 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"croftlock/internal/fleetlog"
+	"github.com/spf13/cobra"
+)
+
+// fleetCommand counts over a folder of logs.
+func fleetCommand() *cobra.Command {
+	var window, warm, fall time.Duration
+	c := &cobra.Command{Use: "fleet LOGDIR", Short: "Count over the logs of many proxies, on one time axis",
+		Long: "Reads each *.log in a folder as the log of one proxy, written with (log (level debug) (repeat 0)), and counts\n" +
+			"what all of them did together: by stretches of time, and by server.",
+		Example: "  croftlab fleet logs --window 2s", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if window <= 0 || fall <= 0 {
+				return fmt.Errorf("--window and --fall have to be above zero")
+			}
+			l, err := fleetlog.ReadDir(args[0])
+			if err != nil {
+				return err
+			}
+			return printFleet(cmd.OutOrStdout(), l, fleetlog.Count(l, window, warm, fall))
+		}}
+	c.Flags().DurationVar(&window, "window", 2*time.Second, "length of a stretch")
+	c.Flags().DurationVar(&warm, "warm", 23*time.Second, "how long a server counts as cold after its start")
+	c.Flags().DurationVar(&fall, "fall", 2*time.Second, "window over which the most sends to a cold server are told")
+	return c
+}
+
+func printFleet(to io.Writer, l *fleetlog.Log, f *fleetlog.Fleet) error {
+	fmt.Fprintf(to, "%d proxies, %d events, %d lines skipped, from %s\n\n", l.Proxies, len(l.Events), l.Skipped,
+		f.Began.Format(time.RFC3339))
+	t := tabwriter.NewWriter(to, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "s\tasked\tagain\tsent\tstood\trefused\tbad\tlost\topen\tplaces\tstarted\tdiscovery failed\t")
+	for _, w := range f.Windows {
+		var bad []string
+		for status, n := range w.Bad {
+			bad = append(bad, fmt.Sprintf("%s %d", status, n))
+		}
+		sort.Strings(bad)
+		fmt.Fprintf(t, "%.0f\t%d\t%d\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t\n", w.From.Seconds(), w.Asked, w.Returned, w.Sent,
+			w.Stood, w.Refused, strings.Join(bad, ", "), w.Lost, w.Open, w.Places, w.Started, w.DiscoveryFailed)
+	}
+	fmt.Fprintln(t, "\nhost\tzone\tweight\tsent\tcold sent\tcold peak\topen\tslowest ms\t\t\t\t\t")
+	for _, h := range f.Hosts {
+		fmt.Fprintf(t, "%s\t%s\t%g\t%d\t%d\t%d\t%d\t%.0f\t\t\t\t\t\n", h.Name, h.Zone, h.Weight, h.Sent, h.ColdSent, h.ColdPeak, h.Open,
+			h.SlowestMS)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(to, "\nattempts a request %.2f\n", float64(f.Sent)/float64(max(1, f.Asked)))
+	return err
+}
