--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,6 +27,7 @@
 	freshLuck     = 0.85  // part of a cold budget that fresh connections get by lot where traffic is thin
 	waveLuck      = 0.5   // and the part for those that come again, all at once
 	groupCost     = 3.0   // mean connections that a group's first costs a server on top
+	askSpread     = 5e7   // between calls on discovery, all balancers together, when it has failed them all
 	tellEvery     = 2e9   // a server's trouble is told to all balancers at most so often
 	tellWithin    = 6e8   // by one of those that see it, whoever draws the shortest wait
 	ordersKept    = 256   // groups whose order of servers is remembered
@@ -316,8 +317,8 @@
 		return
 	}
 	limit := float64(b.cfg.AskWithin) / 2
-	d := min(limit, limit/8*math.Pow(2, float64(min(b.askFails, 8)-1)))
-	b.fx.After(max(b.cfg.Tick, Time(d*(0.5+b.rng.Float64()/2))), "ask")
+	d := min(limit, max(limit/8*math.Pow(2, float64(min(b.askFails, 8)-1)), askSpread*float64(b.cfg.Peers)))
+	b.fx.After(max(b.cfg.Tick, Time(d*(0.25+0.75*b.rng.Float64()))), "ask")
 }
 
 // ---- requests ----
--- /dev/null
+++ b/brain/rules_test.go
@@ -0,0 +1,197 @@
+package brain
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"testing"
+)
+
+// discovery is a stand-in that works through calls in turn at a fixed pace, fails those that waited too long and all
+// while it is down.
+type discovery struct {
+	each, patience Time
+	downFrom, upAt Time
+	queue          []call
+	free           Time
+	calls          []Time
+}
+
+type call struct {
+	f  *fake
+	at Time
+}
+
+// TestDiscoveryDownForAll: eighty balancers on a discovery that gets through fourteen calls a second and is down for four
+// seconds. They must not all call at once when it fails, nor stay away when it is back.
+func TestDiscoveryDownForAll(t *testing.T) {
+	const peers = 80
+	d := &discovery{each: sec / 14, patience: 2 * sec, downFrom: 106 * sec, upAt: 110 * sec}
+	var all []*fake
+	told := map[*fake]Time{}
+	for me := 0; me < peers; me++ {
+		cfg := settings()
+		cfg.Me, cfg.Peers, cfg.Ask, cfg.Zones = me, peers, true, []string{"a"}
+		f := start(t, cfg, fleet(3)...)
+		f.b.rng = rand.New(rand.NewSource(int64(me) + 7))
+		all = append(all, f)
+	}
+	down := func(now Time) bool { return now >= d.downFrom && now < d.upAt }
+	for now := 100 * sec; now < 130*sec; now += 10 * ms {
+		if now == d.downFrom { // all watches end
+			for _, f := range all {
+				f.b.Members(now, ListFailed, 0, nil)
+			}
+		}
+		for _, f := range all {
+			n := len(f.watches)
+			f.run(now - f.now)
+			for range f.watches[n:] {
+				d.calls = append(d.calls, now)
+				if down(now) {
+					f.b.Members(now, ListFailed, 0, nil)
+				} else {
+					d.queue = append(d.queue, call{f, now})
+				}
+			}
+		}
+		for len(d.queue) > 0 && !down(now) {
+			c := d.queue[0]
+			if now-c.at >= d.patience {
+				c.f.b.Members(now, ListFailed, 0, nil)
+			} else if d.free <= now {
+				d.free = now + d.each
+				c.f.b.Members(now, ListDelta, 1, nil)
+				if now >= d.upAt {
+					told[c.f] = now
+				}
+			} else {
+				break
+			}
+			d.queue = d.queue[1:]
+		}
+	}
+	most := 0
+	for i, from := range d.calls {
+		n := sort.Search(len(d.calls)-i, func(k int) bool { return d.calls[i+k] >= from+sec })
+		if from >= d.downFrom {
+			most = max(most, n)
+		}
+	}
+	if most > 60 {
+		t.Errorf("%d calls within a second on a discovery that gets through 14", most)
+	}
+	last := Time(0)
+	for _, at := range told {
+		last = max(last, at)
+	}
+	if len(told) < peers || last > d.upAt+9*sec {
+		t.Errorf("%d of %d told, the last %.1f s after it was back", len(told), peers, float64(last-d.upAt)/1e9)
+	}
+	t.Logf("at most %d calls a second, the last of %d told after %.1f s", most, len(told), float64(last-d.upAt)/1e9)
+}
+
+// TestSixInTenReplaced: hosts are replaced within seven seconds, told to each balancer at a moment of its own; nothing goes
+// to one that drains later than the grace after that balancer was told, whatever comes back meanwhile.
+func TestSixInTenReplaced(t *testing.T) {
+	for seed := int64(1); seed <= 5; seed++ {
+		rng := rand.New(rand.NewSource(seed))
+		all := manyBalancers(t, 80, seed)
+		type news struct {
+			at Time
+			e  Entry
+		}
+		told := map[*fake]map[string]Time{}
+		var due []news
+		for i := 0; i < 7; i++ {
+			at := 101*sec + Time(i)*sec
+			due = append(due, news{at, Entry{ID: fmt.Sprintf("s%02d", i), Zone: "a", Weight: 1, State: Draining}},
+				news{at + sec/2, Entry{ID: fmt.Sprintf("t%02d", i), Zone: "a", Weight: 1, Since: at}})
+		}
+		heard := map[*fake]int{}
+		late := map[*fake]Time{}
+		for _, f := range all {
+			told[f] = map[string]Time{}
+			late[f] = Time(rng.Int63n(int64(200 * ms)))
+		}
+		n := 0
+		for now := 101 * sec; now < 112*sec; now += 20 * ms {
+			for _, f := range all {
+				f.run(now - f.now)
+				for ; heard[f] < len(due) && due[heard[f]].at+late[f] <= now; heard[f]++ {
+					e := due[heard[f]].e
+					f.b.Members(now, ListDelta, int64(heard[f]+2), []Entry{e})
+					if e.State == Draining {
+						told[f][e.ID] = now
+					}
+				}
+			}
+			f, id := all[rng.Intn(len(all))], fmt.Sprintf("%d-%d", seed, n)
+			n++
+			f.b.Request(f.now, Request{ID: id, Tenant: 0, Group: fmt.Sprint("g", n%4), Returned: n%2 == 0, Left: 4800 * ms})
+			if f.out[id] {
+				f.stands(id)
+			}
+		}
+		for _, f := range all {
+			for _, s := range f.sends {
+				if at, ok := told[f][s.server]; ok && s.at > at+250*ms {
+					t.Errorf("seed %d: %s got a connection %d ms after its drain was told", seed, s.server, (s.at-at)/ms)
+				}
+			}
+		}
+		if n < 500 {
+			t.Fatal("too few requests")
+		}
+	}
+}
+
+// TestZoneGoneAndBackCold: four of eleven hosts vanish and come back cold at one moment; of eighty balancers, whose failed
+// connects have run out at different times, not all send there at once.
+func TestZoneGoneAndBackCold(t *testing.T) {
+	mean := 0.0
+	const seeds = 10
+	for seed := int64(1); seed <= seeds; seed++ {
+		rng := rand.New(rand.NewSource(seed))
+		all := manyBalancers(t, 80, seed)
+		gone := []string{"s00", "s03", "s06", "s09"}
+		for _, f := range all {
+			for _, id := range gone {
+				if rng.Intn(2) == 0 {
+					f.breaks(f.b.byID[id])
+				}
+			}
+			f.now = 106 * sec
+			var back []Entry
+			for _, id := range gone {
+				back = append(back, Entry{ID: id, Zone: "a", Weight: 1, Since: f.now - sec})
+			}
+			f.b.Members(f.now, ListDelta, 2, back)
+		}
+		var at []Time
+		for now := 106 * sec; now < 108*sec; now += 50 * ms {
+			at = append(at, now)
+		}
+		for _, f := range all {
+			f.sends = nil
+		}
+		replay(all, rng, at, true, "s00")
+		cold := map[string]int{}
+		for _, f := range all {
+			for _, s := range f.sends {
+				cold[s.server]++
+			}
+		}
+		for _, id := range gone {
+			mean += float64(cold[id]) / seeds / float64(len(gone))
+			if cold[id] > 6 {
+				t.Errorf("seed %d: %d connections in 2 s to %s, back for a second", seed, cold[id], id)
+			}
+		}
+	}
+	// Two seconds at four times 0.2 of 0.45 a second are 0.73, and quotas are at most 0.8 or so of what the hosts bear.
+	if mean > 0.9 {
+		t.Errorf("%.2f connections in 2 s to a cold host that bears 0.9", mean)
+	}
+	t.Logf("%.2f connections in 2 s to a cold host", mean)
+}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -162,3 +162,49 @@
 		}
 	}
 }
+
+// thousand is a whole list of n hosts as discovery writes it.
+func thousand(n int) []byte {
+	var b strings.Builder
+	b.WriteString(`{"rev":7,"all":true,"targets":[`)
+	for i := 0; i < n; i++ {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"uid":"s-%08x","endpoint":"10.1.%d.%d:8081","az":"a","model":"m2","pod_group":3,"state":"up","capacity_hint":1.0,"boot_ms":0}`,
+			i, i/250, i%250)
+	}
+	b.WriteString("]}")
+	return []byte(b.String())
+}
+
+// TestListOfAThousand: a large list costs a few allocations a host, and nothing that grows faster than the list.
+func TestListOfAThousand(t *testing.T) {
+	cost := func(n int) float64 {
+		data := thousand(n)
+		return testing.AllocsPerRun(5, func() {
+			ch, err := Parse(data)
+			if err != nil || len(ch.Hosts) != n {
+				t.Fatalf("%d hosts, %v", len(ch.Hosts), err)
+			}
+		}) / float64(n)
+	}
+	small, large := cost(60), cost(1000)
+	if large > 12 || large > small*1.5 {
+		t.Errorf("%.1f allocations a host in a list of 1,000, %.1f in one of 60", large, small)
+	}
+}
+
+func BenchmarkParse(b *testing.B) {
+	for _, n := range []int{10, 60, 1000} {
+		data := thousand(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; i < b.N; i++ {
+				if _, err := Parse(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
