--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -32,6 +32,7 @@
 	root.PersistentFlags().StringVar(&c.path, "settings", env("CROFTLOCK_SETTINGS"),
 		"the operators' file; CROFTLOCK_SETTINGS names it too")
 	root.PersistentFlags().Lookup("settings").DefValue = ""
+	root.PersistentFlags().StringVar(&c.format, "log-format", "", "form of the log, text or json; wins over the operators' file")
 	root.AddCommand(&cobra.Command{Use: "serve", Short: "Run one proxy", Args: cobra.NoArgs, RunE: c.serve,
 		Example: "  NODE_CONFIG=/run/balancer/config.json croftlock serve --settings deploy/croftlock.sexp"})
 	root.AddCommand(&cobra.Command{Use: "check", Args: cobra.NoArgs, RunE: c.check,
@@ -57,9 +58,14 @@
 type commands struct {
 	env  func(string) string
 	path string
+	// format is that of the log; "" leaves it to the operators' file.
+	format string
 }
 
 func (c *commands) serve(*cobra.Command, []string) error {
+	if c.format != "" && c.format != "text" && c.format != "json" {
+		return fmt.Errorf("--log-format %q: text or json expected", c.format)
+	}
 	signals := node.Signals()
 	cfg, err := platform.Load(c.env)
 	if err != nil {
@@ -69,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	return node.Run(cfg, file, signals)
+	return node.Run(cfg, file, c.format, signals)
 }
 
 // check exits with 1 where anything is wrong, after telling all of it.
--- a/internal/command/main_test.go
+++ b/internal/command/main_test.go
@@ -162,3 +162,40 @@
 		t.Errorf("a file that can't be read became %q", data)
 	}
 }
+
+// TestLogFormat: the command line's form of the log wins over the file's, and another is refused before anything begins.
+func TestLogFormat(t *testing.T) {
+	odd := New(func(string) string { return "" })
+	odd.SetArgs([]string{"serve", "--log-format", "xml"})
+	if err := odd.Execute(); err == nil || !strings.Contains(err.Error(), `"xml": text or json expected`) {
+		t.Fatalf("an odd form: %v", err)
+	}
+	d, dir := discovery(t), t.TempDir()
+	config, file := filepath.Join(dir, "config.json"), filepath.Join(dir, "x.sexp")
+	for path, text := range map[string]string{config: strings.Replace(usable, "127.0.0.1:2", d.Addr().String(), 1),
+		file: "(log (format text))"} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p := exec.Command(os.Args[0], "--log-format", "json", "--settings", file)
+	p.Env = append(os.Environ(), "CROFTLOCK_TEST_RUN=1", "NODE_CONFIG="+config, "NODE_LISTEN=127.0.0.1:0")
+	out, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Process.Kill(); p.Wait() })
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		if !strings.HasPrefix(lines.Text(), "{") {
+			t.Fatalf("not JSON: %s", lines.Text())
+		}
+		if strings.Contains(lines.Text(), `"event":"ready"`) {
+			return
+		}
+	}
+	t.Fatal("it ended before it was ready")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,14 +55,20 @@
 	return signals
 }
 
-// Logs makes the log what the file says.
-func Logs(file *settings.File) {
-	slog.SetDefault(slog.New(logging.New(os.Stderr, file.Value("log").(logging.Options))))
+// Logs makes the log what the file says, in another form where one is given: the command line wins over the file, also
+// once that is read again.
+func Logs(file *settings.File, format string) {
+	o := file.Value("log").(logging.Options)
+	if format != "" {
+		o.Format = format
+	}
+	slog.SetDefault(slog.New(logging.New(os.Stderr, o)))
 }
 
 // Run runs the proxy until it has been told to stop and has nothing left to carry.
-func Run(cfg *platform.Config, file *settings.File, signals <-chan os.Signal) error {
-	Logs(file)
+// format is that of the log, "" for what the file says.
+func Run(cfg *platform.Config, file *settings.File, format string, signals <-chan os.Signal) error {
+	Logs(file, format)
 	runtime.GOMAXPROCS(cfg.Procs())
 	debug.SetMemoryLimit(cfg.MemoryLimit())
 	loop := netio.NewLoop()
@@ -102,7 +108,7 @@
 	}
 	slog.Info("ready", "name", cfg.Name, "listen", front.Addr(), "hosts", len(cfg.Known.Hosts), "rev", cfg.Known.Version,
 		"sessions", opt.Sessions)
-	n := &node{cfg: cfg, file: file, link: link, redirect: func(discovery string) { loop.Post(func() { watch.Redirect(discovery) }) },
+	n := &node{cfg: cfg, file: file, format: format, link: link, redirect: func(discovery string) { loop.Post(func() { watch.Redirect(discovery) }) },
 		leave: func() { loop.Post(func() { core.Leave(loop.Stop) }) }}
 	go n.obey(signals)
 	loop.Run()
@@ -142,6 +148,7 @@
 type node struct {
 	cfg      *platform.Config
 	file     *settings.File
+	format   string        // of the log, from the command line
 	link     *tlslink.Link // nil: upstream hosts speak plain TCP
 	redirect func(discovery string)
 	leave    func()
@@ -167,7 +174,7 @@
 		slog.Warn("settings_failed", "file", n.file.Path, "reason", err)
 	} else if n.file.Path != "" {
 		n.file = file
-		Logs(file)
+		Logs(file, n.format)
 		slog.Info("settings_reloaded", "file", file.Path)
 	}
 	if n.link != nil {
