Fade, know a wave and follow a run of delays in one way each; quicker fleet tests

Need: reading the fleet's change once more. Nothing is decided otherwise.

- isDelay: a condition that could no longer hold is gone, and noteDelay and it ask the same question (running).
- The forms of the log stand once, in logging.Formats; peers reads its addresses by one function; fleetlog's reader has one loop less to follow.
- Tests keep every assertion and bound.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -122,12 +122,10 @@
 	rate      float64 // fresh connections a second, in mean connections, smoothed
 	rateAt    Time
 	fresh     float64 // first tries of late, fading as rate does
-	again     float64 // requests that came again within the window of a fall, fading
-	againAt   Time
+	again     tally   // requests that came again within the window of a fall
 	usual     float64 // fresh connections a second that the settings let expect here; 0: they tell nothing
 	standing  float64 // and open connections, at all balancers
-	left      float64 // weight of servers that have begun to send their clients away, fading
-	leftAt    Time
+	left      tally   // weight of servers that have begun to send their clients away
 	started   Time
 	setup     float64 // smoothed set-up time and its deviation
 	setupDev  float64
@@ -266,8 +264,7 @@
 			s.weight = 1
 		}
 		if s.state == Ready && e.State != Ready {
-			b.fadeLeft()
-			b.left += s.weight
+			b.left.add(now, 2*b.cfg.Fall, s.weight)
 		}
 		s.state = e.State
 	}
@@ -420,14 +417,27 @@
 	b.rate, b.fresh, b.rateAt = b.rate*f, b.fresh*f, b.now
 }
 
+// tally is a sum that fades.
+type tally struct {
+	n  float64
+	at Time
+}
+
+func (t *tally) add(now, tau Time, n float64) {
+	t.n = t.n*math.Exp(-float64(now-t.at)/float64(tau+1)) + n
+	t.at = now
+}
+
+// comesAgain tells whether a request is one of a wave, not a fresh one.
+func (r *request) comesAgain() bool { return r.Repeat || r.Returned }
+
 // arrives counts a try as a fresh one or one of a wave.
 func (b *Brain) arrives(r *request) {
 	b.fadeRate()
-	b.again *= math.Exp(-float64(b.now-b.againAt) / float64(b.cfg.Fall+1))
-	b.againAt = b.now
+	b.again.add(b.now, b.cfg.Fall, 0)
 	r.flow = b.flow(r)
-	if r.Repeat || r.Returned {
-		b.again++
+	if r.comesAgain() {
+		b.again.n++
 	} else {
 		b.fresh++
 	}
@@ -438,14 +448,14 @@
 // and of a wave one or none: what it has counted alone would be nothing or far too much.
 func (b *Brain) flow(r *request) float64 {
 	peers := float64(b.cfg.Peers)
-	if !r.Repeat && !r.Returned {
+	if !r.comesAgain() {
 		return peers * b.believe(b.fresh, b.rateTau(), b.usual)
 	}
 	// A wave: what one server holds comes back together, or all that drain.
-	b.fadeLeft()
-	part := max(1/float64(max(1, len(b.servers))), b.left/max(b.fleet, 1))
+	b.left.add(b.now, 2*b.cfg.Fall, 0)
+	part := max(1/float64(max(1, len(b.servers))), b.left.n/max(b.fleet, 1))
 	fall := float64(b.cfg.Fall) / 1e9
-	return peers * b.believe(b.again, fall, part*b.standing/peers/fall)
+	return peers * b.believe(b.again.n, fall, part*b.standing/peers/fall)
 }
 
 // believe is the rate behind n events in a time, where so many a second were expected before any was seen; 0:
@@ -457,11 +467,6 @@
 	return (n + 1) / (seconds + 1/expected)
 }
 
-func (b *Brain) fadeLeft() {
-	b.left *= math.Exp(-float64(b.now-b.leftAt) / float64(2*b.cfg.Fall+1))
-	b.leftAt = b.now
-}
-
 // place sends a request to the server whose turn it is, or holds it, or gives its final answer.
 func (b *Brain) place(r *request) {
 	left := r.deadline - b.now - 2*b.cfg.Tick
@@ -482,12 +487,12 @@
 		return
 	}
 	s := b.pick(r)
-	if s == nil && r.spare {
-		b.giveUp(r)
-		return
-	}
 	if s == nil {
-		b.hold(r)
+		if r.spare {
+			b.giveUp(r)
+		} else {
+			b.hold(r)
+		}
 		return
 	}
 	if n := b.idle(s); n > 0 {
@@ -793,8 +798,9 @@
 }
 
 // measure keeps the weight of the fleet that the rate belongs to: it sinks slowly, since a fleet that has
-// just lost a zone still sees the ends of connections that the whole one bore.
-func (b *Brain) measure() {
+// just lost a zone still sees the ends of connections that the whole one bore. It gives the weight as it is
+// now.
+func (b *Brain) measure() float64 {
 	total := 0.0
 	for _, s := range b.servers {
 		if s.state == Ready {
@@ -803,6 +809,7 @@
 	}
 	f := math.Exp(-float64(b.now-b.fleetAt) / float64(2*b.cfg.WarmUp+1))
 	b.fleet, b.fleetAt = max(total, b.fleet*f+total*(1-f)), b.now
+	return total
 }
 
 // coldAllows tells whether the cold budget bears a connection now. A budget that has ripened is lost unless
@@ -835,7 +842,7 @@
 		return false
 	}
 	luck := freshLuck
-	if r.Repeat || r.Returned {
+	if r.comesAgain() {
 		luck = waveLuck
 	}
 	if len(b.zones) > 1 {
@@ -863,7 +870,7 @@
 		luck *= float64(cold) / float64(take)
 	}
 	seconds := float64(b.cfg.Fall) / 1e9
-	unused := math.Exp(-(b.fresh/b.rateTau() + b.again/seconds) * seconds)
+	unused := math.Exp(-(b.fresh/b.rateTau() + b.again.n/seconds) * seconds)
 	p := luck * unused * b.coldRate(s) * float64(b.cfg.Peers) / r.flow
 	return float64(hash(r.ID+s.id)%(1<<20)) < p*(1<<20)
 }
@@ -881,15 +888,9 @@
 // nobody.
 func (b *Brain) sweep() {
 	b.fx.After(b.sweepEvery(), "sweep")
-	b.measure()
+	ready := b.measure()
 	dt := float64(b.sweepEvery()) / 1e9
 	var all, stalled [2]float64 // in the own zone, in the others
-	ready := 0.0
-	for _, s := range b.servers {
-		if s.state == Ready {
-			ready += s.weight
-		}
-	}
 	for _, s := range b.servers {
 		i := 0
 		if s.zone != b.zone {
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -67,24 +67,19 @@
 		rng := rand.New(rand.NewSource(seed))
 		all := manyBalancers(t, 80, seed)
 		up := 110 * sec
-		var at []Time
+		var later []Time
 		for now := 100 * sec; now < 130*sec; now += Time(rng.ExpFloat64() / 2.4 * 1e9) {
-			at = append(at, now)
-		}
-		for i, f := range all {
-			f.b.Members(up, ListDelta, 2, []Entry{{ID: "s03", Zone: "a", Weight: 1, Since: up}})
-			f.now = up
-			if i%2 == 0 { // half of them have just been restarted
-				all[i] = manyBalancers(t, 80, seed+100)[i]
-				all[i].b.Members(up, ListDelta, 2, []Entry{{ID: "s03", Zone: "a", Weight: 1, Since: up}})
-				all[i].now = up
+			if now > up && now < up+10*sec {
+				later = append(later, now)
 			}
 		}
-		var later []Time
-		for _, x := range at {
-			if x > up && x < up+10*sec {
-				later = append(later, x)
+		restarted := manyBalancers(t, 80, seed+100)
+		for i := range all {
+			if i%2 == 0 { // half of them have just been restarted
+				all[i] = restarted[i]
 			}
+			all[i].b.Members(up, ListDelta, 2, []Entry{{ID: "s03", Zone: "a", Weight: 1, Since: up}})
+			all[i].now = up
 		}
 		sent := replay(all, rng, later, false, "s03")
 		total += len(sent)
@@ -301,7 +296,7 @@
 	for i := 0; i < 3000; i++ {
 		f.b.restraint = 1 // what rank draws is below
 		from, id := len(f.sends), fmt.Sprintf("q%d", i)
-		f.b.again = 0
+		f.b.again.n = 0
 		f.b.Request(f.now, Request{ID: id, Tenant: 0, Returned: true, Left: 4800 * ms})
 		if len(f.sends) == from {
 			if f.answers[id] != 1 {
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -3,30 +3,20 @@
 import (
 	"fmt"
 	"math/rand"
-	"sort"
 	"testing"
 )
 
-// discovery is a stand-in that works through calls in turn at a fixed pace, fails those that waited too long and all
-// while it is down.
-type discovery struct {
-	each, patience Time
-	downFrom, upAt Time
-	queue          []call
-	free           Time
-	calls          []Time
-}
-
-type call struct {
-	f  *fake
-	at Time
-}
-
 // TestDiscoveryDownForAll: eighty balancers on a discovery that gets through fourteen calls a second and is down for four
 // seconds. They must not all call at once when it fails, nor stay away when it is back.
 func TestDiscoveryDownForAll(t *testing.T) {
-	const peers = 80
-	d := &discovery{each: sec / 14, patience: 2 * sec, downFrom: 106 * sec, upAt: 110 * sec}
+	const peers, each, patience, downFrom, upAt = 80, sec / 14, 2 * sec, 106 * sec, 110 * sec
+	type call struct {
+		f  *fake
+		at Time
+	}
+	var queue []call // worked through in turn; what has waited too long fails
+	var calls []Time // while it is down or after
+	free := Time(0)
 	var all []*fake
 	told := map[*fake]Time{}
 	for me := 0; me < peers; me++ {
@@ -36,9 +26,9 @@
 		f.b.rng = rand.New(rand.NewSource(int64(me) + 7))
 		all = append(all, f)
 	}
-	down := func(now Time) bool { return now >= d.downFrom && now < d.upAt }
+	down := func(now Time) bool { return now >= downFrom && now < upAt }
 	for now := 100 * sec; now < 130*sec; now += 10 * ms {
-		if now == d.downFrom { // all watches end
+		if now == downFrom { // all watches end
 			for _, f := range all {
 				f.b.Members(now, ListFailed, 0, nil)
 			}
@@ -47,37 +37,33 @@
 			n := len(f.watches)
 			f.run(now - f.now)
 			for range f.watches[n:] {
-				d.calls = append(d.calls, now)
+				if now >= downFrom {
+					calls = append(calls, now)
+				}
 				if down(now) {
 					f.b.Members(now, ListFailed, 0, nil)
 				} else {
-					d.queue = append(d.queue, call{f, now})
+					queue = append(queue, call{f, now})
 				}
 			}
 		}
-		for len(d.queue) > 0 && !down(now) {
-			c := d.queue[0]
-			if now-c.at >= d.patience {
+		for len(queue) > 0 && !down(now) {
+			c := queue[0]
+			if now-c.at >= patience {
 				c.f.b.Members(now, ListFailed, 0, nil)
-			} else if d.free <= now {
-				d.free = now + d.each
+			} else if free <= now {
+				free = now + each
 				c.f.b.Members(now, ListDelta, 1, nil)
-				if now >= d.upAt {
+				if now >= upAt {
 					told[c.f] = now
 				}
 			} else {
 				break
 			}
-			d.queue = d.queue[1:]
-		}
-	}
-	most := 0
-	for i, from := range d.calls {
-		n := sort.Search(len(d.calls)-i, func(k int) bool { return d.calls[i+k] >= from+sec })
-		if from >= d.downFrom {
-			most = max(most, n)
+			queue = queue[1:]
 		}
 	}
+	most := within(calls, sec)
 	if most > 60 {
 		t.Errorf("%d calls within a second on a discovery that gets through 14", most)
 	}
@@ -85,10 +71,10 @@
 	for _, at := range told {
 		last = max(last, at)
 	}
-	if len(told) < peers || last > d.upAt+9*sec {
-		t.Errorf("%d of %d told, the last %.1f s after it was back", len(told), peers, float64(last-d.upAt)/1e9)
+	if len(told) < peers || last > upAt+9*sec {
+		t.Errorf("%d of %d told, the last %.1f s after it was back", len(told), peers, float64(last-upAt)/1e9)
 	}
-	t.Logf("at most %d calls a second, the last of %d told after %.1f s", most, len(told), float64(last-d.upAt)/1e9)
+	t.Logf("at most %d calls a second, the last of %d told after %.1f s", most, len(told), float64(last-upAt)/1e9)
 }
 
 // TestSixInTenReplaced: hosts are replaced within seven seconds, told to each balancer at a moment of its own; nothing goes
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
 
 	"croftlock/internal/certs"
+	"croftlock/internal/logging"
 	"croftlock/internal/node"
 	"croftlock/internal/platform"
 	"croftlock/internal/settings"
@@ -63,8 +66,8 @@
 }
 
 func (c *commands) serve(*cobra.Command, []string) error {
-	if c.format != "" && c.format != "text" && c.format != "json" {
-		return fmt.Errorf("--log-format %q: text or json expected", c.format)
+	if c.format != "" && !slices.Contains(logging.Formats, c.format) {
+		return fmt.Errorf("--log-format %q: %s expected", c.format, strings.Join(logging.Formats, " or "))
 	}
 	signals := node.Signals()
 	cfg, err := platform.Load(c.env)
--- a/internal/fleetlog/fleetlog.go
+++ b/internal/fleetlog/fleetlog.go
@@ -71,21 +71,21 @@
 	for {
 		line, err := r.ReadSlice('\n')
 		whole := err == nil
-		endless := errors.Is(err, bufio.ErrBufferFull)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			for errors.Is(err, bufio.ErrBufferFull) {
-				_, err = r.ReadSlice('\n')
-			}
-			line = line[:0]
+		for errors.Is(err, bufio.ErrBufferFull) {
+			_, err = r.ReadSlice('\n')
 		}
 		if err != nil && err != io.EOF {
 			return err
 		}
 		// A last line without its end was cut off with its proxy, and half a figure would be a wrong one.
-		if e, ok := parse(string(line)); ok && whole {
+		if !whole {
+			if len(line) > 0 {
+				l.Skipped++
+			}
+		} else if e, ok := parse(string(line)); ok {
 			e.Proxy = proxy
 			l.Events = append(l.Events, e)
-		} else if len(line) > 0 || whole || endless {
+		} else {
 			l.Skipped++
 		}
 		if err == io.EOF {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -24,6 +24,9 @@
 	Window time.Duration
 }
 
+// Formats are the forms that a log can take.
+var Formats = []string{"text", "json"}
+
 // Defaults are the options without a file.
 func Defaults() Options {
 	return Options{Format: "text", Level: "info", Repeat: 20, Window: 10 * time.Second}
@@ -33,7 +36,7 @@
 func Section() settings.Section {
 	return settings.Section{Name: "log", Doc: "what the log looks like", Bind: func(f *settings.Form) any {
 		o := Defaults()
-		f.Enum("format", "form of a line", &o.Format, "text", "json")
+		f.Enum("format", "form of a line", &o.Format, Formats...)
 		f.Enum("level", "least level that is written", &o.Level, "debug", "info", "warn", "error")
 		f.Int("repeat", "lines of one kind that are written within the window; 0: all", &o.Repeat, 0, 100000)
 		f.Duration("window", "time over which they are counted", &o.Window, 100*time.Millisecond, time.Hour)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -45,23 +45,19 @@
 	k := &Link{me: me}
 	from := map[netip.AddrPort]int{}
 	for i, s := range a.Peers {
-		p, err := netip.ParseAddrPort(s)
+		p, err := address(fmt.Sprintf("peer %d", i), s)
 		if err != nil {
-			return nil, fmt.Errorf("peer %d: %q is no address with a port", i, s)
+			return nil, err
 		}
 		k.to = append(k.to, p)
 		from[p] = i
 	}
-	if a.All != "" {
-		p, err := netip.ParseAddrPort(a.All)
-		if err != nil {
-			return nil, fmt.Errorf("peers_all: %q is no address with a port", a.All)
-		}
-		k.all = p
+	own, err := address("peer_listen", a.Listen)
+	if err == nil && a.All != "" {
+		k.all, err = address("peers_all", a.All)
 	}
-	own, err := netip.ParseAddrPort(a.Listen)
 	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %q is no address with a port", a.Listen)
+		return nil, err
 	}
 	if k.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(own)); err != nil {
 		return nil, err
@@ -70,6 +66,14 @@
 	return k, nil
 }
 
+func address(what, text string) (netip.AddrPort, error) {
+	p, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return p, fmt.Errorf("%s: %q is no address with a port", what, text)
+	}
+	return p, nil
+}
+
 func (k *Link) read(l *netio.Loop, from map[netip.AddrPort]int, take func(int, []byte)) {
 	var waiting atomic.Int32
 	buf := make([]byte, Longest+1)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -15,7 +15,7 @@
 }
 
 // tier opens n links on loopback; what each hears goes to its channel.
-func tier(t *testing.T, n int, all string) ([]*Link, []chan heard) {
+func tier(t *testing.T, n int) ([]*Link, []chan heard) {
 	t.Helper()
 	var addrs []string
 	for i := 0; i < n; i++ { // ports are found by opening and closing once
@@ -34,7 +34,7 @@
 		t.Cleanup(loop.Stop)
 		ch := make(chan heard, 1000)
 		chans = append(chans, ch)
-		k, err := Open(loop, Addresses{Listen: addrs[i], Peers: addrs, All: all}, i, func(from int, data []byte) {
+		k, err := Open(loop, Addresses{Listen: addrs[i], Peers: addrs}, i, func(from int, data []byte) {
 			ch <- heard{from, data}
 		})
 		if err != nil {
@@ -58,7 +58,7 @@
 }
 
 func TestTellsOneAndAll(t *testing.T) {
-	links, chans := tier(t, 4, "")
+	links, chans := tier(t, 4)
 	links[1].Tell(3, []byte("one"))
 	if h := next(t, chans[3]); h.from != 1 || string(h.data) != "one" {
 		t.Fatalf("%+v", h)
@@ -76,7 +76,7 @@
 
 // TestTakesNothingFromStrangers: what is too long, or from an address that is no peer's, is counted and dropped.
 func TestTakesNothingFromStrangers(t *testing.T) {
-	links, chans := tier(t, 2, "")
+	links, chans := tier(t, 2)
 	to := links[0].conn.LocalAddr().(*net.UDPAddr)
 	c, err := net.DialUDP("udp4", nil, to)
 	if err != nil {
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -34,6 +34,9 @@
 	smallAt int64 // when its last figure came that may have been a delay, whatever it was taken for
 }
 
+// running tells whether the host is telling its delays itself.
+func (d *messageDelay) running(now int64) bool { return d.toldAt > 0 && now-d.toldAt < delayRun }
+
 func (d *messageDelay) answered(now, sent int64) { d.took, d.at = now-sent, now }
 
 // What a load told by a host must be under to be taken for a delay.
@@ -76,19 +79,15 @@
 	if x < mostDelay {
 		d.smallAt = now
 	}
-	if x < leastLoad || steady && x < mostDelay {
-		return true
-	}
-	if load == 0 && x < leastFirst {
+	switch {
+	case x < leastLoad, steady && x < mostDelay, load == 0 && x < leastFirst:
 		return true
-	}
-	if load == 0 && (d.toldAt == 0 || now-d.toldAt >= delayRun) {
-		return false
-	}
-	if d.toldAt > 0 && now-d.toldAt < delayRun {
+	case d.running(now):
 		return math.Abs(x-d.told) < delayStepMS && math.Abs(x-d.told) <= math.Abs(x-load)
+	case load == 0:
+		return false
 	}
-	return x < delayMS && (x < leastLoad || x*likeLoad < load || x > load*likeLoad)
+	return x < delayMS && (x*likeLoad < load || x > load*likeLoad)
 }
 
 // loadTold takes the figure of a LOAD line.
@@ -167,7 +166,7 @@
 	if aim == 0 || len(h.up) == 0 || now-d.noted < noteEvery {
 		return
 	}
-	if d.toldAt > 0 && now-d.toldAt < delayRun {
+	if d.running(now) {
 		return // the host tells it itself, and knows better
 	}
 	took := int64(0)
