Follow the agent to which lists are pushed: the node never asked it

The module asks discovery only where settings say that it must be asked (brain.tick, cfg.Ask); where lists are pushed the simulator delivers them unasked, but on sockets they lie at an agent that somebody has to call. node.Run called cluster.Client only on the module's wish, so it was never called: the proxy kept the list of its start. Change: cluster.Client.Follow keeps a watch of its own at an agent, of 100 ms a call, given up 80 ms later and made anew after 30 ms, so that what a silent agent has when it is back is heard within the rule's 250 ms; its failures are not told to the module.

--- /dev/null
+++ b/internal/cluster/agent_test.go
@@ -0,0 +1,61 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
+	"croftlock/internal/standin"
+)
+
+// TestFollowsAnAgent: an agent to which lists are pushed is asked though the module asks for nothing, its silence is no
+// failure told, and what it has when it speaks again is heard although the watch that was under way has died.
+func TestFollowsAnAgent(t *testing.T) {
+	d, err := standin.NewDiscovery(standin.Entry{UID: "s1", Endpoint: "127.0.0.1:1"}, standin.Entry{UID: "s2", Endpoint: "127.0.0.1:2"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	l := netio.NewLoop()
+	if err := netio.Attach(l); err != nil {
+		t.Fatal(err)
+	}
+	go l.Run()
+	t.Cleanup(l.Stop)
+	told := make(chan proxy.Change, 64)
+	c := NewClient(l, netio.NewDialer(l, 4), d.Addr(), 3, 0, func(ch proxy.Change) { told <- ch })
+	l.Post(c.Follow)
+	hears := func(what, uid string, state brain.State) {
+		t.Helper()
+		for limit := time.After(5 * time.Second); ; {
+			select {
+			case ch := <-told:
+				if ch.Kind == brain.ListFailed {
+					t.Fatalf("%s: a failure is told", what)
+				}
+				for _, h := range ch.Hosts {
+					if h.ID == uid && h.State == state {
+						return
+					}
+				}
+			case <-limit:
+				t.Fatalf("%s: %s is not heard of", what, uid)
+			}
+		}
+	}
+	hears("at the start", "s2", brain.Ready)
+	d.State("s1", "draining")
+	hears("while it speaks", "s1", brain.Draining)
+	d.Silent(true)
+	d.State("s2", "draining")
+	before := d.Calls()
+	for end := time.Now().Add(20 * time.Second); d.Calls() < before+3; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) { // each call on a silent agent is given up: one that waits could have died
+			t.Fatal("a call waits for ever")
+		}
+	}
+	d.Silent(false)
+	hears("after a silence", "s2", brain.Draining)
+}
--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -31,6 +31,13 @@
 	// that address has to tell counts as told 4 s after the redirect, and the module's own pause may be longer.
 	settling = 3500 * time.Millisecond
 	askAgain = 150 * time.Millisecond
+	// agentHold, agentWithin and agentAgain are for an agent on this machine, to which lists are pushed. Calls on it cost
+	// nobody anything, and whatever it has counts as told, also in the moment in which it is back from a silence that a
+	// watch has not survived. So a call that has died unseen is given up and made anew within the 250 ms that the rules
+	// leave for what is told.
+	agentHold   = 100 * time.Millisecond
+	agentWithin = 80 * time.Millisecond
+	agentAgain  = 30 * time.Millisecond
 )
 
 // Client keeps a watch while it is wanted, one call after the other on one connection, and fetches the whole list
@@ -41,6 +48,8 @@
 	addr   string
 	tell   func(proxy.Change)
 	hold   time.Duration // how long discovery may keep a watch waiting
+	late   time.Duration // how long past that an answer may come
+	agent  bool          // lists are pushed to an agent on this machine, and the client follows it unasked
 
 	rev     int64 // of the list as held, in the numbering of the service at addr; under 0: none is held of it
 	moved   int64 // when addr last changed, until it has answered; 0: it has
@@ -67,7 +76,15 @@
 // NewClient makes a client, one of so many that share discovery, that holds the list up to rev and gives news to tell.
 func NewClient(l *netio.Loop, d *netio.Dialer, addr string, sharing int, rev int64, tell func(proxy.Change)) *Client {
 	hold := min(longHold, max(shortHold, time.Duration(sharing)*holdEach))
-	return &Client{loop: l, dialer: d, addr: addr, hold: hold, rev: rev, tell: tell}
+	return &Client{loop: l, dialer: d, addr: addr, hold: hold, late: answerWithin, rev: rev, tell: tell}
+}
+
+// Follow keeps a watch at an agent on this machine, to which discovery pushes its lists, from now on and without being asked:
+// the module asks only where lists come to those who ask. A call that fails is made again at once, and is no failure told: the
+// agent is silent while discovery is, and the list held stays the best there is.
+func (c *Client) Follow() {
+	c.agent, c.hold, c.late = true, agentHold, agentWithin
+	c.Watch(true)
 }
 
 // Source is who gives the list, and the version held of it; under 0: none.
@@ -119,15 +136,19 @@
 
 // next makes the watch's next call. The watch goes on only if that comes within 200 ms of the last answer.
 func (c *Client) next() {
-	target, within := fmt.Sprintf("%s?from=%d&hold_ms=%d", path, c.rev, c.hold.Milliseconds()), c.hold+answerWithin
+	target, within := fmt.Sprintf("%s?from=%d&hold_ms=%d", path, c.rev, c.hold.Milliseconds()), c.hold+c.late
 	if c.rev < 0 {
-		target, within = path, answerWithin
+		target, within = path, c.late
 	}
 	c.watch = c.start(target, within, func(ch proxy.Change, err error) {
 		c.watch = nil
-		if err != nil && c.moved > 0 && c.loop.Now()-c.moved < int64(settling) {
+		if err != nil && (c.agent || c.moved > 0 && c.loop.Now()-c.moved < int64(settling)) {
 			c.note(err)
-			c.again = c.loop.After(askAgain, c.next)
+			pause := askAgain
+			if c.agent {
+				pause = agentAgain
+			}
+			c.again = c.loop.After(pause, c.next)
 			return
 		}
 		if err != nil {
--- a/internal/lab/proc.go
+++ b/internal/lab/proc.go
@@ -31,6 +31,7 @@
 type Setup struct {
 	Name      string
 	Discovery string
+	Pushed    bool // discovery is an agent to which lists are pushed
 	Known     standin.List
 	Settings  string // the operators' file; "": none
 	Cores     float64
@@ -96,11 +97,15 @@
 	if s.Listen == "" {
 		s.Listen = "127.0.0.1:0"
 	}
+	mode := "subscribe"
+	if s.Pushed {
+		mode = "automatic"
+	}
 	config := map[string]any{
 		"name": s.Name, "listen": s.Listen, "admin_addr": s.Admin, "discovery": s.Discovery, "seed": "1f",
 		"limits": map[string]any{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
 		"known":  s.Known,
-		"settings": map[string]any{"peers_total": 1, "discovery": "subscribe",
+		"settings": map[string]any{"peers_total": 1, "discovery": mode,
 			"bounds":   map[string]any{"try_limit": 5, "connect_timeout": int64(s.Connect), "retry_after": true, "max_retry_after": int64(time.Second)},
 			"contract": map[string]any{"must_ask_in": int64(10 * time.Second)},
 			"lanes": []any{map[string]any{"name": class, "on_time": int64(800 * time.Millisecond), "deadline": int64(s.Deadline),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,6 +114,11 @@
 	if err != nil {
 		return err
 	}
+	if !cfg.Settings.Ask {
+		// Lists are pushed, to an agent that the platform runs beside the proxy; the module, which hears of them unasked in
+		// the simulator, asks for none.
+		r.watch.Follow()
+	}
 	core.Recall(handed.Kept.Memory)
 	if s := cfg.Settings; s.MayTell && cfg.Peers.Listen != "" && s.Peers > 1 {
 		// Messages help, and a proxy without them serves all the same.
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -40,6 +40,7 @@
 	changed map[string]int64 // when each last changed
 	news    chan struct{}    // closed at the next change
 	down    bool
+	silent  chan struct{} // not nil: calls wait for its close, and then get no answer
 	delay   time.Duration
 	calls   int
 	server  *http.Server
@@ -115,6 +116,26 @@
 	d.news = make(chan struct{})
 }
 
+// Silent makes it say nothing, as an agent does while discovery is down: calls wait, those under way too, and when it speaks
+// again it ends them without an answer.
+func (d *Discovery) Silent(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if on && d.silent == nil {
+		d.silent = make(chan struct{})
+	} else if !on && d.silent != nil {
+		close(d.silent)
+		d.silent = nil
+	}
+}
+
+// mute is the end of the silence, nil where there is none.
+func (d *Discovery) mute() chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.silent
+}
+
 // Delay makes every answer late.
 func (d *Discovery) Delay(by time.Duration) {
 	d.mu.Lock()
@@ -180,6 +201,10 @@
 		d.mu.Lock()
 		l, news, down := d.since(from), d.news, d.down
 		d.mu.Unlock()
+		if quiet := d.mute(); quiet != nil {
+			<-quiet
+			panic(http.ErrAbortHandler)
+		}
 		if down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
