The policy in eleven files by idea, no decision changed

Need: one file of 1,194 lines with some thirty free constants could not be read or grown. Now brain, lists, pool, rotation, groups, cold, waves, requests, outcomes, stalls and restraint, all named under policy; the size test reads them from there.

--- a/brain/api.go
+++ b/brain/api.go
@@ -1,6 +1,7 @@
 // Package brain decides where a balancer of long-lived connections places them.
 //
-// This file is the whole interface: settings, events and actions. It decides nothing; brain.go does.
+// This file is the whole interface: settings, events and actions. It decides nothing; the files that do are named under
+// policy in deploy/balancer.toml.
 package brain
 
 // Time is a moment or a span in nanoseconds, on the clock that the host passes in with every event.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1,7 +1,6 @@
 package brain
 
 import (
-	"bufio"
 	"fmt"
 	"os"
 	"strings"
@@ -436,22 +435,28 @@
 }
 
 func TestModuleSize(t *testing.T) {
-	file, err := os.Open("brain.go")
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer file.Close()
+	_, list, _ := strings.Cut(string(deploy), "policy = [")
+	list, _, _ = strings.Cut(list, "]")
 	lines := 0
-	for sc := bufio.NewScanner(file); sc.Scan(); {
-		text := strings.ReplaceAll(sc.Text(), "\t", "    ")
-		if strings.TrimSpace(text) != "" {
-			lines++
+	for _, name := range strings.Split(list, ",") {
+		data, err := os.ReadFile("../" + strings.Trim(name, "\" "))
+		if err != nil {
+			t.Fatal(err)
 		}
-		if n := utf8.RuneCountInString(text); n > 110 {
-			t.Errorf("a line of %d columns: %s", n, text)
+		for _, text := range strings.Split(strings.ReplaceAll(string(data), "\t", "    "), "\n") {
+			if strings.TrimSpace(text) != "" {
+				lines++
+			}
+			if n := utf8.RuneCountInString(text); n > 110 {
+				t.Errorf("%s: a line of %d columns: %s", name, n, text)
+			}
 		}
 	}
-	if lines > 1200 {
+	if lines < 500 || lines > 1200 {
 		t.Errorf("%d lines, 1,200 at most", lines)
 	}
 }
--- /dev/null
+++ b/brain/cold.go
@@ -0,0 +1,95 @@
+package brain
+
+import "math"
+
+// Servers that have just started: their budget, kept by all balancers together.
+
+// warmth is the share of its capacity that a server surely has by now.
+func (b *Brain) warmth(s *server) float64 {
+	if s.since == 0 || b.cfg.WarmUp <= 0 || b.now >= s.since+b.cfg.WarmUp {
+		return 1
+	}
+	age := max(0, float64(b.now-s.since)/float64(b.cfg.WarmUp))
+	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*age
+}
+
+// coldRate is what this balancer may send to a cold server a second, in mean connections: the multiple of
+// its present share of what an average warm server gets from here. Each balancer keeping to its own part,
+// all keep to the whole.
+func (b *Brain) coldRate(s *server) float64 {
+	b.fadeRate()
+	rate := b.rate
+	if b.usual > 0 {
+		rate = b.believe(b.rate*b.rateTau(), b.rateTau(), b.usual)
+	}
+	return coldSafety * b.cfg.FallMultiple * b.warmth(s) * rate * s.weight / max(b.fleet, s.weight)
+}
+
+// coldAllows tells whether the cold budget bears a connection now. A budget that has ripened is lost unless
+// it is used within the rule's window: else many sparse balancers keep theirs, and a wave spends them all
+// at once. What is lost so is given out by lot.
+func (b *Brain) coldAllows(s *server, r *request, cost float64) bool {
+	s.lucky = false
+	if b.warmth(s) >= 1 {
+		return true
+	}
+	rate := b.coldRate(s) / 1e9
+	s.tokens += rate * float64(b.now-s.tokensAt)
+	s.tokensAt = b.now
+	if ripe := 1 + rate*float64(b.cfg.Fall); s.tokens > ripe {
+		s.tokens = math.Mod(s.tokens, ripe)
+	}
+	if cost > max(2, rate*float64(b.cfg.Peers)*float64(b.cfg.Fall)) {
+		return false
+	}
+	s.lucky = s.tokens < 1 && b.lot(s, r)
+	return s.tokens >= 1 || s.lucky
+}
+
+// lot gives a request a chance at a cold server, such that all balancers' requests together use the part of
+// its budget that ripened where nobody came for it. With a request in half a minute at each of eighty
+// balancers that is nearly all: the server would stand empty while the others carry its part. The draw
+// belongs to request and server, so that asking again does not draw again.
+func (b *Brain) lot(s *server, r *request) bool {
+	if b.usual <= 0 || r.flow <= 0 {
+		return false
+	}
+	luck := freshLuck
+	if r.comesAgain() {
+		luck = waveLuck
+	}
+	if len(b.zones) > 1 {
+		if s.zone == b.zone {
+			luck *= 2 - farLuck
+		} else {
+			luck *= farLuck
+		}
+	}
+	if r.Group != "" {
+		// Half of a zone's cold servers take a group: each pays for it, and bears little as yet.
+		cold, before := 0, 0
+		for _, i := range b.order(r.Group) {
+			if o := b.servers[i]; o.zone == s.zone && b.warmth(o) < 1 {
+				cold++
+				if o == s {
+					before = cold
+				}
+			}
+		}
+		take := (cold + 1) / 2
+		if before > take {
+			return false
+		}
+		luck *= float64(cold) / float64(take)
+	}
+	seconds := float64(b.cfg.Fall) / 1e9
+	unused := math.Exp(-(b.fresh/b.rateTau() + b.again.n/seconds) * seconds)
+	p := luck * unused * b.coldRate(s) * float64(b.cfg.Peers) / r.flow
+	return float64(hash(r.ID+s.id)%(1<<20)) < p*(1<<20)
+}
+
+func (b *Brain) spendCold(s *server, cost float64) {
+	if b.warmth(s) < 1 && s.tokens >= 1 {
+		s.tokens -= cost
+	}
+}
--- /dev/null
+++ b/brain/groups.go
@@ -0,0 +1,66 @@
+package brain
+
+import (
+	"math"
+	"sort"
+)
+
+// Which servers the connections of a group keep to.
+
+// strange is what a server pays for a group that it does not hold yet. Where other balancers put a group's
+// connections is not known here, but all can keep to one order of its servers, drawn from their names, so
+// that few servers pay for it and not each of them. Where traffic is thin that order is all there is to go
+// by: it is one for a set of zones, goes further, and a slow server stands later in it.
+func (b *Brain) strange(s *server, r *request, thin bool) float64 {
+	if r.Group == "" {
+		return 0
+	}
+	for _, o := range s.conns {
+		if o.Group == r.Group {
+			return 0
+		}
+	}
+	place, most := 0.0, 2.0
+	if thin {
+		most = thinPlaces
+		place = min(most, 2*b.slowness(s)/slowAt)
+	}
+	for _, i := range b.order(r.Group) {
+		o := b.servers[i]
+		if o == s || place >= most {
+			break
+		}
+		if (o.zone == s.zone || thin && o.zone%areas == s.zone%areas) && b.warmth(o) >= 1 {
+			place++
+		}
+	}
+	return groupCost * max(1, b.meanCost) * place / 2
+}
+
+// thin tells whether a balancer holds less than one connection a server: its own turns and loads then say
+// next to nothing of the fleet's.
+func (b *Brain) thin() bool {
+	return b.standing > 0 && b.standing < float64(b.cfg.Peers*len(b.servers))
+}
+
+// order is the order of servers that a group's connections keep to, the same at every balancer.
+func (b *Brain) order(group string) []int32 {
+	if o := b.orders[group]; o != nil {
+		return o
+	}
+	draw := make([]float64, len(b.servers))
+	o := make([]int32, 0, len(b.servers))
+	for i, s := range b.servers {
+		if s.state == Ready {
+			u := (float64(hash(group+s.id)>>11) + 0.5) / (1 << 53)
+			draw[i] = -math.Log(u) / s.weight // a larger server comes sooner
+			o = append(o, int32(i))
+		}
+	}
+	sort.Slice(o, func(i, j int) bool { return draw[o[i]] < draw[o[j]] })
+	if len(b.orders) >= ordersKept {
+		clear(b.orders)
+	}
+	b.orders[group] = o
+	return o
+}
--- /dev/null
+++ b/brain/outcomes.go
@@ -0,0 +1,153 @@
+package brain
+
+import "math"
+
+// What became of attempts and connections.
+
+// First tells that an attempt's connection stands.
+func (b *Brain) First(now Time, id string, attempt int, elapsed Time) {
+	b.tick(now)
+	r := b.requests[id]
+	if r == nil || !r.out || r.up || attempt != r.attempts-1 {
+		return
+	}
+	b.sample(float64(elapsed))
+	b.fade()
+	b.good++
+	b.stood++
+	s := r.server
+	b.success(s)
+	s.ill = b.illness(s) / 2
+	s.illAt = now
+	b.stand(r)
+}
+
+func (b *Brain) stand(r *request) {
+	s := r.server
+	r.up, r.at, r.load = true, len(s.conns), r.cost
+	s.conns = append(s.conns, r)
+	s.load += r.load
+	if r.Tenant >= 0 {
+		b.tenants[r.Tenant]++
+	}
+}
+
+func (b *Brain) leave(r *request) {
+	if !r.up {
+		return
+	}
+	s := r.server
+	last := len(s.conns) - 1
+	s.conns[r.at] = s.conns[last]
+	s.conns[r.at].at = r.at
+	s.conns = s.conns[:last]
+	s.load -= r.load
+	if last == 0 {
+		s.load = 0
+	}
+	r.up = false
+	if r.Tenant >= 0 {
+		b.tenants[r.Tenant]--
+	}
+}
+
+func (b *Brain) sample(t float64) {
+	if b.setups == 0 {
+		b.setup, b.setupDev = t, t/2
+	}
+	b.setups++
+	d := t - b.setup
+	b.setup += d / 8
+	b.setupDev += (math.Abs(d) - b.setupDev) / 4
+}
+
+// fade halves recent evidence about every longest aim.
+func (b *Brain) fade() {
+	f := math.Exp(-float64(b.now-b.fadeAt) / float64(2*b.aimLong))
+	b.good, b.bad, b.fadeAt = b.good*f, b.bad*f, b.now
+}
+
+// Outcome tells how an attempt ended. Closed: the request has had its final answer.
+func (b *Brain) Outcome(now Time, id string, attempt int, status Status, elapsed Time, closed bool,
+	load []float64) {
+	b.tick(now)
+	r := b.requests[id]
+	if r == nil || !r.out || attempt != r.attempts-1 {
+		return
+	}
+	s := r.server
+	wasUp := r.up
+	if wasUp && status == OK {
+		b.count(r)
+	}
+	b.leave(r)
+	r.out = false
+	if status == OK || status == Cancelled || status == Error {
+		s.idle = append(s.idle, now)
+	} else if status == Reset || status == ConnectFailed {
+		s.idle = s.idle[:0]
+	}
+	if s.trials > 0 {
+		s.trials--
+	}
+	if !status.ProvesNotRun() && r.ranOn == nil {
+		r.ranOn, r.ranAt = s, r.sentAt
+	}
+	switch {
+	case wasUp && status == Reset:
+		// A server that drops standing connections sheds load or has died; without this its turns go on and
+		// the dropped clients come straight back to it.
+		b.stalls(s, 1)
+	case !wasUp:
+		switch status {
+		case OK:
+			b.success(s)
+		case ConnectFailed:
+			b.tried = max(0, b.tried-1)
+			b.failure(s, r.sentAt, true)
+		case Timeout:
+			b.sample(float64(elapsed) * 1.5) // the truth lies beyond; else a slow store is never waited for
+			b.failure(s, r.sentAt, false)
+		case Reset:
+			b.failure(s, r.sentAt, true)
+		case Full:
+			b.tried = max(0, b.tried-1)
+			s.passed = now + b.aimLong
+		case Error:
+			if r.attempts > 2 {
+				// It failed elsewhere too, twice: a client that asks for what no server can do must not
+				// look like a jam, and hold up all others.
+				b.tried = max(0, b.tried-1)
+			}
+			s.ill, s.illAt = min(1, b.illness(s)+0.5), now
+		}
+	}
+	if closed || r.closed || wasUp {
+		delete(b.requests, id)
+		if !closed && !r.closed { // a stream's end closes its request; if not told so, answer
+			r.closed = true
+			b.fx.Fail(id)
+		}
+		return
+	}
+	if status == Moot {
+		b.giveUp(r)
+		return
+	}
+	b.place(r)
+}
+
+// Gone tells that a client has left: nothing more is owed.
+func (b *Brain) Gone(now Time, id string) {
+	b.tick(now)
+	r := b.requests[id]
+	if r == nil || r.closed {
+		return
+	}
+	r.closed = true
+	if !r.out {
+		delete(b.requests, id)
+	} else if !r.up && b.cfg.MayCancel {
+		b.fx.Cancel(id, r.attempts-1)
+	}
+}
--- /dev/null
+++ b/brain/requests.go
@@ -0,0 +1,203 @@
+package brain
+
+// The life of a request up to its placement: what it costs, whether it is sent, held or given its final answer.
+
+// Request takes a client's try: from here on it is owed one final answer.
+func (b *Brain) Request(now Time, q Request) {
+	b.tick(now)
+	r := b.take(q)
+	if r == nil {
+		return
+	}
+	r.deadline = now + q.Left
+	b.arrives(r)
+	b.asked[r.Class] += r.cost
+	r.spare = b.restraint > 0 && b.rank(r) < b.restraint
+	b.place(r)
+}
+
+// Open takes a connection that is already up at this balancer's start.
+func (b *Brain) Open(now Time, q Request, id string) {
+	b.tick(now)
+	s := b.byID[id]
+	if s == nil {
+		return
+	}
+	if r := b.take(q); r != nil {
+		r.attempts, r.out, r.server, r.sentAt = 1, true, s, now
+		b.stand(r)
+	}
+}
+
+// take begins to keep a request; nil where its id is known already or its class is not.
+func (b *Brain) take(q Request) *request {
+	if b.requests[q.ID] != nil || q.Class < 0 || q.Class >= len(b.cfg.Classes) {
+		return nil
+	}
+	if q.Tenant < 0 || q.Tenant >= len(b.tenants) {
+		q.Tenant = -1
+	}
+	r := &request{Request: q, cost: b.price(&q)}
+	b.requests[q.ID] = r
+	return r
+}
+
+// price is a connection's expected load, raw; the mean over all makes it turns.
+func (b *Brain) price(q *Request) float64 {
+	c := q.Hint
+	if c <= 0 {
+		c = b.classCost[q.Class]
+	}
+	if c <= 0 {
+		c = b.meanCost
+	}
+	if c <= 0 {
+		return 1
+	}
+	if q.Hint > 0 {
+		b.learn(q.Class, c)
+	}
+	return c
+}
+
+func (b *Brain) learn(class int, c float64) {
+	if b.classCost[class] == 0 {
+		b.classCost[class] = c
+	}
+	b.classCost[class] += (c - b.classCost[class]) / 32
+	if b.meanCost == 0 {
+		b.meanCost = c
+	}
+	b.meanCost += (c - b.meanCost) / 64
+}
+
+func (b *Brain) turns(r *request) float64 {
+	if b.meanCost <= 0 {
+		return 1
+	}
+	return min(8, max(0.125, r.cost/b.meanCost))
+}
+
+// place sends a request to the server whose turn it is, or holds it, or gives its final answer.
+func (b *Brain) place(r *request) {
+	left := r.deadline - b.now - 2*b.cfg.Tick
+	if r.attempts >= b.cfg.MaxAttempts || left <= 0 {
+		b.giveUp(r)
+		return
+	}
+	c := &b.cfg.Classes[r.Class]
+	if r.ranOn != nil && (c.Effect == Unsafe || c.Effect == Keyed && b.now >= r.ranAt+c.Window) {
+		b.giveUp(r) // it may have run: another attempt could bring the effect twice
+		return
+	}
+	if b.crowded() && !r.spare && !b.allOut() {
+		// Most attempts fail alike, so another server would not help, and each try adds to what jams them:
+		// the wait is spread out and grows with the attempts made.
+		r.waitTo = b.now + Time(float64(c.Aim)*float64(1+r.attempts)*(0.5+b.rng.Float64()))
+		b.hold(r)
+		return
+	}
+	s := b.pick(r)
+	if s == nil {
+		if r.spare || b.allOut() {
+			b.giveUp(r)
+		} else {
+			b.hold(r)
+		}
+		return
+	}
+	if n := b.idle(s); n > 0 {
+		s.idle = s.idle[:n-1]
+	}
+	b.tried++
+	t := b.patience(r, left)
+	b.spendCold(s, b.turns(r))
+	r.attempts++
+	r.out, r.server, r.sentAt, r.holdTo = true, s, b.now, 0
+	r.tried = append(r.tried, s)
+	if s.fails > 0 {
+		s.trials++
+	}
+	b.fx.Send(r.ID, s.id, t)
+}
+
+// allOut tells whether operators have taken out every server that could serve: waiting helps nobody then.
+func (b *Brain) allOut() bool {
+	out := false
+	for _, s := range b.servers {
+		if s.state == Ready {
+			return false
+		}
+		out = out || s.state == Suspended
+	}
+	return out
+}
+
+// patience is an attempt's time-out: what set-ups take of late, and the aim at least, as long as it
+// leaves room for another attempt; without that room all the time there is.
+func (b *Brain) patience(r *request, left Time) Time {
+	t := float64(b.cfg.Classes[r.Class].Aim)
+	if b.setups >= 4 {
+		t = max(t, b.setup+4*b.setupDev)
+	}
+	if r.attempts+1 >= b.cfg.MaxAttempts || t*2 > float64(left) || b.failing(2) {
+		return left
+	}
+	return Time(t)
+}
+
+// hold keeps a request for a moment: a cold fleet, or none known, may serve it soon. It is refused in time
+// for its client to come back while that still helps.
+func (b *Brain) hold(r *request) {
+	if !r.held {
+		r.held = true
+		if r.holdTo == 0 {
+			r.holdTo = b.now + (r.deadline-b.now)/2
+		}
+		b.held = append(b.held, r)
+	}
+	if !b.pumping {
+		b.pumping = true
+		b.fx.After(max(b.cfg.Tick, 20e6), "pump")
+	}
+}
+
+func (b *Brain) pump() {
+	if len(b.held) == 0 {
+		return
+	}
+	waiting := b.held
+	b.held = nil
+	for _, r := range waiting {
+		if r.closed || !r.held {
+			continue
+		}
+		r.held = false
+		switch {
+		case b.now >= r.holdTo:
+			b.giveUp(r)
+		case b.now < r.waitTo:
+			b.hold(r)
+		default:
+			b.place(r)
+		}
+	}
+}
+
+// giveUp is the final answer of a request that is not served.
+func (b *Brain) giveUp(r *request) {
+	c := &b.cfg.Classes[r.Class]
+	r.closed = true
+	if r.ranOn != nil && (c.Effect == Unsafe || c.Effect == Keyed && c.Scope != ScopeAll) {
+		b.fx.Fail(r.ID)
+	} else {
+		wait := Time(0)
+		if b.cfg.RetryAfter && r.attempts == 0 {
+			wait = Time(float64(b.cfg.MaxRetryAfter) * (0.25 + 0.75*b.rng.Float64()))
+		}
+		b.fx.Refuse(r.ID, wait)
+	}
+	if !r.out {
+		delete(b.requests, r.ID)
+	}
+}
--- /dev/null
+++ b/brain/rotation.go
@@ -0,0 +1,130 @@
+package brain
+
+import "math"
+
+// The smooth weighted rotation over the pool, and what a server's share of turns is.
+
+// pick is the smooth weighted rotation over the available pool; if that is empty, over all that may be sent
+// to.
+func (b *Brain) pick(r *request) *server {
+	cost := b.turns(r)
+	if s := b.rotate(r, cost, false); s != nil {
+		return s
+	}
+	return b.rotate(r, cost, true)
+}
+
+func (b *Brain) rotate(r *request, cost float64, all bool) *server {
+	total, widest, top := 0.0, 0.0, math.Inf(-1)
+	pool := b.scratch[:0]
+	for _, s := range b.servers {
+		if !b.mayTake(s, r, cost) || !all && !b.available(s, r) || r.spare && b.warmth(s) >= 1 {
+			continue
+		}
+		s.eff = b.turnWeight(s)
+		total += s.eff
+		widest = max(widest, s.eff)
+		pool = append(pool, s)
+	}
+	b.scratch = pool
+	for _, s := range pool {
+		s.lag += cost * s.eff / total
+		top = max(top, s.lag)
+	}
+	// Within the slack the order is open: the server with the least load from here, for its weight, goes
+	// first.
+	var best *server
+	least, thin := math.Inf(1), b.thin()
+	for _, s := range pool {
+		if b.warmth(s) < 1 {
+			// A cold server's turn comes with its budget. In the rotation all newcomers would stand at the
+			// same place at every balancer, and wait there for half a round of many sparse rotations.
+			s.lag = top
+		}
+		reach, size := slack*s.eff/widest, s.eff
+		if thin && s.zone%areas == b.zone%areas {
+			reach, size = 2*slack, s.weight
+		}
+		if s.lag < top-reach {
+			continue
+		}
+		// Load as held, not as it would be: else all balancers begin with the same large servers.
+		l := (s.load + b.strange(s, r, thin) - b.reuse(s)) / size
+		if s.lucky {
+			l -= math.MaxFloat32 // the lot says how often it is its turn; a tie-break on top would halve that
+		}
+		if l < least || l == least && s.lag > best.lag {
+			best, least = s, l
+		}
+	}
+	if best != nil {
+		best.lag -= cost
+	}
+	return best
+}
+
+// reuse is what an idle connection of this balancer's to a server is worth in load: where opening one
+// costs, a turn goes to a server that needs none.
+func (b *Brain) reuse(s *server) float64 {
+	if b.idle(s) == 0 {
+		return 0
+	}
+	return reuseBias * b.cfg.Prices.Handshake * max(1, b.meanCost)
+}
+
+// idle counts the connections that streams have left open and that are not closed yet.
+func (b *Brain) idle(s *server) int {
+	for len(s.idle) > 0 && b.now-s.idle[0] >= b.cfg.IdleClose {
+		s.idle = s.idle[1:]
+	}
+	return len(s.idle)
+}
+
+// mayTake holds what no fallback sets aside: drains, groups that discard repeats, the cold budget.
+func (b *Brain) mayTake(s *server, r *request, cost float64) bool {
+	if s.state != Ready {
+		return false // nothing new to a draining or gone server: at once, well within the grace
+	}
+	if r.ranOn != nil {
+		switch c := &b.cfg.Classes[r.Class]; {
+		case c.Effect != Keyed || c.Scope == ScopeAll:
+		case c.Scope == ScopeZone && s.zone != r.ranOn.zone, c.Scope == ScopeCell && s.cell != r.ranOn.cell:
+			return false
+		}
+	}
+	return b.coldAllows(s, r, cost)
+}
+
+// turnWeight is a server's share of turns: the list's weight, less for a crossing that costs, for a cold
+// server, and for one seen slow or failing.
+func (b *Brain) turnWeight(s *server) float64 {
+	w := s.weight
+	if s.zone != b.zone {
+		far := 1 / (1 + zoneBias*b.cfg.Prices.CrossZone)
+		w *= far + (1-far)*b.spill
+	}
+	if f := b.warmth(s); f < 1 {
+		w *= min(1, coldSafety*b.cfg.FallMultiple*f)
+	}
+	health := 1 - b.illness(s)
+	if x := b.slowness(s) / slowAt; x > 0 {
+		health /= 1 + x*x
+	}
+	return w * max(minHealth, health)
+}
+
+func (b *Brain) illness(s *server) float64 {
+	if s.ill == 0 {
+		return 0
+	}
+	return s.ill * math.Exp(-float64(b.now-s.illAt)/float64(b.qInit+1))
+}
+
+// slowness is the last message delay told, over the shortest aim; it fades once no news comes.
+func (b *Brain) slowness(s *server) float64 {
+	if s.delay < slowAt {
+		return 0
+	}
+	const news = 1.5e9 // notes come once a second while there is something to tell
+	return s.delay * math.Exp(-max(0, float64(b.now-s.delayAt)-news)/1e9)
+}
