Probe hosts for their load where settings permit; place by it, groups at one home each

Need: on the second deployment the module was blind: no message delays are told there, proxies share nothing, and the only word on a host's load is a probe's, which nothing asked for. Each host paid for each group (3 mean loads, 8 groups, 9 hosts: as much as all connections). Change: brain/loads.go, internal/estimate, line.Probes, reports behind answers. Trimmed: reuse of idle connections (no site prices it).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -10,18 +10,13 @@
 // starts a goroutine or follows the order of a map.
 package brain
 
-import (
-	"errors"
-	"fmt"
-	"math/rand"
-)
-
 // What is left of free settings: all dimensionless.
 const (
 	quarantineCap = 8.0   // cap over first quarantine: three doublings; a day would outlast every fault seen
 	slack         = 1.0   // turns by which a tie-break may run ahead of the rotation
 	coldSafety    = 2.5   // what a full server takes, over what an average one gets: it has as much room
 	usualPart     = 0.4   // part of the tenants' quotas that is asked for, where too little was seen to tell
+	quotaPart     = 0.8   // part of what the fleet can hold that all quotas add up to
 	freshLuck     = 0.85  // part of a cold budget that fresh connections get by lot where traffic is thin
 	waveLuck      = 0.5   // and the part for those that come again, all at once
 	groupCost     = 3.0   // mean connections that a group's first costs a server on top
@@ -35,170 +30,27 @@
 	zoneBias      = 100.0 // how fast a crossing's price takes turns from other zones
 	slowAt        = 0.33  // message delay, in shortest aims, that halves a server's turns; notes begin here
 	sharedPart    = 0.5   // when this part of the evidence fails, the fault is nobody's own
-	reuseBias     = 100.0 // how far the price of opening a connection draws turns to servers with an idle one
 	minHealth     = 0.02  // a server that still accepts keeps this part of its turns, so that healing is seen
 	stallTarget   = 0.1   // part of the open load that may be stalled before new work is refused
 	restrain      = 1.0   // restraint gained a second while all open load is stalled
 	release       = 0.05  // and lost a second while little is
 	spreadLoad    = 4.0   // connections as which the state of all servers counts beside those from here
 	relief        = 0.5   // and its part lost a second while no server is stalled
+	probeStep     = 2.5e8 // how often it is looked whom to probe
+	probeLeast    = 5e8   // no server is probed more often
+	probeSpend    = 0.005 // of what is wanted is spent on probes
+	roomTop       = 1.1   // load at which a server gets next to no turns
+	slackTold     = 24.0  // turns by which a tie-break may run ahead where servers tell how loaded they are
+	leastRate     = 0.2   // requests a second for which a balancer probes at least
+	homeFull      = 0.95  // load up to which a server is to hold the groups that are its own
+	strangeTold   = 8.0   // group costs that another one counts for, where servers tell how loaded they are
+	movesAt       = 0.98  // load at which connections are moved off a server
+	movesTo       = 0.8   // and to which
+	movesUnder    = 0.8   // unless the fleet's is more than this: others have no room either
+	mostMoved     = 0.1   // part of a balancer's own that one report moves at most
 	movePart      = 0.15  // chance that a mean connection is moved off a stalled server, each note
 )
 
-type server struct {
-	id         string
-	zone, cell int
-	hash       uint64
-	weight     float64
-	since      Time
-	state      State
-	known      bool
-	lag        float64 // turns owed: the smooth weighted rotation picks the largest
-	fails      int     // consecutive failed connects
-	until      Time    // quarantined until then
-	failedAt   Time    // when the failure counted last was seen
-	trials     int     // attempts out while fails > 0
-	passed     Time    // said full: its turn passes until then
-	ill        float64 // 0 well .. 1 failing, fades with time
-	illAt      Time
-	delay      float64 // last message delay told, over the shortest message aim
-	delayAt    Time
-	toldAt     Time    // when some balancer last told of it
-	telling    bool    // to be told unless another does before
-	tokens     float64 // cold budget left, in mean connections
-	tokensAt   Time
-	conns      []*request // open connections placed by this balancer
-	load       float64    // their load
-	idle       []Time     // since when connections of ended streams lie idle
-	eff        float64    // scratch: weight in the pick under way
-	lucky      bool       // scratch: cold, and drawn by lot in the pick under way
-}
-
-type request struct {
-	Request
-	deadline Time
-	attempts int
-	out      bool // an attempt is out
-	server   *server
-	sentAt   Time
-	cost     float64
-	tried    []*server
-	up       bool    // the connection stands
-	at       int     // place in server.conns
-	load     float64 // what it adds to server.load
-	held     bool
-	holdTo   Time
-	waitTo   Time    // not placed before: paced
-	ranOn    *server // first attempt that may have run
-	ranAt    Time
-	closed   bool // answered; only outcomes are awaited
-	moved    bool
-	spare    bool    // refused by restraint, unless a cold server's budget bears it
-	flow     float64 // how many like it come a second, all balancers together
-}
-
-// Brain is one balancer's decisions.
-type Brain struct {
-	cfg       Config
-	fx        Effects
-	rng       *rand.Rand
-	now       Time
-	servers   []*server // sorted by id: the rotation's order, the same at every balancer
-	byID      map[string]*server
-	zones     map[string]int
-	requests  map[string]*request
-	held      []*request
-	pumping   bool
-	haveList  bool
-	watching  bool
-	asking    bool
-	askFails  int
-	qInit     Time
-	qMax      Time
-	aimMin    float64 // shortest message aim, milliseconds
-	aimLong   Time
-	meanCost  float64
-	classCost []float64
-	rate      float64 // fresh connections a second, in mean connections, smoothed
-	rateAt    Time
-	fresh     float64 // first tries of late, fading as rate does
-	again     tally   // requests that came again within the window of a fall
-	usual     float64 // fresh connections a second that the settings let expect here; 0: they tell nothing
-	standing  float64 // and open connections, at all balancers
-	left      tally   // weight of servers that have begun to send their clients away
-	started   Time
-	setup     float64 // smoothed set-up time and its deviation
-	setupDev  float64
-	setups    int
-	good, bad float64 // recent set-ups that stood and that timed out, fading
-	fadeAt    Time
-	scratch   []*server
-	orders    map[string][]int32 // of servers, by group; until the list changes
-
-	tried, stood float64 // attempts of late, and those that stood, fading
-	triedAt      Time
-	fleet        float64 // weight of the fleet, sinking slowly
-	fleetAt      Time
-	restraint    float64   // part of the load asked for that is refused, least worth for its work first
-	zone         int       // own
-	spill        float64   // 0: other zones keep the turns that the price of a crossing leaves them, 1: all
-	asked        []float64 // load asked for by class, fading
-	tenants      []int     // open connections by tenant
-}
-
-// New makes a balancer. It refuses settings that cannot be used.
-func New(cfg Config, seed int64, fx Effects) (*Brain, error) {
-	if fx == nil {
-		return nil, errors.New("brain: no Effects given")
-	}
-	if len(cfg.Classes) == 0 {
-		return nil, errors.New("brain: settings name no class of request")
-	}
-	if cfg.Peers < 1 || cfg.Me < 0 {
-		return nil, fmt.Errorf("brain: balancer %d of %d is not possible", cfg.Me, cfg.Peers)
-	}
-	if cfg.MaxAttempts < 1 {
-		return nil, fmt.Errorf("brain: at most %d attempts allows none", cfg.MaxAttempts)
-	}
-	for _, c := range cfg.Classes {
-		if c.Deadline <= 0 || c.Aim <= 0 {
-			return nil, fmt.Errorf("brain: class %q needs an aim and a deadline above zero", c.Name)
-		}
-	}
-	b := &Brain{cfg: cfg, fx: fx, rng: rand.New(rand.NewSource(seed)), byID: map[string]*server{},
-		zones: map[string]int{}, requests: map[string]*request{}, orders: map[string][]int32{}, started: -1}
-	for _, z := range cfg.Zones {
-		b.zoneOf(z)
-	}
-	b.zone = b.zoneOf(cfg.Zone)
-	longest := Time(0)
-	for _, c := range cfg.Classes {
-		longest = max(longest, c.Deadline)
-		b.aimLong = max(b.aimLong, c.Aim)
-		if ms := float64(c.MessageAim) / 1e6; ms > 0 && (b.aimMin == 0 || ms < b.aimMin) {
-			b.aimMin = ms
-		}
-	}
-	b.classCost, b.asked = make([]float64, len(cfg.Classes)), make([]float64, len(cfg.Classes))
-	b.tenants = make([]int, len(cfg.Tenants))
-	for _, t := range cfg.Tenants {
-		b.usual += usualPart * t.QuotaPerS / float64(cfg.Peers)
-		b.standing += usualPart * t.QuotaConnections
-	}
-	// A first quarantine outlasts every request that saw the failure, so that none meets it twice.
-	b.qInit, b.qMax = longest, Time(float64(longest)*quarantineCap)
-	if cfg.QuarantineInit >= 0 {
-		b.qInit = cfg.QuarantineInit
-	}
-	if cfg.QuarantineMax >= 0 {
-		b.qMax = cfg.QuarantineMax
-	}
-	if b.qMax < b.qInit && b.qMax > 0 {
-		return nil, errors.New("brain: the longest quarantine is shorter than the first")
-	}
-	return b, nil
-}
-
 func (b *Brain) tick(now Time) {
 	b.now = now
 	if b.started >= 0 {
@@ -206,6 +58,9 @@
 	}
 	b.started, b.rateAt, b.fadeAt = now, now, now
 	b.fx.After(b.sweepEvery(), "sweep")
+	if b.reports() {
+		b.fx.After(max(b.cfg.Tick, Time(probeStep*b.rng.Float64())), "probe")
+	}
 	if b.cfg.Ask {
 		// Spread over the time allowed: discovery has the same capacity however many balancers start
 		// together.
@@ -227,6 +82,8 @@
 		b.ask()
 	case "sweep":
 		b.sweep()
+	case "probe":
+		b.probe()
 	case "tell":
 		b.tell()
 	}
--- a/brain/groups.go
+++ b/brain/groups.go
@@ -25,6 +25,9 @@
 		most = thinPlaces
 		place = min(most, 2*b.slowness(s)/slowAt)
 	}
+	if b.reports() {
+		return strangeTold * groupCost * max(1, b.meanCost) * s.before
+	}
 	for _, i := range b.order(r.Group) {
 		o := b.servers[i]
 		if o == s || place >= most {
@@ -64,3 +67,17 @@
 	b.orders[group] = o
 	return o
 }
+
+// homes marks each server that tells its load but for the first one with room in a group's order, which is to
+// hold the group. Loads told keep the balance, so that the order may weigh more than where they are not: what
+// all groups cost everywhere is a third of what the fleet can do.
+func (b *Brain) homes(group string) {
+	n := 0.0
+	for _, i := range b.order(group) {
+		s := b.servers[i]
+		s.before = min(1, n)
+		if s.x < homeFull && b.warmth(s) >= 1 {
+			n++
+		}
+	}
+}
--- a/brain/lists.go
+++ b/brain/lists.go
@@ -37,6 +37,7 @@
 			// A fresh start clears what was held against the process before it: else a server that came
 			// back is shunned for the rest of the old one's quarantine. So does an operator's word.
 			s.since, s.fails, s.until, s.ill, s.delay = e.Since, 0, 0, 0, 0
+			s.told.Forget()
 			s.passed, s.tokens, s.tokensAt, s.lag = 0, b.stagger(s), now, min(s.lag, 0)
 		}
 		s.zone, s.cell, s.weight, s.known = b.zoneOf(e.Zone), e.Cell, e.Weight, true
--- /dev/null
+++ b/brain/loads.go
@@ -0,0 +1,99 @@
+package brain
+
+// What load reports tell, where servers tell their load to those who probe: whom to probe and when, how
+// loaded a server is now, and what follows for its turns.
+
+// reports tells whether servers can be asked how loaded they are.
+func (b *Brain) reports() bool { return b.cfg.MayProbe && b.cfg.ReportLoad >= 0 }
+
+// probe asks each server again once its last word is older than another is worth at its price: the more
+// requests there are to be placed by it, the sooner.
+func (b *Brain) probe() {
+	b.fx.After(max(b.cfg.Tick, probeStep), "probe")
+	b.survey()
+	b.fadeRate()
+	rate := max(leastRate, b.rate, b.fresh/b.rateTau())
+	all := float64(len(b.servers)) * b.cfg.Prices.Probe
+	every := max(probeLeast, Time(1e9*all/(probeSpend*rate)))
+	for _, s := range b.servers {
+		if s.state == Ready && !s.probing && b.now-s.probedAt >= every && b.now >= s.until {
+			// Spread, else all balancers' probes reach a server together.
+			s.probing, s.probedAt = true, b.now-Time(float64(every)*0.2*b.rng.Float64())
+			b.fx.Probe(s.id)
+		}
+	}
+}
+
+// Probed takes a probe's result. One that fails tells nothing of the server's load, and what was known fades.
+func (b *Brain) Probed(now Time, id string, status Status, elapsed Time, load []float64) {
+	b.tick(now)
+	if s := b.byID[id]; s != nil {
+		s.probing = false
+		if status == OK {
+			b.reported(s, load)
+		}
+	}
+}
+
+// reported takes a load report.
+func (b *Brain) reported(s *server, load []float64) {
+	i, j := b.cfg.ReportLoad, b.cfg.ReportQueue
+	if i < 0 || i >= len(load) {
+		return
+	}
+	queue := 0.0
+	if j >= 0 && j < len(load) {
+		queue = load[j]
+	}
+	s.told.Report(b.now, load[i], queue)
+	b.relieve(s)
+}
+
+// survey takes in how loaded the fleet is, and how much load fills one server. The tenants' quotas, in sum,
+// are most of what the fleet can hold; where there are none, all balancers' connections, of which this one
+// holds its part, make up the sum of what the servers tell. After a restart the latter is far off: nothing is
+// held here yet.
+func (b *Brain) survey() {
+	own, sum, told, all := 0.0, 0.0, 0.0, 0.0
+	for _, s := range b.servers {
+		if s.state != Departed {
+			all++
+		}
+		if s.state == Ready && s.told.Known(b.now) {
+			own += s.load
+			sum += s.told.Now(b.now, 0, 0)
+			told++
+		}
+	}
+	if told == 0 {
+		return
+	}
+	b.usualLoad = sum / told
+	full := b.standing / usualPart / quotaPart / all * b.meanCost
+	if full == 0 && sum > 0 {
+		full = own * float64(b.cfg.Peers) / sum
+	}
+	if b.full == 0 {
+		b.full = full
+	}
+	b.full += (full - b.full) / 8
+}
+
+// loaded is how loaded a server is now; 1 is full.
+func (b *Brain) loaded(s *server) float64 { return s.told.Now(b.now, b.full, b.usualLoad) }
+
+// relieve moves some connections off a server that has more than it can do, where others have room. Each
+// balancer moves by chance a part of its own, since all are told the same.
+func (b *Brain) relieve(s *server) {
+	x := b.loaded(s)
+	if x < movesAt || b.usualLoad > movesUnder || b.usualLoad == 0 {
+		return
+	}
+	over := min(mostMoved, (x-movesTo)/x)
+	for _, r := range s.conns {
+		if !r.moved && b.rng.Float64() < over {
+			r.moved = true
+			b.fx.Move(r.ID)
+		}
+	}
+}
--- /dev/null
+++ b/brain/loads_test.go
@@ -0,0 +1,204 @@
+package brain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// told starts a balancer whose servers tell their load when probed.
+func told(t *testing.T, cfg Config, servers ...Entry) *fake {
+	cfg.MayProbe, cfg.ReportLoad, cfg.ReportQueue = true, 0, 1
+	cfg.Prices.Probe = 0.0016
+	cfg.Tenants = []Tenant{{Name: "t", QuotaPerS: 10, QuotaConnections: 80 * float64(len(servers))}}
+	return start(t, cfg, servers...)
+}
+
+// report has every server tell a load.
+func (f *fake) report(x func(i int) float64) {
+	for i, s := range f.b.servers {
+		f.b.Probed(f.now, s.id, OK, ms, []float64{x(i), 0})
+	}
+	f.b.survey()
+}
+
+func (f *fake) probes(id string) (n int) {
+	for _, s := range f.trace {
+		if strings.HasPrefix(s, "probe "+id) {
+			n++
+		}
+	}
+	return n
+}
+
+// Probes go to servers that take new connections, one at a time to each, and nowhere where the settings forbid them
+// or reports tell no load.
+func TestWhoIsProbed(t *testing.T) {
+	es := fleet(3)
+	es[1].State, es[2].State = Draining, Suspended
+	f := told(t, settings(), es...)
+	f.request("r")
+	f.run(5 * sec)
+	if f.probes("s00") != 1 || f.probes("s01")+f.probes("s02") != 0 {
+		t.Errorf("%d to a ready one that never answers, %d and %d to ones that take nothing", f.probes("s00"), f.probes("s01"), f.probes("s02"))
+	}
+	f.b.Probed(f.now, "s00", Timeout, ms, nil)
+	f.run(5 * sec)
+	if f.probes("s00") != 2 {
+		t.Error("a probe that failed ends probing")
+	}
+	for what, spoil := range map[string]func(*Config){
+		"forbidden":  func(c *Config) { c.MayProbe = false },
+		"no reports": func(c *Config) { c.MayProbe, c.ReportLoad = true, -1 },
+	} {
+		cfg := settings()
+		spoil(&cfg)
+		g := start(t, cfg, fleet(3)...)
+		g.request("r")
+		g.run(10 * sec)
+		if g.probes("s") > 0 {
+			t.Errorf("%s: %d probes", what, g.probes("s"))
+		}
+	}
+}
+
+// Probes are paced by their price: with little to place, each costs more than its word is worth.
+func TestProbesArePacedByPrice(t *testing.T) {
+	count := func(rate int, price float64) int {
+		f := told(t, settings(), fleet(10)...)
+		f.b.cfg.Prices.Probe = price
+		for i := range 30 * rate {
+			id := fmt.Sprint("r", i)
+			f.request(id)
+			f.stands(id)
+			f.run(sec / Time(rate))
+			for _, s := range f.b.servers {
+				f.b.Probed(f.now, s.id, OK, ms, []float64{0.5, 0})
+			}
+		}
+		return f.probes("s")
+	}
+	busy, quiet, dear := count(20, 0.0016), count(2, 0.0016), count(2, 0.016)
+	if busy < 3*quiet/2 || quiet < 2*dear {
+		t.Errorf("%d probes with 20 requests a second, %d with 2, %d where one costs ten times as much", busy, quiet, dear)
+	}
+}
+
+// A server slowed nine times still answers probes: what it tells takes its turns away, and clients are moved off it
+// while others have room.
+func TestLoadedServerIsLeft(t *testing.T) {
+	f := told(t, settings(), fleet(5)...)
+	f.report(func(int) float64 { return 0.4 })
+	for i := range 100 {
+		id := fmt.Sprint("o", i)
+		f.request(id)
+		f.stands(id)
+	}
+	bad := f.b.byID["s02"]
+	before := len(f.sends)
+	f.now += 3 * sec
+	for range 20 {
+		f.now += sec / 2
+		f.report(func(i int) float64 {
+			if i == 2 {
+				return 3 + float64(f.now%1e9)/1e12
+			}
+			return 0.4 + float64(f.now%1e9)/1e12
+		})
+		id := fmt.Sprint("n", f.now)
+		f.request(id)
+		f.stands(id)
+	}
+	for _, s := range f.sends[before:] {
+		if s.server == bad.id {
+			t.Error("a new connection goes to a server that tells three times what it can do")
+		}
+	}
+	if len(f.moves) == 0 {
+		t.Error("nobody is moved off it")
+	}
+}
+
+// With the whole fleet full, moving clients about helps nobody.
+func TestNobodyIsMovedAboutAFullFleet(t *testing.T) {
+	f := told(t, settings(), fleet(5)...)
+	for i := range 50 {
+		f.request(fmt.Sprint("o", i))
+		f.stands(fmt.Sprint("o", i))
+	}
+	for k := range 10 {
+		f.now += sec
+		f.report(func(int) float64 { return 1.2 + float64(k)/1000 })
+	}
+	if len(f.moves) > 0 {
+		t.Errorf("%d moved", len(f.moves))
+	}
+}
+
+// After a restart a balancer holds nothing of what its servers carry: that must not make each connection that it places
+// look like a load that fills one.
+func TestRestartedBalancerKnowsWhatFillsAServer(t *testing.T) {
+	cfg := settings()
+	cfg.Peers = 3
+	f := told(t, cfg, fleet(5)...)
+	f.report(func(int) float64 { return 0.6 })
+	f.b.learn(0, 1000)
+	f.request("a")
+	f.stands("a")
+	f.now += 250 * ms
+	for i := range 50 {
+		f.report(func(int) float64 { return 0.6 + float64(i)/1e4 })
+	}
+	if x := f.b.loaded(f.b.byID[f.last().server]); x > 0.7 {
+		t.Errorf("%.2f: one connection of some 500 filled a server at 0.6", x)
+	}
+	if len(f.moves) > 0 {
+		t.Error("and is moved off it again")
+	}
+}
+
+// A group's connections keep to the first server of its order, the same at every balancer, until that is full.
+func TestGroupsKeepToTheirHome(t *testing.T) {
+	homes := map[string]bool{}
+	var f *fake
+	for me := range 3 {
+		cfg := settings()
+		cfg.Me, cfg.Peers = me, 3
+		f = told(t, cfg, fleet(8)...)
+		f.report(func(int) float64 { return 0.5 })
+		for i := range 8 {
+			id := fmt.Sprint("r", i)
+			f.b.Request(f.now, Request{ID: id, Tenant: 0, Group: "g", Left: 2 * sec})
+			f.stands(id)
+			homes[f.last().server] = true
+		}
+	}
+	if len(homes) != 1 {
+		t.Errorf("24 connections of a group, placed by three balancers, stand on %d servers", len(homes))
+	}
+	f.now += 2 * sec
+	f.report(func(i int) float64 {
+		if homes[f.b.servers[i].id] {
+			return 1.05
+		}
+		return 0.5
+	})
+	f.b.Request(f.now, Request{ID: "more", Tenant: 0, Group: "g", Left: 2 * sec})
+	if homes[f.last().server] {
+		t.Error("a group's home that is full gets more of it")
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		f := told(&testing.T{}, settings(), fleet(n)...)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				f.now += ms
+				f.trace = f.trace[:0]
+				f.b.Probed(f.now, f.b.servers[i%n].id, OK, ms, []float64{0.5 + float64(i%100)/1e4, 0})
+			}
+		})
+	}
+}
--- a/brain/outcomes.go
+++ b/brain/outcomes.go
@@ -42,6 +42,7 @@
 	s.conns[r.at].at = r.at
 	s.conns = s.conns[:last]
 	s.load -= r.load
+	s.told.Changed(b.now, -r.load)
 	if last == 0 {
 		s.load = 0
 	}
@@ -77,16 +78,12 @@
 	}
 	s := r.server
 	wasUp := r.up
+	b.reported(s, load)
 	if wasUp && status == OK {
 		b.count(r)
 	}
 	b.leave(r)
 	r.out = false
-	if status == OK || status == Cancelled || status == Error {
-		s.idle = append(s.idle, now)
-	} else if status == Reset || status == ConnectFailed {
-		s.idle = s.idle[:0]
-	}
 	if s.trials > 0 {
 		s.trials--
 	}
--- a/brain/requests.go
+++ b/brain/requests.go
@@ -1,6 +1,6 @@
 package brain
 
-// The life of a request up to its placement: what it costs, whether it is sent, held or given its final answer.
+// The life of a request: what it costs, whether it is sent, held or given its final answer.
 
 // Request takes a client's try: from here on it is owed one final answer.
 func (b *Brain) Request(now Time, q Request) {
@@ -106,9 +106,6 @@
 		}
 		return
 	}
-	if n := b.idle(s); n > 0 {
-		s.idle = s.idle[:n-1]
-	}
 	b.tried++
 	t := b.patience(r, left)
 	b.spendCold(s, b.turns(r))
@@ -118,6 +115,7 @@
 	if s.fails > 0 {
 		s.trials++
 	}
+	s.told.Changed(b.now, r.cost)
 	b.fx.Send(r.ID, s.id, t)
 }
 
--- a/brain/rotation.go
+++ b/brain/rotation.go
@@ -17,6 +17,14 @@
 func (b *Brain) rotate(r *request, cost float64, all bool) *server {
 	total, widest, top := 0.0, 0.0, math.Inf(-1)
 	pool := b.scratch[:0]
+	if b.reports() {
+		for _, s := range b.servers {
+			s.x = b.loaded(s)
+		}
+		if r.Group != "" {
+			b.homes(r.Group)
+		}
+	}
 	for _, s := range b.servers {
 		if !b.mayTake(s, r, cost) || !all && !b.available(s, r) || r.spare && b.warmth(s) >= 1 {
 			continue
@@ -45,11 +53,17 @@
 		if thin && s.zone%areas == b.zone%areas {
 			reach, size = 2*slack, s.weight
 		}
+		if b.reports() {
+			reach *= slackTold
+		}
 		if s.lag < top-reach {
 			continue
 		}
 		// Load as held, not as it would be: else all balancers begin with the same large servers.
-		l := (s.load + b.strange(s, r, thin) - b.reuse(s)) / size
+		l := (s.load + b.strange(s, r, thin)) / size
+		if b.full > 0 {
+			l = s.x + (r.cost+b.strange(s, r, thin))/b.full
+		}
 		if s.lucky {
 			l -= math.MaxFloat32 // the lot says how often it is its turn; a tie-break on top would halve that
 		}
@@ -63,23 +77,6 @@
 	return best
 }
 
-// reuse is what an idle connection of this balancer's to a server is worth in load: where opening one
-// costs, a turn goes to a server that needs none.
-func (b *Brain) reuse(s *server) float64 {
-	if b.idle(s) == 0 {
-		return 0
-	}
-	return reuseBias * b.cfg.Prices.Handshake * max(1, b.meanCost)
-}
-
-// idle counts the connections that streams have left open and that are not closed yet.
-func (b *Brain) idle(s *server) int {
-	for len(s.idle) > 0 && b.now-s.idle[0] >= b.cfg.IdleClose {
-		s.idle = s.idle[1:]
-	}
-	return len(s.idle)
-}
-
 // mayTake holds what no fallback sets aside: drains, groups that discard repeats, the cold budget.
 func (b *Brain) mayTake(s *server, r *request, cost float64) bool {
 	if s.state != Ready {
@@ -106,6 +103,9 @@
 	if f := b.warmth(s); f < 1 {
 		w *= min(1, coldSafety*b.cfg.FallMultiple*f)
 	}
+	if b.reports() {
+		w *= max(minHealth, roomTop-s.x) // the share of its turns that its load leaves it
+	}
 	health := 1 - b.illness(s)
 	if x := b.slowness(s) / slowAt; x > 0 {
 		health /= 1 + x*x
--- a/brain/stalls.go
+++ b/brain/stalls.go
@@ -2,9 +2,6 @@
 
 // Servers that make messages wait: how that is learned, told, and answered.
 
-// Probed takes a probe's result. Nothing is decided by probes so far: they cost the servers work.
-func (b *Brain) Probed(now Time, id string, status Status, elapsed Time, load []float64) { b.tick(now) }
-
 // Peer takes a message from another balancer: which servers make messages wait. Where each balancer holds a
 // connection or two, most would learn of a stalled server by sending to it.
 func (b *Brain) Peer(now Time, from int, data []byte) {
--- /dev/null
+++ b/brain/state.go
@@ -0,0 +1,171 @@
+package brain
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+
+	"croftlock/internal/estimate"
+)
+
+// What a balancer remembers, and how it begins. Nothing is decided here.
+
+type server struct {
+	id         string
+	zone, cell int
+	hash       uint64
+	weight     float64
+	since      Time
+	state      State
+	known      bool
+	lag        float64 // turns owed: the smooth weighted rotation picks the largest
+	fails      int     // consecutive failed connects
+	until      Time    // quarantined until then
+	failedAt   Time    // when the failure counted last was seen
+	trials     int     // attempts out while fails > 0
+	passed     Time    // said full: its turn passes until then
+	ill        float64 // 0 well .. 1 failing, fades with time
+	illAt      Time
+	delay      float64 // last message delay told, over the shortest message aim
+	delayAt    Time
+	toldAt     Time    // when some balancer last told of it
+	telling    bool    // to be told unless another does before
+	tokens     float64 // cold budget left, in mean connections
+	tokensAt   Time
+	conns      []*request    // open connections placed by this balancer
+	load       float64       // their load
+	x          float64       // scratch: its load in the pick under way, where it is told
+	before     float64       // scratch: 1 if another is to hold the group in the pick under way
+	told       estimate.Host // its load, where it is told
+	probing    bool          // a probe is out
+	probedAt   Time
+	eff        float64 // scratch: weight in the pick under way
+	lucky      bool    // scratch: cold, and drawn by lot in the pick under way
+}
+
+type request struct {
+	Request
+	deadline Time
+	attempts int
+	out      bool // an attempt is out
+	server   *server
+	sentAt   Time
+	cost     float64
+	tried    []*server
+	up       bool    // the connection stands
+	at       int     // place in server.conns
+	load     float64 // what it adds to server.load
+	held     bool
+	holdTo   Time
+	waitTo   Time    // not placed before: paced
+	ranOn    *server // first attempt that may have run
+	ranAt    Time
+	closed   bool // answered; only outcomes are awaited
+	moved    bool
+	spare    bool    // refused by restraint, unless a cold server's budget bears it
+	flow     float64 // how many like it come a second, all balancers together
+}
+
+// Brain is one balancer's decisions.
+type Brain struct {
+	cfg       Config
+	fx        Effects
+	rng       *rand.Rand
+	now       Time
+	servers   []*server // sorted by id: the rotation's order, the same at every balancer
+	byID      map[string]*server
+	zones     map[string]int
+	requests  map[string]*request
+	held      []*request
+	pumping   bool
+	haveList  bool
+	watching  bool
+	asking    bool
+	askFails  int
+	qInit     Time
+	qMax      Time
+	aimMin    float64 // shortest message aim, milliseconds
+	aimLong   Time
+	meanCost  float64
+	classCost []float64
+	rate      float64 // fresh connections a second, in mean connections, smoothed
+	rateAt    Time
+	fresh     float64 // first tries of late, fading as rate does
+	again     tally   // requests that came again within the window of a fall
+	usual     float64 // fresh connections a second that the settings let expect here; 0: they tell nothing
+	standing  float64 // and open connections, at all balancers
+	left      tally   // weight of servers that have begun to send their clients away
+	started   Time
+	setup     float64 // smoothed set-up time and its deviation
+	setupDev  float64
+	setups    int
+	good, bad float64 // recent set-ups that stood and that timed out, fading
+	fadeAt    Time
+	scratch   []*server
+	orders    map[string][]int32 // of servers, by group; until the list changes
+
+	tried, stood float64 // attempts of late, and those that stood, fading
+	triedAt      Time
+	fleet        float64 // weight of the fleet, sinking slowly
+	fleetAt      Time
+	restraint    float64   // part of the load asked for that is refused, least worth for its work first
+	zone         int       // own
+	spill        float64   // 0: other zones keep the turns that the price of a crossing leaves them, 1: all
+	asked        []float64 // load asked for by class, fading
+	tenants      []int     // open connections by tenant
+	full         float64   // load that fills a server, in the unit of server.load
+	usualLoad    float64   // of the servers that tell
+}
+
+// New makes a balancer. It refuses settings that cannot be used.
+func New(cfg Config, seed int64, fx Effects) (*Brain, error) {
+	if fx == nil {
+		return nil, errors.New("brain: no Effects given")
+	}
+	if len(cfg.Classes) == 0 {
+		return nil, errors.New("brain: settings name no class of request")
+	}
+	if cfg.Peers < 1 || cfg.Me < 0 {
+		return nil, fmt.Errorf("brain: balancer %d of %d is not possible", cfg.Me, cfg.Peers)
+	}
+	if cfg.MaxAttempts < 1 {
+		return nil, fmt.Errorf("brain: at most %d attempts allows none", cfg.MaxAttempts)
+	}
+	for _, c := range cfg.Classes {
+		if c.Deadline <= 0 || c.Aim <= 0 {
+			return nil, fmt.Errorf("brain: class %q needs an aim and a deadline above zero", c.Name)
+		}
+	}
+	b := &Brain{cfg: cfg, fx: fx, rng: rand.New(rand.NewSource(seed)), byID: map[string]*server{},
+		zones: map[string]int{}, requests: map[string]*request{}, orders: map[string][]int32{}, started: -1}
+	for _, z := range cfg.Zones {
+		b.zoneOf(z)
+	}
+	b.zone = b.zoneOf(cfg.Zone)
+	longest := Time(0)
+	for _, c := range cfg.Classes {
+		longest = max(longest, c.Deadline)
+		b.aimLong = max(b.aimLong, c.Aim)
+		if ms := float64(c.MessageAim) / 1e6; ms > 0 && (b.aimMin == 0 || ms < b.aimMin) {
+			b.aimMin = ms
+		}
+	}
+	b.classCost, b.asked = make([]float64, len(cfg.Classes)), make([]float64, len(cfg.Classes))
+	b.tenants = make([]int, len(cfg.Tenants))
+	for _, t := range cfg.Tenants {
+		b.usual += usualPart * t.QuotaPerS / float64(cfg.Peers)
+		b.standing += usualPart * t.QuotaConnections
+	}
+	// A first quarantine outlasts every request that saw the failure, so that none meets it twice.
+	b.qInit, b.qMax = longest, Time(float64(longest)*quarantineCap)
+	if cfg.QuarantineInit >= 0 {
+		b.qInit = cfg.QuarantineInit
+	}
+	if cfg.QuarantineMax >= 0 {
+		b.qMax = cfg.QuarantineMax
+	}
+	if b.qMax < b.qInit && b.qMax > 0 {
+		return nil, errors.New("brain: the longest quarantine is shorter than the first")
+	}
+	return b, nil
+}
--- a/brain/waves.go
+++ b/brain/waves.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// How many connections come: fresh ones, and those that come again all together; and when so many fail that sends wait.
+// How many connections come: fresh ones, and those that come again all together; and when sends wait.
 
 // count keeps the rate at which connections end by themselves: in the long run that at which fresh ones
 // come, but free of every repeat. Clients that come again unmarked would raise the cold budget just when it
--- a/internal/line/conns.go
+++ b/internal/line/conns.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"net"
+	"strings"
 	"time"
 
 	"croftlock/internal/netio"
@@ -268,17 +269,20 @@
 
 // Hosts opens upstream requests.
 type Hosts struct {
-	loop *netio.Loop
-	open Opener
+	loop   *netio.Loop
+	open   Opener
+	fields []string // of the load reports that answers end with; none: they hold none
 }
 
-// NewHosts uses the given way to connect.
-func NewHosts(l *netio.Loop, open Opener) *Hosts { return &Hosts{loop: l, open: open} }
+// NewHosts uses the given way to connect, and reads load reports of the given fields behind hosts' answers.
+func NewHosts(l *netio.Loop, open Opener, fields []string) *Hosts {
+	return &Hosts{loop: l, open: open, fields: fields}
+}
 
 // Start begins one upstream request.
 func (h *Hosts) Start(to proxy.Target, first proxy.First, until int64, connect time.Duration,
 	ev proxy.UpstreamEvents) proxy.Upstream {
-	u := &upstream{loop: h.loop, events: ev, first: first, until: until}
+	u := &upstream{loop: h.loop, events: ev, first: first, until: until, fields: h.fields}
 	u.drop = h.open(to, connect, inputLimit, u, u.connected)
 	return u
 }
@@ -288,6 +292,7 @@
 	loop   *netio.Loop
 	events proxy.UpstreamEvents
 	first  proxy.First
+	fields []string // of a load report behind an answer
 	until  int64
 	drop   func() // gives the connection up while it opens
 	conn   *netio.Conn
@@ -334,6 +339,10 @@
 			return
 		}
 		m := ParseHost(line)
+		if len(u.fields) > 0 && (m.Kind == proxy.Busy || m.Kind == proxy.Fault || m.Kind == proxy.Farewell) {
+			_, rest := word(line)
+			m.Report = ParseReport(strings.TrimSpace(rest), u.fields)
+		}
 		if m.Kind == proxy.Receipt && u.stage < netio.Up {
 			u.stage = netio.Up
 		}
--- a/internal/line/conns_test.go
+++ b/internal/line/conns_test.go
@@ -16,17 +16,18 @@
 // refuser is a module that refuses what it is asked.
 type refuser struct{ fx brain.Effects }
 
-func (m refuser) Request(_ brain.Time, q brain.Request)                  { m.fx.Refuse(q.ID, 7e6) }
-func (refuser) Open(brain.Time, brain.Request, string)                   {}
-func (refuser) First(brain.Time, string, int, brain.Time)                {}
-func (refuser) Gone(brain.Time, string)                                  {}
-func (refuser) Note(brain.Time, string, int, brain.NoteKind, float64)    {}
-func (refuser) Members(brain.Time, brain.ListKind, int64, []brain.Entry) {}
-func (refuser) Timer(brain.Time, string)                                 {}
-func (refuser) Peer(brain.Time, int, []byte)                             {}
-func (refuser) Remember(bool) brain.Memory                               { return brain.Memory{} }
-func (refuser) Recall(brain.Time, brain.Memory)                          {}
-func (refuser) Avoids(brain.Time, string) bool                           { return false }
+func (m refuser) Request(_ brain.Time, q brain.Request)                        { m.fx.Refuse(q.ID, 7e6) }
+func (refuser) Open(brain.Time, brain.Request, string)                         {}
+func (refuser) First(brain.Time, string, int, brain.Time)                      {}
+func (refuser) Gone(brain.Time, string)                                        {}
+func (refuser) Note(brain.Time, string, int, brain.NoteKind, float64)          {}
+func (refuser) Members(brain.Time, brain.ListKind, int64, []brain.Entry)       {}
+func (refuser) Timer(brain.Time, string)                                       {}
+func (refuser) Probed(brain.Time, string, brain.Status, brain.Time, []float64) {}
+func (refuser) Peer(brain.Time, int, []byte)                                   {}
+func (refuser) Remember(bool) brain.Memory                                     { return brain.Memory{} }
+func (refuser) Recall(brain.Time, brain.Memory)                                {}
+func (refuser) Avoids(brain.Time, string) bool                                 { return false }
 func (refuser) Outcome(brain.Time, string, int, brain.Status, brain.Time, bool, []float64) {
 }
 
--- /dev/null
+++ b/internal/line/probes.go
@@ -0,0 +1,171 @@
+package line
+
+import (
+	"log/slog"
+	"strings"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
+)
+
+const (
+	// probeWithin is how long a probe's answer may take, connecting included. One that is later tells of a moment that
+	// is past.
+	probeWithin = 250 * time.Millisecond
+	// probeIdle is how long a connection stays open for the next probe of its host: each new one costs the host a
+	// handshake, some twenty times the work of a probe.
+	probeIdle = 10 * time.Second
+)
+
+var stats = []byte("STATS\r\n")
+
+// Probes asks upstream hosts how loaded they are, over a connection to each that stays open as long as probes go on, and over
+// so many at most.
+type Probes struct {
+	loop   *netio.Loop
+	open   Opener
+	fields []string // of a load report, as the settings name them
+	room   int
+	to     map[string]*probing // by host
+	denied bool                // a host has said NO: probes are not allowed after all
+}
+
+// NewProbes asks by at most so many connections at a time.
+func NewProbes(l *netio.Loop, open Opener, fields []string, room int) *Probes {
+	return &Probes{loop: l, open: open, fields: fields, room: room, to: map[string]*probing{}}
+}
+
+// probing is the connection to one host that is probed.
+type probing struct {
+	of     *Probes
+	host   proxy.Target
+	drop   func() // gives the connection up while it opens
+	conn   *netio.Conn
+	done   func(status brain.Status, load []float64) // nil: no probe is out
+	timer  *netio.Timer
+	usedAt int64
+}
+
+var _ proxy.Prober = (*Probes)(nil)
+
+// Probe asks a host, and calls done on the loop, once, whatever becomes of it.
+func (p *Probes) Probe(host proxy.Target, done func(status brain.Status, load []float64)) {
+	q := p.to[host.ID]
+	if q != nil && (q.done != nil || q.host != host) {
+		q.end(brain.Cancelled) // its address has changed, or it is asked twice
+		q = nil
+	}
+	if p.denied || q == nil && !p.makeRoom() {
+		p.loop.Post(func() { done(brain.Moot, nil) })
+		return
+	}
+	if q == nil {
+		q = &probing{of: p, host: host}
+		p.to[host.ID] = q
+	}
+	q.done, q.usedAt = done, p.loop.Now()
+	q.timer.Stop()
+	q.timer = p.loop.After(probeWithin, func() { q.end(brain.Timeout) })
+	if q.conn != nil {
+		q.conn.Write(stats)
+		return
+	}
+	q.drop = p.open(host, probeWithin, inputLimit, q, func(c *netio.Conn, err *netio.Error) {
+		q.drop = nil
+		if err != nil {
+			q.end(brain.ConnectFailed)
+			return
+		}
+		q.conn = c
+		c.Write(stats)
+	})
+}
+
+// Forget ends what goes on with a host that is to be left alone.
+func (p *Probes) Forget(host string) {
+	if q := p.to[host]; q != nil {
+		q.end(brain.Cancelled)
+	}
+}
+
+// makeRoom closes the connection that was used least lately, if it must; it tells whether there is room for one more.
+func (p *Probes) makeRoom() bool {
+	if len(p.to) < p.room {
+		return true
+	}
+	var least *probing
+	for _, q := range p.to {
+		if q.done == nil && (least == nil || q.usedAt < least.usedAt) {
+			least = q
+		}
+	}
+	if least == nil {
+		return false
+	}
+	least.end(brain.Cancelled)
+	return true
+}
+
+// Data takes the answer, in whatever pieces it comes.
+func (q *probing) Data(c *netio.Conn) {
+	line, err := Cut(c.Input())
+	if err != nil || line != nil && q.done == nil {
+		q.end(brain.Error) // it says what nobody asked
+		return
+	}
+	if line == nil {
+		return
+	}
+	first, rest := word(line)
+	c.Consume(len(line))
+	switch first {
+	case "PONG":
+		q.answer(brain.OK, ParseReport(strings.TrimSpace(rest), q.of.fields))
+	case "ERR":
+		q.answer(brain.Error, ParseReport(strings.TrimSpace(rest), q.of.fields))
+	case "NO":
+		if !q.of.denied {
+			q.of.denied = true
+			slog.Warn("probes_denied", "host", q.host.ID)
+		}
+		q.end(brain.Error)
+	default:
+		q.end(brain.Error)
+	}
+}
+
+// answer ends a probe; its connection waits for the next.
+func (q *probing) answer(s brain.Status, load []float64) {
+	done := q.done
+	q.done = nil
+	q.timer.Stop()
+	q.timer = q.of.loop.After(probeIdle, func() { q.end(brain.Cancelled) })
+	done(s, load)
+}
+
+// end closes the connection, and ends the probe that is out on it.
+func (q *probing) end(s brain.Status) {
+	if q.of.to[q.host.ID] == q {
+		delete(q.of.to, q.host.ID)
+	}
+	q.timer.Stop()
+	if q.drop != nil {
+		q.drop()
+		q.drop = nil
+	}
+	if q.conn != nil {
+		q.conn.Close()
+	}
+	if done := q.done; done != nil {
+		q.done = nil
+		done(s, nil)
+	}
+}
+
+// Writable is nothing to a probe: what it writes is one short line.
+func (q *probing) Writable(*netio.Conn) {}
+
+// Closed comes when the host ends the connection.
+func (q *probing) Closed(*netio.Conn, *netio.Error) { q.end(brain.Reset) }
--- /dev/null
+++ b/internal/line/report.go
@@ -0,0 +1,38 @@
+package line
+
+import (
+	"math"
+	"strings"
+)
+
+// onWire are the names by which the settings know what a report calls otherwise.
+var onWire = map[string]string{"pending": "queue", "busy_reqs": "inflight", "cpu_share": "util", "svc_ms": "latency_ms",
+	"served_ps": "qps", "failed_ps": "eps"}
+
+// ParseReport reads a load report, name=figure,name=figure, into the order of the fields that the settings name. What it lacks
+// is NaN; names that the settings lack are passed over; nil where nothing is told or it can't be read.
+func ParseReport(s string, fields []string) []float64 {
+	if s == "" || len(fields) == 0 {
+		return nil
+	}
+	out, found := make([]float64, len(fields)), false
+	for i := range out {
+		out[i] = math.NaN()
+	}
+	for _, pair := range strings.Split(s, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		x, err := number(value)
+		if err != nil {
+			return nil
+		}
+		for i, f := range fields {
+			if name != "" && (name == f || name == onWire[f]) {
+				out[i], found = x, true
+			}
+		}
+	}
+	if !found {
+		return nil
+	}
+	return out
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,14 @@
 	if link != nil {
 		open = through(link)
 	}
-	core := proxy.New(loop, line.NewHosts(loop, open), opt)
+	var behind []string
+	if cfg.InAnswers {
+		behind = cfg.Reports
+	}
+	core := proxy.New(loop, line.NewHosts(loop, open, behind), opt)
+	if n := cfg.Probers(); n > 0 {
+		core.SetProber(line.NewProbes(loop, open, cfg.Reports, n))
+	}
 	r := &replacing{cfg: cfg, loop: loop, core: core}
 	var old *handover.Partner
 	var handed *handover.Handed
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -28,6 +28,8 @@
 	Settings                brain.Config
 	DelayInLoad             bool // hosts tell of loads and of delays
 	Peers                   peers.Addresses
+	Reports                 []string // the fields of load reports; none: there are none
+	InAnswers               bool     // which come behind answers too
 }
 
 // Limits are the platform's.
@@ -113,11 +115,18 @@
 			Load  bool `json:"tells_load"`
 			Delay bool `json:"tells_delay"`
 		} `json:"extra"`
+		Report struct {
+			How    string   `json:"how"`
+			Fields []string `json:"fields"`
+		} `json:"report"`
 	}
 	if err := json.Unmarshal(f.Settings, &notes); err != nil {
 		return nil, err
 	}
 	c.DelayInLoad = notes.Extra.Load && notes.Extra.Delay
+	if notes.Report.How != "none" {
+		c.Reports, c.InAnswers = notes.Report.Fields, notes.Report.How == "answers"
+	}
 	if len(f.Known) > 0 {
 		if c.Known, err = cluster.Parse(f.Known); err != nil {
 			return nil, fmt.Errorf("known: %v", err)
@@ -187,13 +196,24 @@
 	return min(32, max(4, c.Limits.Sockets/32))
 }
 
+// Probers is how many connections may be open to ask hosts how loaded they are.
+func (c *Config) Probers() int {
+	switch {
+	case !c.Settings.MayProbe || len(c.Reports) == 0:
+		return 0
+	case c.Limits.Sockets <= 0:
+		return 256
+	}
+	return max(4, c.Limits.Sockets/16)
+}
+
 // Sessions is how many clients with a request fit the limit on descriptors: each may need one more, to its upstream
 // host.
 func (c *Config) Sessions() int {
 	if c.Limits.Sockets <= 0 {
 		return 1 << 20
 	}
-	return max(1, (c.Limits.Sockets-spare-c.Dialers()-c.Newcomers()-c.Callers())/2)
+	return max(1, (c.Limits.Sockets-spare-c.Dialers()-c.Newcomers()-c.Callers()-c.Probers())/2)
 }
 
 // Procs is how many threads may run Go code: more than the cores only adds switching.
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -20,6 +20,7 @@
 	First(now brain.Time, id string, attempt int, elapsed brain.Time)
 	Outcome(now brain.Time, id string, attempt int, status brain.Status, elapsed brain.Time, closed bool, load []float64)
 	Gone(now brain.Time, id string)
+	Probed(now brain.Time, id string, status brain.Status, elapsed brain.Time, load []float64)
 	Note(now brain.Time, id string, attempt int, kind brain.NoteKind, value float64)
 	Members(now brain.Time, kind brain.ListKind, version int64, entries []brain.Entry)
 	Peer(now brain.Time, from int, data []byte)
@@ -58,7 +59,8 @@
 	opt       Options
 	starter   Starter
 	discovery Discovery
-	peers     Peers // nil: there are none, or the settings forbid it
+	peers     Peers  // nil: there are none, or the settings forbid it
+	prober    Prober // nil: the settings do not permit probes
 	module    Decider
 	classes   map[string]int
 	tenants   map[string]int
@@ -93,6 +95,7 @@
 	TurnedAway                                             int // for want of room
 	Handed, Resumed                                        int // open connections, to another process and from one
 	Told, Heard                                            int // messages to other proxies, and from them
+	Probed                                                 int // probes sent
 }
 
 type call struct {
@@ -281,8 +284,26 @@
 func (e *effects) Fetch()        { e.later(func() { e.discovery.Fetch() }) }
 func (e *effects) Log(s string)  { slog.Info("module", "text", s) }
 
-// Probe is not part of this deployment, which forbids them.
-func (e *effects) Probe(server string) { slog.Error("unsupported", "effect", "probe", "host", server) }
+// Probe asks a host how loaded it is. One that takes nothing new, and one that is not known any more, is left alone.
+func (e *effects) Probe(server string) {
+	e.later(func() {
+		c := (*Core)(e)
+		began := c.loop.Now()
+		done := func(status brain.Status, load []float64) {
+			c.decide(nil, func(now brain.Time) { c.module.Probed(now, server, status, now-began, load) })
+		}
+		h := c.hosts[server]
+		if c.prober == nil || h == nil || h.state != brain.Ready {
+			done(brain.Moot, nil)
+			return
+		}
+		c.counts.Probed++
+		c.prober.Probe(Target{h.id, h.zone, h.endpoint}, done)
+	})
+}
+
+// SetProber gives the core its way to ask hosts how loaded they are.
+func (c *Core) SetProber(p Prober) { c.prober = p }
 
 // Tell is carried out where peers can be reached; a message may be lost in any case.
 func (e *effects) Tell(peer int, data []byte) {
--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -136,6 +136,10 @@
 func (m *fakeModule) Members(_ brain.Time, k brain.ListKind, _ int64, e []brain.Entry) {
 	m.event("members %d %d", k, len(e))
 }
+func (m *fakeModule) Probed(_ brain.Time, id string, s brain.Status, _ brain.Time, load []float64) {
+	m.event("probed %s %s %v", id, s, load)
+}
+
 func (m *fakeModule) Peer(_ brain.Time, from int, data []byte) { m.event("peer %d %s", from, data) }
 func (m *fakeModule) Remember(bool) brain.Memory               { return brain.Memory{} }
 func (m *fakeModule) Recall(brain.Time, brain.Memory)          {}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -6,6 +6,7 @@
 package proxy
 
 import (
+	"croftlock/brain"
 	"time"
 
 	"croftlock/internal/netio"
@@ -46,7 +47,9 @@
 type Message struct {
 	Kind Kind
 	Load float64 // of LoadTold: microseconds of work a second
-	Text []byte
+	// Report is the load report behind Busy, Fault or Farewell, in the settings' order of fields; nil: none.
+	Report []float64
+	Text   []byte
 }
 
 // Downstream is a client's connection. Serve, and one of Refuse and Fail, are answers: a request gets one.
@@ -85,6 +88,13 @@
 // Target is an upstream host as a Starter needs to know it.
 type Target struct{ ID, Zone, Endpoint string }
 
+// Prober asks upstream hosts how loaded they are.
+type Prober interface {
+	// Probe asks a host and calls done on the loop, once. load is in the settings' order of fields, nil where none came.
+	Probe(to Target, done func(status brain.Status, load []float64))
+	Forget(host string) // ends what goes on with a host that takes nothing new
+}
+
 // Starter opens upstream requests: connect to the target within the time given, send first, and tell ev what
 // follows. until is the loop's time at which the proxy stops waiting.
 type Starter interface {
--- a/internal/proxy/list.go
+++ b/internal/proxy/list.go
@@ -51,6 +51,9 @@
 		if h.state == brain.Ready {
 			continue
 		}
+		if c.prober != nil {
+			c.prober.Forget(id)
+		}
 		for a := range h.trying {
 			if a.connecting() && !a.req.adopted {
 				a.finish(brain.Full, netio.Dropped)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -46,9 +46,10 @@
 	until   int64
 	timer   *netio.Timer
 	up      bool
-	last    Kind    // Farewell or MoveAway once the host has said so
-	load    float64 // as the host last told it; 0: not yet
-	waiting []int64 // when the client's lines went up that no line has come back for
+	last    Kind      // Farewell or MoveAway once the host has said so
+	report  []float64 // the load report that came with its answer or its end; nil: none
+	load    float64   // as the host last told it; 0: not yet
+	waiting []int64   // when the client's lines went up that no line has come back for
 }
 
 // tracing tells whether the log takes the life of each request. Asked before a line is put together: with 80 proxies to
@@ -172,7 +173,7 @@
 	}
 	closed := r.answered || a.up
 	c.decide(r, func(now brain.Time) {
-		c.module.Outcome(now, r.ask.ID, a.number, status, elapsed, closed, nil)
+		c.module.Outcome(now, r.ask.ID, a.number, status, elapsed, closed, a.report)
 	})
 	if closed {
 		r.forget()
@@ -325,6 +326,7 @@
 	if a.up {
 		return a.pass(m)
 	}
+	a.report = m.Report
 	switch m.Kind {
 	case Receipt:
 		a.stand(m)
@@ -379,7 +381,7 @@
 	}
 	switch m.Kind {
 	case Farewell, MoveAway:
-		a.last = m.Kind
+		a.last, a.report = m.Kind, m.Report
 	case LoadTold:
 		a.loadTold(m.Load)
 	default:
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -149,7 +149,8 @@
 	open, pending := c.standing()
 	slog.Info("counts", "open", open, "pending", pending, "connections", c.sessions, "opened", n.Opened,
 		"served", n.Served, "refused", n.Refused, "failed", n.Failed, "rejected", n.Rejected, "moved", n.Moved,
-		"lost", n.Lost, "turned_away", n.TurnedAway, "expiring", n.Expiring, "handed", n.Handed, "resumed", n.Resumed, "told", n.Told, "heard", n.Heard)
+		"lost", n.Lost, "turned_away", n.TurnedAway, "expiring", n.Expiring, "handed", n.Handed, "resumed", n.Resumed, "told", n.Told, "heard", n.Heard,
+		"probed", n.Probed)
 	c.counts = Counts{}
 }
 
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 
 	"croftlock/brain"
 )
@@ -52,6 +53,13 @@
 		MustAskIn    int64   `json:"must_ask_in"`
 		WarmUp       int64   `json:"warm_up"`
 	} `json:"contract"`
+	Report struct {
+		How    string   `json:"how"`
+		Fields []string `json:"fields"`
+	} `json:"report"`
+	Goal struct {
+		WorstClass float64 `json:"worst_class"`
+	} `json:"goal"`
 	Extra struct {
 		Mode       string    `json:"mode"`
 		Park       int64     `json:"park"`
@@ -95,7 +103,14 @@
 		AnswerSlack: s.Contract.AnswerSlack, ColdFrom: s.Contract.ColdFrom, WarmUp: s.Contract.WarmUp,
 		DrainGrace: s.Contract.DrainGrace, FallMultiple: s.Contract.FallMultiple, Fall: s.Contract.Fall,
 		AskWithin: s.Contract.MustAskIn, Pass: s.Extra.Mode == "pass", Park: s.Extra.Park,
-		QuarantineInit: -1, QuarantineMax: -1,
+		QuarantineInit: -1, QuarantineMax: -1, WorstClass: s.Goal.WorstClass,
+		ReportLoad: slices.Index(s.Report.Fields, "x0"), ReportQueue: slices.Index(s.Report.Fields, "queue"),
+	}
+	if c.ReportQueue < 0 {
+		c.ReportQueue = slices.Index(s.Report.Fields, "pending") // its name on the simulator's wire
+	}
+	if s.Report.How == "none" {
+		c.ReportLoad, c.ReportQueue = -1, -1
 	}
 	c.Prices = brain.Prices(s.Tariffs)
 	switch s.Discovery {
