Tell small loads from delays by what a host tells of its load

Here connections at rest ask for 300 to 1,800; the same figures come back with the same clients at other hosts. True delays stand out: on one connection, a second apart to the millisecond, at hosts over 0.9. Ruled out: slow hosts (echoes come at once), drains, cold budgets (tokens were there), resets (none). Change: where a host tells its load (probes), a figure is a delay if it continues a steady second, or is small at a host over 0.8; a first delay taken for a load is put right by the second. Elsewhere isDelay stays as it was. Core notes probes in the log at debug. Test: TestLoadTellsWhatIsADelay.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -114,6 +114,8 @@
 	up       map[*Request]struct{} // its open connections
 	trying   map[*upstreamRequest]struct{}
 	delay    messageDelay
+	loaded   float64 // as it last told when probed: load over what it can do
+	loadedAt int64   // when that was; 0: never
 }
 
 // New makes a core. Module and Discovery are set by Run.
@@ -290,6 +292,12 @@
 		c := (*Core)(e)
 		began := c.loop.Now()
 		done := func(status brain.Status, load []float64) {
+			if h, i := c.hosts[server], c.opt.Settings.ReportLoad; h != nil && i >= 0 && i < len(load) && load[i] >= 0 {
+				h.loaded, h.loadedAt = load[i], c.loop.Now()
+			}
+			if tracing() {
+				slog.Debug("probed", "host", server, "status", status.String(), "load", load, "ms", (c.loop.Now()-began)/1e6)
+			}
 			c.decide(nil, func(now brain.Time) { c.module.Probed(now, server, status, now-began, load) })
 		}
 		h := c.hosts[server]
--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -395,3 +395,32 @@
 		t.Errorf("got\n%swant\n%s", got, want)
 	}
 }
+
+// Where a host tells how loaded it is, small loads stay loads while it has room: taken for delays, they made a proxy refuse most
+// of what came to a fleet at two fifths. Delays that do come, on a steady second, are found out with the second one, and the load
+// that the first one was taken for is put right.
+func TestLoadTellsWhatIsADelay(t *testing.T) {
+	w := newWorld(t)
+	_, u := w.serve("q")
+	h := w.core.hosts["A"]
+	tell := func(loaded float64, x ...float64) {
+		for _, x := range x {
+			h.loaded, h.loadedAt = loaded, w.now
+			u.ev.FromUpstream(Message{Kind: LoadTold, Load: x})
+			w.pass(time.Second)
+		}
+	}
+	tell(0.4, 1167.7)
+	w.pass(300 * time.Millisecond)
+	tell(0.4, 20710)
+	w.pass(300 * time.Millisecond)
+	tell(0.4, 390.4)
+	w.pass(300 * time.Millisecond)
+	tell(0.4, 22000)
+	w.expect("note q 1 1167.7", "note q 1 20710", "note q 1 390.4", "note q 1 22000")
+	tell(0.7, 77.7, 415.9, 60)
+	w.expect("note q 1 77.7", "note q 1 22000", "note q 2 415.9", "note q 2 60")
+	w.pass(5 * time.Second)
+	tell(1.1, 120)
+	w.expect("note q 2 120")
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -49,6 +49,7 @@
 	last    Kind      // Farewell or MoveAway once the host has said so
 	report  []float64 // the load report that came with its answer or its end; nil: none
 	load    float64   // as the host last told it; 0: not yet
+	before  float64   // and the one before that
 	waiting []int64   // when the client's lines went up that no line has come back for
 }
 
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -32,6 +32,8 @@
 	told    float64 // milliseconds, as the host last said itself
 	toldAt  int64
 	smallAt int64 // when its last figure came that may have been a delay, whatever it was taken for
+	smallOn *upstreamRequest
+	small   float64
 }
 
 // running tells whether the host is telling its delays itself.
@@ -56,6 +58,12 @@
 	mostDelay = 4000
 	// steadyBy is how far apart from a full second two delays may come.
 	steadyBy = int64(40 * time.Millisecond)
+	// steadyTold is the same where the host tells its load as well: a chance meeting of two loads then is the greater risk.
+	steadyTold = int64(20 * time.Millisecond)
+	// fullEnough is the load, as a share of what the host can do, from which messages may wait, and loadedFor how long
+	// such a word counts.
+	fullEnough = 0.8
+	loadedFor  = int64(3500 * time.Millisecond)
 	// likeLoad is how many times over a connection's load may change for a figure to be taken for it.
 	likeLoad = 3
 	// delayRun is how soon the next delay of a run follows.
@@ -76,9 +84,6 @@
 // Delays come on a steady second, which two changes of load hardly do: that shows those that were not seen at first.
 func (d *messageDelay) isDelay(now int64, x, load float64) bool {
 	steady := d.smallAt > 0 && max(now-d.smallAt-noteEvery, d.smallAt+noteEvery-now) < steadyBy
-	if x < mostDelay {
-		d.smallAt = now
-	}
 	switch {
 	case x < leastLoad, steady && x < mostDelay, load == 0 && x < leastFirst:
 		return true
@@ -90,18 +95,43 @@
 	return x < delayMS && (x*likeLoad < load || x > load*likeLoad)
 }
 
+// isDelayAt is isDelay for a host that has told how loaded it is, which shows what its figures mean: with room left no
+// message waits, however small a load is. Loads are no larger for being another organisation's: what an idle connection asks
+// for may be a tenth of what was the least elsewhere, and taken for delays such figures made a proxy refuse all that came
+// to a fleet at two fifths. A first delay that is taken for a load is put right by the next one, a second later.
+func (d *messageDelay) isDelayAt(now int64, x float64, on *upstreamRequest, loaded float64) bool {
+	steady := d.smallAt > 0 && max(now-d.smallAt-noteEvery, d.smallAt+noteEvery-now) < steadyTold
+	return x < mostDelay && (steady && (d.smallOn == on || x < leastLoad) || loaded >= fullEnough && x < leastLoad)
+}
+
 // loadTold takes the figure of a LOAD line.
 func (a *upstreamRequest) loadTold(x float64) {
 	c, d := a.req.core, &a.host.delay
 	now := c.loop.Now()
-	kind := brain.NoteLoad
-	if c.opt.DelayInLoad && d.isDelay(now, x, a.load) {
+	delay, tells := false, a.host.loadedAt > 0 && now-a.host.loadedAt < loadedFor
+	if c.opt.DelayInLoad {
+		if tells {
+			delay = d.isDelayAt(now, x, a, a.host.loaded)
+		} else {
+			delay = d.isDelay(now, x, a.load)
+		}
+	}
+	kind, wrong := brain.NoteLoad, delay && tells && d.smallOn == a && a.load == d.small
+	if x < mostDelay {
+		d.smallAt, d.smallOn, d.small = now, a, x
+	}
+	switch {
+	case delay:
 		kind, d.told, d.toldAt = brain.NoteDelay, x, now
-		if a.load < mostDelay {
+		if wrong && a.before > 0 {
+			// What was taken for this connection's load was the first delay.
+			a.load = a.before
+			c.decide(nil, func(now brain.Time) { c.module.Note(now, a.req.ask.ID, a.number, brain.NoteLoad, a.before) })
+		} else if a.load < mostDelay {
 			a.load = 0 // it may have been a delay itself
 		}
-	} else {
-		a.load = max(x, math.SmallestNonzeroFloat64)
+	default:
+		a.before, a.load = a.load, max(x, math.SmallestNonzeroFloat64)
 	}
 	if tracing() {
 		slog.Debug("told", "request", a.req.ask.ID, "host", a.host.id, "delay", kind == brain.NoteDelay, "value", x)
