Know from the start how many connections fill a host; count the others' placements

Seen: what fills a host was reckoned in raw load, unknown until hosts tell connections' loads, so that b.full was 0 and placement fell back to the old tie-break with the group cost of loads.go (24 connections); a host begins to tell its load only once it is asked, 1.2 s after the first probe. Ruled out: cold budgets, crossings, live weights alone (turns are not spread by them within 24 turns). Change: full counts connections, from the quotas, known with the first list; hosts that never told are asked twice a second; placements since a report count times the root of the balancers. homes up to 0.9.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,7 +42,7 @@
 	roomTop       = 1.1   // load at which a server gets next to no turns
 	slackTold     = 24.0  // turns by which a tie-break may run ahead where servers tell how loaded they are
 	leastRate     = 0.2   // requests a second for which a balancer probes at least
-	homeFull      = 0.95  // load up to which a server is to hold the groups that are its own
+	homeFull      = 0.9   // load up to which a server is to hold the groups that are its own
 	strangeTold   = 8.0   // group costs that another one counts for, where servers tell how loaded they are
 	movesAt       = 0.98  // load at which connections are moved off a server
 	movesTo       = 0.8   // and to which
@@ -59,7 +59,7 @@
 	b.started, b.rateAt, b.fadeAt = now, now, now
 	b.fx.After(b.sweepEvery(), "sweep")
 	if b.reports() {
-		b.fx.After(max(b.cfg.Tick, Time(probeStep*b.rng.Float64())), "probe")
+		b.fx.After(b.cfg.Tick, "probe")
 	}
 	if b.cfg.Ask {
 		// Spread over the time allowed: discovery has the same capacity however many balancers start
--- a/brain/lists.go
+++ b/brain/lists.go
@@ -69,6 +69,9 @@
 			s.lag = 0.5 - f
 		}
 	}
+	if b.reports() {
+		b.survey()
+	}
 	b.measure()
 	b.pump()
 }
--- a/brain/loads.go
+++ b/brain/loads.go
@@ -1,5 +1,7 @@
 package brain
 
+import "math"
+
 // What load reports tell, where servers tell their load to those who probe: whom to probe and when, how
 // loaded a server is now, and what follows for its turns.
 
@@ -16,7 +18,11 @@
 	all := float64(len(b.servers)) * b.cfg.Prices.Probe
 	every := max(probeLeast, Time(1e9*all/(probeSpend*rate)))
 	for _, s := range b.servers {
-		if s.state == Ready && !s.probing && b.now-s.probedAt >= every && b.now >= s.until {
+		due := every
+		if s.told.Heard() == 0 {
+			due = probeLeast // it may begin to tell only once it is asked
+		}
+		if s.state == Ready && !s.probing && b.now-s.probedAt >= due && b.now >= s.until {
 			// Spread, else all balancers' probes reach a server together.
 			s.probing, s.probedAt = true, b.now-Time(float64(every)*0.2*b.rng.Float64())
 			b.fx.Probe(s.id)
@@ -49,10 +55,9 @@
 	b.relieve(s)
 }
 
-// survey takes in how loaded the fleet is, and how much load fills one server. The tenants' quotas, in sum,
-// are most of what the fleet can hold; where there are none, all balancers' connections, of which this one
-// holds its part, make up the sum of what the servers tell. After a restart the latter is far off: nothing is
-// held here yet.
+// survey takes in how loaded the fleet is, and how many mean connections fill one server. The tenants'
+// quotas, in sum, are most of what the fleet can hold; where there are none, all balancers' connections, of which
+// this one holds its part, make up the sum of what the servers tell.
 func (b *Brain) survey() {
 	own, sum, told, all := 0.0, 0.0, 0.0, 0.0
 	for _, s := range b.servers {
@@ -65,23 +70,25 @@
 			told++
 		}
 	}
-	if told == 0 {
-		return
-	}
-	b.usualLoad = sum / told
-	full := b.standing / usualPart / quotaPart / all * b.meanCost
-	if full == 0 && sum > 0 {
-		full = own * float64(b.cfg.Peers) / sum
+	if told > 0 {
+		b.usualLoad = sum / told
 	}
-	if b.full == 0 {
-		b.full = full
+	if b.standing > 0 {
+		b.full = b.standing / usualPart / quotaPart / max(1, all)
+	} else if own > 0 && sum > 0 {
+		b.full = own / b.meanCost * float64(b.cfg.Peers) / sum
 	}
-	b.full += (full - b.full) / 8
 }
 
 // loaded is how loaded a server is now; 1 is full.
 func (b *Brain) loaded(s *server) float64 { return s.told.Now(b.now, b.full, b.usualLoad) }
 
+// placed notes load that no report holds yet, in mean connections. The other balancers have the same reports
+// and place by them too: somewhere between nothing and as much each.
+func (b *Brain) placed(s *server, turns float64) {
+	s.told.Changed(b.now, turns*math.Sqrt(float64(b.cfg.Peers)))
+}
+
 // relieve moves some connections off a server that has more than it can do, where others have room. Each
 // balancer moves by chance a part of its own, since all are told the same.
 func (b *Brain) relieve(s *server) {
--- a/brain/outcomes.go
+++ b/brain/outcomes.go
@@ -42,7 +42,7 @@
 	s.conns[r.at].at = r.at
 	s.conns = s.conns[:last]
 	s.load -= r.load
-	s.told.Changed(b.now, -r.load)
+	b.placed(s, -r.load/max(1, b.meanCost))
 	if last == 0 {
 		s.load = 0
 	}
--- a/brain/requests.go
+++ b/brain/requests.go
@@ -115,7 +115,7 @@
 	if s.fails > 0 {
 		s.trials++
 	}
-	s.told.Changed(b.now, r.cost)
+	b.placed(s, b.turns(r))
 	b.fx.Send(r.ID, s.id, t)
 }
 
--- a/brain/rotation.go
+++ b/brain/rotation.go
@@ -62,7 +62,7 @@
 		// Load as held, not as it would be: else all balancers begin with the same large servers.
 		l := (s.load + b.strange(s, r, thin)) / size
 		if b.full > 0 {
-			l = s.x + (r.cost+b.strange(s, r, thin))/b.full
+			l = s.x + (cost+b.strange(s, r, thin)/max(1, b.meanCost))/b.full
 		}
 		if s.lucky {
 			l -= math.MaxFloat32 // the lot says how often it is its turn; a tie-break on top would halve that
