--- a/brain/loads.go
+++ b/brain/loads.go
@@ -56,8 +56,8 @@
 }
 
 // survey takes in how loaded the fleet is, and how many mean connections fill one server. The tenants'
-// quotas, in sum, are most of what the fleet can hold; where there are none, all balancers' connections, of which
-// this one holds its part, make up the sum of what the servers tell.
+// quotas, in sum, are most of what the fleet can hold; where there are none, all balancers' connections, of
+// which this one holds its part, make up the sum of what the servers tell.
 func (b *Brain) survey() {
 	own, sum, told, all := 0.0, 0.0, 0.0, 0.0
 	for _, s := range b.servers {
