Membership among the proxies: core, virtual fleet, shell, rig of several processes

Need: a proxy knows a fixed list of peers and nothing of who of them lives; all that the fleet is to do together needs that first. Change: internal/membership (decisions and codec without I/O), virtual (a fleet of them in virtual time with faults and checks at every step), members (shell: section of the operators' file, seal, log, Unix socket), standin.Mesh (a socket for every ordered pair of processes), lab.Rig and plans as S-expressions, croftlab members and member-kill|pause|loss|cut|cost. Off unless the operators' file turns it on: the platform's run names none. Found by the checks on the way, and mended: a side that heals called the others gone in the moment in which it had a majority again; views differed for ever over who had left before a restart; a process accused others right after it slept.

--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -24,6 +24,11 @@
 	{"ops-upgrade", "20 replacements of the process under load, and its death at each step; 60 s", opsUpgrade},
 	{"ops-hand", "hosts out by hand through list changes and replacements; 45 s", opsHand},
 	{"ops-figures", "figures against what the peers counted, operators' calls under load, CPU; 45 s", opsFigures},
+	{"member-kill", "one, and a third, of 5 and 15 processes killed, 20 turns; 5 min", memberKill},
+	{"member-pause", "a process that sleeps for up to 10 s; 40 s", memberPause},
+	{"member-loss", "a fifth of all datagrams lost for 5 minutes, then a death; 5.5 min", memberLoss},
+	{"member-cut", "cuts in one direction, one deaf, one mute, two cut off; 60 s", memberCut},
+	{"member-cost", "what knowing who is there costs, in virtual time, beside the ways not taken; 60 s", memberCost},
 	{"tls-bad", "every bad server, its outcome and reason; 20 s", tlsBad},
 }
 
@@ -35,7 +40,7 @@
 	root.PersistentFlags().StringVar(&program, "croftlock", filepath.Join(filepath.Dir(self), "croftlock"), "the program to run")
 	root.PersistentFlags().StringVar(&out, "out", "", "folder to keep the report in, as JSON")
 
-	root.AddCommand(fleetCommand())
+	root.AddCommand(fleetCommand(), membersCommand())
 	root.AddCommand(&cobra.Command{Use: "list", Short: "Name the experiments", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) {
 			for _, x := range experiments {
--- /dev/null
+++ b/internal/membership/codec.go
@@ -0,0 +1,207 @@
+package membership
+
+import (
+	"encoding/binary"
+	"errors"
+)
+
+// Longest is the longest datagram, in bytes.
+const Longest = 256
+
+// version is the codec's: a datagram of another one is passed over and counted.
+const version = 1
+
+// The kinds of part that a datagram holds, any number of them behind its head.
+const (
+	partPing    = 1 // seq: answer
+	partAck     = 2 // seq
+	partPingFor = 3 // seq, id: ask id in my stead
+	partAckFor  = 4 // seq, id: id has answered
+	partNews    = 5 // news about one member
+	partRow     = 6 // whom the sender does not hear
+	partWant    = 7 // send your whole view
+)
+
+// ErrMalformed is told of a datagram that is none of this codec's; ErrVersion of one of another version, and ErrFleet of another
+// fleet's.
+var (
+	ErrMalformed = errors.New("malformed datagram")
+	ErrVersion   = errors.New("datagram of another version")
+	ErrFleet     = errors.New("datagram of another fleet")
+)
+
+// Life tells one life of a member from another: its start in Unix milliseconds, and a counter within it that only the member
+// itself raises, to answer what others say of it. A larger one is newer.
+type Life uint64
+
+// NewLife begins at a start time.
+func NewLife(unixMS int64) Life { return Life(uint64(unixMS) << 16) }
+
+// Start is the part that tells lives of different processes apart.
+func (l Life) Start() uint64 { return uint64(l) >> 16 }
+
+// News is what one member tells of another, or of itself.
+type News struct {
+	ID    uint32
+	State State
+	Life  Life
+	// Age is how long ago the member was last heard by whoever heard it last, in milliseconds, as the datagram is sent; at most
+	// 65,535.
+	Age uint16
+}
+
+const newsLen = 4 + 1 + 8 + 2
+
+// head is 15 bytes: version, fleet, sender, the sender's life without the part that all share.
+const headLen = 1 + 4 + 4 + 8 + 4
+
+// Datagram is one that is being written. The zero value is none: see begin.
+type Datagram struct {
+	buf  [Longest]byte
+	n    int
+	room int // less for a keyed hash behind
+}
+
+func (d *Datagram) begin(fleet, from uint32, life Life, digest uint32, room int) {
+	d.room = room
+	d.buf[0] = version
+	binary.BigEndian.PutUint32(d.buf[1:], fleet)
+	binary.BigEndian.PutUint32(d.buf[5:], from)
+	binary.BigEndian.PutUint64(d.buf[9:], uint64(life))
+	binary.BigEndian.PutUint32(d.buf[17:], digest)
+	d.n = headLen
+}
+
+// Bytes is what is written so far.
+func (d *Datagram) Bytes() []byte { return d.buf[:d.n] }
+
+func (d *Datagram) fits(n int) bool { return d.n+n <= d.room }
+
+func (d *Datagram) seq(part byte, seq uint32) {
+	d.buf[d.n] = part
+	binary.BigEndian.PutUint32(d.buf[d.n+1:], seq)
+	d.n += 5
+}
+
+func (d *Datagram) seqID(part byte, seq, id uint32) {
+	d.seq(part, seq)
+	binary.BigEndian.PutUint32(d.buf[d.n:], id)
+	d.n += 4
+}
+
+func (d *Datagram) news(x News) bool {
+	if !d.fits(1 + newsLen) {
+		return false
+	}
+	p := d.buf[d.n:]
+	p[0] = partNews
+	binary.BigEndian.PutUint32(p[1:], x.ID)
+	p[5] = byte(x.State)
+	binary.BigEndian.PutUint64(p[6:], uint64(x.Life))
+	binary.BigEndian.PutUint16(p[14:], x.Age)
+	d.n += 1 + newsLen
+	return true
+}
+
+// row writes whom the sender does not hear, as many as fit and 255 at most.
+func (d *Datagram) row(ids []uint32) {
+	if !d.fits(2) {
+		return
+	}
+	n := min(len(ids), 255, (d.room-d.n-2)/4)
+	d.buf[d.n], d.buf[d.n+1] = partRow, byte(n)
+	d.n += 2
+	for _, id := range ids[:n] {
+		binary.BigEndian.PutUint32(d.buf[d.n:], id)
+		d.n += 4
+	}
+}
+
+func (d *Datagram) want() {
+	if d.fits(1) {
+		d.buf[d.n] = partWant
+		d.n++
+	}
+}
+
+// reader takes a datagram apart without keeping any of it or allocating.
+type reader struct {
+	fleet, from uint32
+	life        Life
+	digest      uint32
+	rest        []byte
+}
+
+// read checks a datagram's head, and all of its parts, so that nothing of a malformed one is acted on.
+func read(b []byte, fleet uint32) (reader, error) {
+	if len(b) < 1 || len(b) > Longest {
+		return reader{}, ErrMalformed
+	}
+	if b[0] != version {
+		return reader{}, ErrVersion
+	}
+	if len(b) < headLen {
+		return reader{}, ErrMalformed
+	}
+	r := reader{binary.BigEndian.Uint32(b[1:]), binary.BigEndian.Uint32(b[5:]), Life(binary.BigEndian.Uint64(b[9:])),
+		binary.BigEndian.Uint32(b[17:]), b[headLen:]}
+	if r.fleet != fleet {
+		return r, ErrFleet
+	}
+	for s := r; len(s.rest) > 0; {
+		if _, ok := s.next(); !ok {
+			return r, ErrMalformed
+		}
+	}
+	return r, nil
+}
+
+// part is one part of a datagram; which of its fields count is the kind's matter.
+type part struct {
+	kind    byte
+	seq, id uint32
+	news    News
+	row     []byte
+}
+
+func (r *reader) next() (p part, ok bool) {
+	b := r.rest
+	p.kind = b[0]
+	n := 0
+	switch p.kind {
+	case partPing, partAck:
+		n = 5
+	case partPingFor, partAckFor:
+		n = 9
+	case partNews:
+		n = 1 + newsLen
+	case partWant:
+		n = 1
+	case partRow:
+		if len(b) < 2 {
+			return p, false
+		}
+		n = 2 + 4*int(b[1])
+	default:
+		return p, false
+	}
+	if len(b) < n {
+		return p, false
+	}
+	switch p.kind {
+	case partPing, partAck, partPingFor, partAckFor:
+		p.seq = binary.BigEndian.Uint32(b[1:])
+		if n == 9 {
+			p.id = binary.BigEndian.Uint32(b[5:])
+		}
+	case partNews:
+		p.news = News{binary.BigEndian.Uint32(b[1:]), State(b[5]), Life(binary.BigEndian.Uint64(b[6:])), binary.BigEndian.Uint16(b[14:])}
+		if p.news.State > Gone {
+			return p, false
+		}
+	case partRow:
+		p.row = b[2:n]
+	}
+	r.rest = b[n:]
+	return p, true
+}
--- /dev/null
+++ b/internal/membership/codec_test.go
@@ -0,0 +1,123 @@
+package membership
+
+import (
+	"testing"
+	"time"
+)
+
+type silent struct{ sent [][]byte }
+
+func (s *silent) Send(_ int, d []byte) { s.sent = append(s.sent, append([]byte(nil), d...)) }
+func (s *silent) Changed(Change)       {}
+
+func core(t testing.TB, name string) (*Core, *silent) {
+	s := &silent{}
+	c, err := New(Config{Name: name, Fleet: "f", Life: NewLife(1), Slots: 3, Own: 0, Seed: 1}, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Tick(0, 0)
+	return c, s
+}
+
+// full is a datagram with every kind of part.
+func full() []byte {
+	d := &Datagram{}
+	d.begin(ID("fleet f"), ID("other"), NewLife(7), 99, Longest)
+	d.seq(partPing, 1)
+	d.seq(partAck, 2)
+	d.seqID(partPingFor, 3, 4)
+	d.seqID(partAckFor, 5, 6)
+	d.row([]uint32{1, 2, 3})
+	d.want()
+	for d.news(News{ID: 8, State: Suspect, Life: NewLife(3) + 1, Age: 1200}) {
+	}
+	return d.Bytes()
+}
+
+// FuzzReceive: whatever comes, from wherever, nothing panics, and what is malformed changes nothing.
+func FuzzReceive(f *testing.F) {
+	whole := full()
+	for n := range len(whole) {
+		f.Add(whole[:n])
+	}
+	f.Add(whole)
+	for i := range whole[:60] {
+		bad := append([]byte(nil), whole...)
+		bad[i] ^= 0xff
+		f.Add(bad)
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		c, s := core(t, "me")
+		before := c.Digest()
+		err := c.Receive(int64(time.Second), 1, in)
+		if err != nil && (c.Digest() != before || len(c.View()) > 0) {
+			t.Fatalf("%v, and it has changed the view", err)
+		}
+		c.Tick(int64(time.Second), int64(time.Second))
+		for _, d := range s.sent {
+			if len(d) > Longest {
+				t.Fatalf("answers with %d bytes", len(d))
+			}
+			if _, err := read(d, ID("fleet f")); err != nil {
+				t.Fatalf("answers with what it can't read: %v", err)
+			}
+		}
+	})
+}
+
+// Another fleet's datagrams, another version's, and those under the own name are refused by their reason, and counted.
+func TestRefusals(t *testing.T) {
+	c, _ := core(t, "me")
+	old := full()
+	old[0] = version + 1
+	if err := c.Receive(1, 1, old); err != ErrVersion || c.Counts().OtherVersion != 1 {
+		t.Error(err)
+	}
+	d := &Datagram{}
+	d.begin(ID("fleet g"), ID("other"), 1, 0, Longest)
+	if err := c.Receive(1, 1, d.Bytes()); err != ErrFleet || c.Counts().OtherFleet != 1 {
+		t.Error(err)
+	}
+	d.begin(ID("fleet f"), ID("me"), NewLife(1), 0, Longest)
+	if err := c.Receive(1, 1, d.Bytes()); err == nil || c.Counts().Clashes != 1 {
+		t.Error("a process under the own name is taken in")
+	}
+	// One name at two addresses: the one that is there stays.
+	d.begin(ID("fleet f"), ID("twin"), NewLife(1), 0, Longest)
+	if err := c.Receive(1, 1, d.Bytes()); err != nil {
+		t.Fatal(err)
+	}
+	d.begin(ID("fleet f"), ID("twin"), NewLife(2), 0, Longest)
+	if err := c.Receive(2, 2, d.Bytes()); err == nil || c.View()[0].Slot != 1 {
+		t.Error("a second process under a live member's name is taken in")
+	}
+	if err := c.Receive(3, 9, full()); err == nil {
+		t.Error("a datagram from no known address is taken")
+	}
+}
+
+func TestTakingADatagramAllocatesNothing(t *testing.T) {
+	c, _ := core(t, "me")
+	d := &Datagram{}
+	d.begin(ID("fleet f"), ID("other"), NewLife(7), c.Digest(), Longest)
+	d.row([]uint32{1, 2})
+	for d.news(News{ID: ID("other"), State: Alive, Life: NewLife(7)}) {
+	}
+	c.Receive(1, 1, d.Bytes())
+	if n := testing.AllocsPerRun(100, func() { c.Receive(2, 1, d.Bytes()) }); n > 0 {
+		t.Errorf("%.0f allocations", n)
+	}
+}
+
+func BenchmarkReceive(b *testing.B) {
+	c, _ := core(b, "me")
+	d := &Datagram{}
+	d.begin(ID("fleet f"), ID("other"), NewLife(7), c.Digest(), Longest)
+	for d.news(News{ID: ID("other"), State: Alive, Life: NewLife(7)}) {
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		c.Receive(int64(i), 1, d.Bytes())
+	}
+}
--- /dev/null
+++ b/internal/membership/virtual/virtual.go
@@ -0,0 +1,321 @@
+// Package virtual plays a fleet of membership's processes in virtual time, with faults between them: it owns the clock, the network and
+// the plan, and looks at every step whether what may never happen has happened. Each run follows from its seed and its plan.
+package virtual
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"croftlock/internal/membership"
+)
+
+// Time is nanoseconds since the run began.
+type Time = int64
+
+// Units of it.
+const (
+	Ms  = Time(1e6)
+	Sec = Time(1e9)
+	// Turn is how often a process is given the chance to act.
+	Turn = 50 * Ms
+	// wallZero is the wall clock at the beginning.
+	wallZero = Time(1.8e18)
+)
+
+// Node is one process.
+type Node struct {
+	Core   *membership.Core
+	Up     bool
+	Asleep bool
+	Deaf   bool
+	Mute   bool
+	Lame   bool // it gets each second turn only
+	Step   Time // of its wall clock
+	Sends  int
+	inbox  []mail // what waits while it sleeps
+	slept  Time   // since when it sleeps
+	woke   Time   // when it last woke from a sleep of a second or more; 0: never
+	turns  int
+	seen   map[uint32]membership.Life // the newest life that it has known, by member
+	ver    uint64
+	fleet  *Fleet
+	i      int
+}
+
+type mail struct {
+	from int
+	data []byte
+}
+
+// Fleet is all of them.
+type Fleet struct {
+	Nodes   []*Node
+	Loss    float64 // of each datagram
+	Twice   float64 // part that arrives twice
+	Delay   Time    // one way
+	Jitter  Time    // up to so much more: what is sent later may come sooner
+	Cut     map[[2]int]bool
+	Changes func(at int, c membership.Change)
+	Broken  string // the first thing that may never happen and did
+	now     Time
+	seq     int
+	rng     *rand.Rand
+	queue   events
+	plant   membership.Config
+	left    map[int]bool
+	calm    Time // since when there has been no fault
+}
+
+type event struct {
+	at  Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+// New makes a fleet of n, all starting within a second. plant carries planted faults and times other than the usual.
+func New(n int, seed uint64, plant membership.Config) *Fleet {
+	f := &Fleet{Delay: 2 * Ms, Jitter: 2 * Ms, Cut: map[[2]int]bool{}, rng: rand.New(rand.NewPCG(seed, 7)), plant: plant, left: map[int]bool{}}
+	for i := range n {
+		f.Nodes = append(f.Nodes, &Node{fleet: f, i: i, seen: map[uint32]membership.Life{}})
+		f.At(Time(f.rng.Int64N(int64(Sec))), func() { f.Start(i) })
+	}
+	return f
+}
+
+// Now is the time.
+func (f *Fleet) Now() Time { return f.now }
+
+// At has something happen at a time.
+func (f *Fleet) At(t Time, do func()) {
+	f.seq++
+	heap.Push(&f.queue, event{max(t, f.now), f.seq, do})
+}
+
+// Name is a process's.
+func Name(i int) string { return fmt.Sprint("n", i) }
+
+// Start begins a process, or a new life of it.
+func (f *Fleet) Start(i int) {
+	n := f.Nodes[i]
+	cfg := f.plant
+	cfg.Name, cfg.Fleet, cfg.Slots, cfg.Own, cfg.Seed = Name(i), "lab", len(f.Nodes), i, f.rng.Uint64()
+	cfg.Life = membership.NewLife((wallZero + f.now + n.Step) / Ms)
+	core, err := membership.New(cfg, n)
+	if err != nil {
+		panic(err)
+	}
+	was := n.Core
+	n.Core, n.Up, n.Asleep, n.inbox, n.ver, n.woke = core, true, false, nil, 0, 0
+	clear(n.seen)
+	delete(f.left, i)
+	var turn func()
+	turn = func() {
+		if n.Core != core || !n.Up {
+			return
+		}
+		n.turns++
+		if !n.Asleep && !(n.Lame && n.turns%2 == 0) {
+			n.act()
+		}
+		f.At(f.now+Turn, turn)
+	}
+	f.At(f.now+Time(f.rng.Int64N(int64(Turn))), turn)
+	_ = was
+}
+
+// Kill ends a process without a word.
+func (f *Fleet) Kill(i int) { f.Nodes[i].Up = false }
+
+// Leave ends a process in order.
+func (f *Fleet) Leave(i int) {
+	n := f.Nodes[i]
+	if n.Up && !n.Asleep {
+		n.Core.Leave(f.now)
+		n.Up = false
+		f.left[i] = true
+	}
+}
+
+// Pause stops a process as SIGSTOP does.
+func (f *Fleet) Pause(i int) {
+	if n := f.Nodes[i]; n.Up && !n.Asleep {
+		n.Asleep, n.slept = true, f.now
+	}
+}
+
+// Wake has a process that slept go on; what came meanwhile waits for it, as in a socket's buffer.
+func (f *Fleet) Wake(i int) {
+	n := f.Nodes[i]
+	if n.Asleep && f.now-n.slept > Sec {
+		n.woke = f.now
+	}
+	n.Asleep = false
+}
+
+func (n *Node) act() {
+	inbox := n.inbox
+	n.inbox = nil
+	if len(inbox) == 0 || !n.fleet.plant.IgnorePause {
+		n.Core.Tick(n.fleet.now, wallZero+n.fleet.now+n.Step)
+	}
+	for _, m := range inbox {
+		n.Core.Receive(n.fleet.now, m.from, m.data)
+	}
+	n.check()
+}
+
+// Send is the network.
+func (n *Node) Send(slot int, data []byte) {
+	f := n.fleet
+	n.Sends++
+	if n.Mute || len(data) > membership.Longest {
+		if len(data) > membership.Longest {
+			f.fail("a datagram of %d bytes", len(data))
+		}
+		return
+	}
+	times := 1
+	if f.rng.Float64() < f.Twice {
+		times = 2
+	}
+	for range times {
+		if f.rng.Float64() < f.Loss || f.Cut[[2]int{n.i, slot}] {
+			continue
+		}
+		data := slices.Clone(data)
+		f.At(f.now+f.Delay+Time(f.rng.Int64N(int64(f.Jitter)+1)), func() { f.Nodes[slot].arrive(n.i, data) })
+	}
+}
+
+func (n *Node) arrive(from int, data []byte) {
+	switch {
+	case !n.Up || n.Deaf || n.fleet.Cut[[2]int{from, n.i}]:
+	case n.Asleep:
+		if len(n.inbox) < 256 {
+			n.inbox = append(n.inbox, mail{from, data})
+		}
+	default:
+		n.Core.Receive(n.fleet.now, from, data)
+		n.check()
+	}
+}
+
+// Changed hears of a change at a process.
+func (n *Node) Changed(c membership.Change) {
+	if n.woke > 0 && n.fleet.now-n.woke < Sec && (c.To == membership.Suspect || c.To == membership.Unreachable) {
+		n.fleet.fail("n%d accuses %d right after it slept: %s", n.i, c.ID, c.Reason)
+	}
+	if n.fleet.Changes != nil {
+		n.fleet.Changes(n.i, c)
+	}
+}
+
+func (f *Fleet) fail(format string, a ...any) {
+	if f.Broken == "" {
+		f.Broken = fmt.Sprintf("at %d ms: ", f.now/Ms) + fmt.Sprintf(format, a...)
+	}
+}
+
+// check looks at what may never happen, as one process sees it.
+func (n *Node) check() {
+	f := n.fleet
+	if v := n.Core.Version(); v < n.ver {
+		f.fail("n%d: version %d after %d", n.i, v, n.ver)
+	} else {
+		n.ver = v
+	}
+	for _, m := range n.Core.View() {
+		if m.Life.Start() < n.seen[m.ID].Start() {
+			f.fail("n%d: %d is taken for an earlier life", n.i, m.ID)
+		}
+		n.seen[m.ID] = max(m.Life, n.seen[m.ID])
+		if m.State == membership.Gone && m.Slot >= 0 && f.heardByAll(m.ID, m.Slot, m.Life) {
+			f.fail("n%d: n%d is gone, whom all others have heard within the last second", n.i, m.Slot)
+		}
+	}
+}
+
+// heardByAll tells whether all processes that act, itself aside, have heard a member's life within a second.
+func (f *Fleet) heardByAll(id uint32, slot int, life membership.Life) bool {
+	others := 0
+	for i, o := range f.Nodes {
+		if i == slot || !o.Up || o.Asleep {
+			continue
+		}
+		others++
+		ok := false
+		for _, m := range o.Core.View() {
+			ok = ok || m.ID == id && m.Heard > 0 && f.now-m.Heard < Sec && m.Life.Start() == life.Start()
+		}
+		if !ok {
+			return false
+		}
+	}
+	return others > 1
+}
+
+// Run plays up to a time, or until something may never have happened.
+func (f *Fleet) Run(until Time) {
+	for len(f.queue) > 0 && f.queue[0].at <= until && f.Broken == "" {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = max(f.now, until)
+}
+
+// Sees is how one process holds another.
+func (f *Fleet) Sees(i, j int) membership.State {
+	id := membership.ID(Name(j))
+	for _, m := range f.Nodes[i].Core.View() {
+		if m.ID == id {
+			return m.State
+		}
+	}
+	return membership.Joining
+}
+
+// Agreed tells whether every process that acts holds every other for what it is, and all have the same view; why not, else.
+func (f *Fleet) Agreed() (why string) {
+	digest, first := uint32(0), -1
+	for i, n := range f.Nodes {
+		if !n.Up {
+			continue
+		}
+		for j, o := range f.Nodes {
+			if i == j {
+				continue
+			}
+			s := f.Sees(i, j)
+			switch {
+			case o.Up && s != membership.Alive:
+				return fmt.Sprintf("n%d holds n%d, which is there, for %s", i, j, s)
+			case !o.Up && (s == membership.Alive || s == membership.Suspect):
+				return fmt.Sprintf("n%d holds n%d, which is not there, for %s", i, j, s)
+			}
+		}
+		if d := n.Core.Digest(); first < 0 {
+			digest, first = d, i
+		} else if d != digest {
+			return fmt.Sprintf("n%d and n%d have other views", first, i)
+		}
+	}
+	return ""
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"croftlock/internal/handover"
 	"croftlock/internal/line"
 	"croftlock/internal/logging"
+	"croftlock/internal/members"
 	"croftlock/internal/netio"
 	"croftlock/internal/peers"
 	"croftlock/internal/platform"
@@ -30,7 +31,7 @@
 
 // Schema is every section that the operators' file may have.
 func Schema() settings.Schema {
-	return settings.Schema{logging.Section(), tlslink.Section()}
+	return settings.Schema{logging.Section(), tlslink.Section(), members.Section()}
 }
 
 // Check reads what the operators' file refers to and tells what of it can't be used.
@@ -47,6 +48,9 @@
 			faults = append(faults, fmt.Errorf("%s: tls: %w", file.Path, err))
 		}
 	}
+	if err := file.Value("membership").(members.Options).Check(); err != nil {
+		faults = append(faults, fmt.Errorf("%s: membership: %w", file.Path, err))
+	}
 	return faults
 }
 
@@ -137,6 +141,9 @@
 			r.peers = told
 		}
 	}
+	if err := r.join(file.Value("membership").(members.Options), old == nil); err != nil {
+		return err
+	}
 	if r.on, err = listen(cfg.Listen, handed.Listener, r.dir != ""); err != nil {
 		return fmt.Errorf("listen: %v", err)
 	}
@@ -156,7 +163,7 @@
 	slog.Info("ready", "name", cfg.Name, "listen", r.front.Addr(), "hosts", len(list.Hosts), "rev", list.Version,
 		"sessions", opt.Sessions)
 	n := &node{cfg: cfg, file: file, format: format, link: link, redirect: func(discovery string) { loop.Post(func() { r.watch.Redirect(discovery) }) },
-		leave: func() { loop.Post(func() { core.Leave(loop.Stop) }) }}
+		leave: func() { loop.Post(func() { r.members.Leave(); core.Leave(loop.Stop) }) }}
 	go n.obey(signals)
 	loop.Run()
 	slog.Info("stopped")
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -12,6 +12,7 @@
 	"croftlock/internal/cluster"
 	"croftlock/internal/handover"
 	"croftlock/internal/line"
+	"croftlock/internal/members"
 	"croftlock/internal/netio"
 	"croftlock/internal/peers"
 	"croftlock/internal/platform"
@@ -62,6 +63,35 @@
 	handed bool              // the other one accepts
 	waits  bool              // this one does not accept yet
 	gave   brain.Memory      // what the other one was told as it took over
+
+	members *members.Shell // nil: off, or another process's still
+	began   time.Time
+	joining members.Options
+}
+
+// join begins to take part in the membership of the fleet, where the operators want it; a process that replaces another does so
+// once it has taken over, in the same place: to the others it is one member with a new life.
+func (r *replacing) join(o members.Options, now bool) (err error) {
+	r.joining, r.began = o, time.Now()
+	if o.On && now {
+		r.members, err = members.Start(r.loop, o, r.cfg.Name, r.began)
+	}
+	return err
+}
+
+// rejoin is join for a process that has come to be the one that serves; the other one may hold the address a moment longer.
+func (r *replacing) rejoin() {
+	if !r.joining.On || r.handed {
+		return
+	}
+	r.members.Yield()
+	s, err := members.Start(r.loop, r.joining, r.cfg.Name, time.Now())
+	if err != nil {
+		slog.Warn("membership_waits", "reason", err)
+		r.loop.After(tellEvery, r.rejoin)
+		return
+	}
+	r.members = s
 }
 
 // predecessor asks the process that serves, if there is one, and else reads what one before has kept.
@@ -246,6 +276,7 @@
 	}
 	r.waits, r.handed = false, false
 	r.mustServe()
+	r.rejoin()
 	slog.Info("taken_over", "partner", r.with != nil)
 	r.store.Keep(r.keep(false), nil)
 }
@@ -269,6 +300,7 @@
 	r := p.replacing
 	if r.with == p.of && r.older {
 		r.handed = true
+		r.members.Yield()
 		r.front.Stop()
 		if r.peers != nil {
 			r.peers.Deafen()
@@ -335,5 +367,6 @@
 	r.handed = false
 	r.core.Recall(r.gave) // the cold budgets that were given up, among others
 	r.mustServe()
+	r.rejoin()
 	slog.Warn("taken_back", "sessions", r.core.Sessions())
 }
