--- a/brain/api.go
+++ b/brain/api.go
@@ -85,7 +85,6 @@
 
 	// What load reports hold, and where; -1: they do not. Reports come with probes, or with answers too.
 	ReportLoad, ReportQueue int
-	WorstClass              float64 // weight of the worst-served class in what is wanted
 
 	Pass   bool // packets pass through, and connections may arrive in mid-flow
 	Park   Time // how long a server keeps a connection whose packets have stopped coming
--- a/brain/loads_test.go
+++ b/brain/loads_test.go
@@ -202,3 +202,101 @@
 		})
 	}
 }
+
+// Weights that fall as a server fills come late and alike to all: a server that looks empty by them must not draw every
+// balancer, where its load is told.
+func TestWeightsDrawNobodyAgainstTheLoadTold(t *testing.T) {
+	to := map[string]int{}
+	for me := range 3 {
+		cfg := settings()
+		cfg.Me, cfg.Peers = me, 3
+		es := fleet(6)
+		es[0].Weight = 5
+		f := told(t, cfg, es...)
+		f.report(func(i int) float64 { return 0.6 })
+		for i := range 20 {
+			id := fmt.Sprint("r", i)
+			f.request(id)
+			f.stands(id)
+			to[f.last().server]++
+		}
+	}
+	if to["s00"] > 20 {
+		t.Errorf("%d of 60 to the server that looks empty by its weight, at the same load as five others", to["s00"])
+	}
+}
+
+// Every mixture of what settings allow: each request gets its one answer, nothing is probed or told that may not be.
+func TestWhateverTheSettingsAllow(t *testing.T) {
+	for bits := range 16 {
+		cfg := settings()
+		cfg.Peers, cfg.MayProbe, cfg.MayTell, cfg.ReportLoad = 1+2*(bits&1), bits&2 > 0, bits&4 > 0, 0
+		if bits&8 > 0 {
+			cfg.ReportLoad = -1
+		}
+		f := start(t, cfg, fleet(3)...)
+		for i := range 60 {
+			id := fmt.Sprint("r", i)
+			f.request(id)
+			if f.out[id] {
+				f.stands(id)
+				f.b.Note(f.now, id, 0, NoteDelay, 500) // all stalled: something to tell
+			}
+			f.run(200 * ms)
+		}
+		f.run(3 * sec)
+		for i := range 60 {
+			id := fmt.Sprint("r", i)
+			if !f.out[id] && f.answers[id] != 1 {
+				t.Errorf("settings %04b: %s has %d answers and no attempt", bits, id, f.answers[id])
+			}
+		}
+		if f.probes("s") > 0 != (cfg.MayProbe && cfg.ReportLoad >= 0) {
+			t.Errorf("settings %04b: %d probes", bits, f.probes("s"))
+		}
+		if len(f.told) > 0 != (cfg.MayTell && cfg.Peers > 1) {
+			t.Errorf("settings %04b: %d messages", bits, len(f.told))
+		}
+	}
+}
+
+// A class whose load is unknown at first counts as any other; once servers tell it, it counts for what it is, in turns and in
+// what is held to be placed.
+func TestClassOfUnknownLoad(t *testing.T) {
+	cfg := settings()
+	heavy := cfg.Classes[0]
+	heavy.Name, heavy.Worth = "heavy", 3
+	cfg.Classes = append(cfg.Classes, heavy)
+	f := told(t, cfg, fleet(4)...)
+	turns := func(class int) float64 { return f.b.turns(&request{cost: f.b.price(&Request{Class: class})}) }
+	if turns(0) != 1 || turns(1) != 1 {
+		t.Errorf("%.2f and %.2f turns before anything is known", turns(0), turns(1))
+	}
+	for i := range 200 {
+		id := fmt.Sprint("r", i)
+		f.b.Request(f.now, Request{ID: id, Class: i % 2, Tenant: -1, Left: 2 * sec})
+		f.stands(id)
+		f.b.Note(f.now, id, 0, NoteLoad, 1000+float64(i%2)*5000)
+	}
+	if x := turns(1) / turns(0); x < 4 || x > 8 {
+		t.Errorf("a connection six times as heavy counts for %.2f", x)
+	}
+}
+
+func BenchmarkPlacementByLoad(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		f := told(&testing.T{}, settings(), fleet(n)...)
+		f.report(func(i int) float64 { return 0.4 + float64(i%10)/50 })
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				f.now += ms
+				f.trace, f.sends = f.trace[:0], f.sends[:0]
+				id := fmt.Sprint("r", i)
+				f.b.Request(f.now, Request{ID: id, Tenant: -1, Group: fmt.Sprint(i % 8), Left: 2 * sec})
+				f.stands(id)
+				f.ends(id, OK)
+			}
+		})
+	}
+}
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -57,9 +57,6 @@
 		How    string   `json:"how"`
 		Fields []string `json:"fields"`
 	} `json:"report"`
-	Goal struct {
-		WorstClass float64 `json:"worst_class"`
-	} `json:"goal"`
 	Extra struct {
 		Mode       string    `json:"mode"`
 		Park       int64     `json:"park"`
@@ -103,7 +100,7 @@
 		AnswerSlack: s.Contract.AnswerSlack, ColdFrom: s.Contract.ColdFrom, WarmUp: s.Contract.WarmUp,
 		DrainGrace: s.Contract.DrainGrace, FallMultiple: s.Contract.FallMultiple, Fall: s.Contract.Fall,
 		AskWithin: s.Contract.MustAskIn, Pass: s.Extra.Mode == "pass", Park: s.Extra.Park,
-		QuarantineInit: -1, QuarantineMax: -1, WorstClass: s.Goal.WorstClass,
+		QuarantineInit: -1, QuarantineMax: -1,
 		ReportLoad: slices.Index(s.Report.Fields, "x0"), ReportQueue: slices.Index(s.Report.Fields, "queue"),
 	}
 	if c.ReportQueue < 0 {
--- a/internal/wire/config_test.go
+++ b/internal/wire/config_test.go
@@ -44,3 +44,18 @@
 		}
 	}
 }
+
+// Settings of a later day hold fields that are not known here, and reports of more than is read: they are passed over, and what is
+// known is found wherever it stands.
+func TestUnknownSettingsArePassedOver(t *testing.T) {
+	c, err := Config([]byte(`{"me":0,"peers_total":2,"new":{"x":[1]},"discovery":"automatic","bounds":{"probes":true,"try_limit":5,"later":1},
+		"goal":{"worst_class":0.3,"other":1},"report":{"how":"probe","fields":["x1","x0","odd","pending"],"since":2},
+		"lanes":[{"name":"c","on_time":1,"deadline":2,"semantics":"read_like","colour":"red"}]}`))
+	if err != nil || c.Ask || !c.MayProbe || c.ReportLoad != 1 || c.ReportQueue != 3 {
+		t.Errorf("%+v, %v", c, err)
+	}
+	c, err = Config([]byte(`{"report":{"how":"none","fields":["x0"]},"lanes":[]}`))
+	if err != nil || c.ReportLoad != -1 {
+		t.Errorf("reports that nobody gives are expected: %d, %v", c.ReportLoad, err)
+	}
+}
