Membership on the platform's own way between proxies; the refused are told why

Change: a section without addresses shares the platform's socket with the module's messages, told apart by the first byte; refusals for another fleet or a name in use are answered, once a second at most. Tests: seal, replays, change of keys, refusals, many killed at once, a rolling restart.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -57,7 +57,7 @@
 		f.Int("base", "members that the fleet is meant to have, for a majority; 0: as many as peers", &o.Base, 0, 10000)
 		f.Paths("keys", "files with the keys of datagrams, at most two: the first seals, either opens; readable by their owner alone", &o.Keys)
 		f.Path("socket", "Unix socket at which operators ask who is there", &o.Socket)
-		if o.On && !slices.Contains(o.Peers, o.Listen) {
+		if o.On && len(o.Peers)+len(o.Listen) > 0 && !slices.Contains(o.Peers, o.Listen) {
 			f.Fault("peers", "the own address %q is not among the peers, expected it there", o.Listen)
 		}
 		if len(o.Keys) > 2 {
@@ -103,19 +103,33 @@
 	seal   *membership.Seal
 	name   string
 	door   net.Listener
-	bad    int // datagrams under no key, or taken before
+	shared bool // the link is the decision module's too
+	bad    int  // datagrams under no key, or taken before
+	odd    int  // and those that were not to be taken for another reason
 	closed bool
 }
 
-// Start begins. life is when this process, or the one whose work it goes on with, began.
-func Start(l *netio.Loop, o Options, name string, life time.Time) (*Shell, error) {
+// Platform is the platform's own way between its proxies, for a section without addresses; whoever reads from it calls Take.
+type Platform struct {
+	Link      *peers.Link // nil: there is none
+	Peers, Me int
+}
+
+// Start begins. life is when this process began.
+func Start(l *netio.Loop, o Options, name string, life time.Time, on Platform) (*Shell, error) {
 	seal, err := o.seal()
 	if err != nil {
 		return nil, err
 	}
-	own := slices.Index(o.Peers, o.Listen)
 	s := &Shell{loop: l, seal: seal, name: name}
-	cfg := membership.Config{Name: name, Fleet: o.Fleet, Life: membership.NewLife(life.UnixMilli()), Slots: len(o.Peers), Own: own, Base: o.Base,
+	slots, own := len(o.Peers), slices.Index(o.Peers, o.Listen)
+	if slots == 0 {
+		if on.Link == nil {
+			return nil, errors.New("membership: no peers, and the platform has none or forbids messages between them")
+		}
+		s.link, s.shared, slots, own = on.Link, true, on.Peers, on.Me
+	}
+	cfg := membership.Config{Name: name, Fleet: o.Fleet, Life: membership.NewLife(life.UnixMilli()), Slots: slots, Own: own, Base: o.Base,
 		Seed: uint64(life.UnixNano())}
 	if seal != nil {
 		cfg.Overhead = membership.SealLen
@@ -125,16 +139,18 @@
 	if s.core, err = membership.New(cfg, s); err != nil {
 		return nil, err
 	}
-	if s.link, err = peers.Open(l, peers.Addresses{Listen: o.Listen, Peers: o.Peers}, own, -1, s.take); err != nil {
-		return nil, fmt.Errorf("membership: %w", err)
+	if !s.shared {
+		if s.link, err = peers.Open(l, peers.Addresses{Listen: o.Listen, Peers: o.Peers}, own, -1, s.take); err != nil {
+			return nil, fmt.Errorf("membership: %w", err)
+		}
+		s.link.Hear()
 	}
 	if o.Socket != "" {
 		if err := s.serve(o.Socket); err != nil {
-			s.link.Close()
+			s.Yield()
 			return nil, fmt.Errorf("membership: %w", err)
 		}
 	}
-	s.link.Hear()
 	l.Post(s.turn)
 	return s, nil
 }
@@ -147,6 +163,15 @@
 	s.loop.After(turn, s.turn)
 }
 
+// Take takes a datagram from the platform's way between proxies, if it is one of these; a nil Shell takes none.
+func (s *Shell) Take(from int, data []byte) bool {
+	if s == nil || !s.shared || !membership.Ours(data) {
+		return false
+	}
+	s.take(from, data)
+	return true
+}
+
 // take takes a datagram. The first of each kind of trouble is told; the rest is counted.
 func (s *Shell) take(from int, data []byte) {
 	if s.closed {
@@ -162,7 +187,7 @@
 		}
 	}
 	if err := s.core.Receive(s.loop.Now(), from, data); err != nil {
-		if n := s.core.Counts(); n.Malformed+n.OtherFleet+n.OtherVersion+n.Clashes == 1 {
+		if s.odd++; s.odd == 1 {
 			slog.Warn("membership_refused", "peer", from, "reason", err)
 		}
 	}
@@ -198,7 +223,9 @@
 		return
 	}
 	s.closed = true
-	s.link.Close()
+	if !s.shared {
+		s.link.Close()
+	}
 	if s.door != nil {
 		s.door.Close()
 	}
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -8,8 +8,12 @@
 // Longest is the longest datagram, in bytes.
 const Longest = 256
 
-// version is the codec's: a datagram of another one is passed over and counted.
-const version = 1
+// version is the codec's: a datagram of another one is passed over and counted. It is no kind of message of the decision module's,
+// with which datagrams may share a socket.
+const version = 0x11
+
+// Ours tells whether a datagram can be one of this package's, of any version.
+func Ours(b []byte) bool { return len(b) > 0 && b[0]&0xf0 == version&0xf0 }
 
 // The kinds of part that a datagram holds, any number of them behind its head.
 const (
@@ -21,6 +25,7 @@
 	partRow     = 6 // whom the sender does not hear
 	partWant    = 7 // send your whole view
 	partName    = 8 // the sender's name, which its id is the hash of
+	partRefused = 9 // why the receiver is not taken in
 )
 
 // ErrMalformed is told of a datagram that is none of this codec's; ErrVersion of one of another version, and ErrFleet of another
@@ -125,6 +130,11 @@
 	}
 }
 
+func (d *Datagram) refused(why byte) {
+	d.buf[d.n], d.buf[d.n+1] = partRefused, why
+	d.n += 2
+}
+
 func (d *Datagram) want() {
 	if d.fits(1) {
 		d.buf[d.n] = partWant
@@ -171,6 +181,7 @@
 	news    News
 	row     []byte
 	name    []byte
+	why     byte
 }
 
 func (r *reader) next() (p part, ok bool) {
@@ -186,6 +197,8 @@
 		n = 1 + newsLen
 	case partWant:
 		n = 1
+	case partRefused:
+		n = 2
 	case partRow:
 		if len(b) < 2 {
 			return p, false
@@ -217,6 +230,8 @@
 		p.row = b[2:n]
 	case partName:
 		p.name = b[2:n]
+	case partRefused:
+		p.why = b[1]
 	}
 	r.rest = b[n:]
 	return p, true
--- a/internal/membership/codec_test.go
+++ b/internal/membership/codec_test.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"encoding/binary"
+	"strings"
 	"testing"
 	"time"
 )
@@ -60,7 +62,8 @@
 			if len(d) > Longest {
 				t.Fatalf("answers with %d bytes", len(d))
 			}
-			if _, err := read(d, ID("fleet f")); err != nil {
+			// A refusal speaks to the other fleet in its name.
+			if _, err := read(d, binary.BigEndian.Uint32(d[1:])); err != nil {
 				t.Fatalf("answers with what it can't read: %v", err)
 			}
 		}
@@ -122,3 +125,79 @@
 		c.Receive(int64(i), 1, d.Bytes())
 	}
 }
+
+// Sealed datagrams: under another key, cut, changed or taken before they are refused; both keys open while keys are changed.
+func TestSeal(t *testing.T) {
+	old, next := []byte("0123456789abcdef"), []byte("fedcba9876543210")
+	seal := func(keys ...[]byte) *Seal {
+		s, err := NewSeal(keys...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	d := &Datagram{}
+	d.begin(1, 2, NewLife(3), 4, Longest-SealLen)
+	first := append([]byte(nil), seal(old).Close(d.Bytes())...)
+	for name, s := range map[string]*Seal{"same key": seal(old), "new key first": seal(next, old), "new key second": seal(old, next)} {
+		if got, err := s.Open(first); err != nil || string(got) != string(d.Bytes()) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if _, err := s.Open(first); err != ErrReplay {
+			t.Errorf("%s: taken twice: %v", name, err)
+		}
+	}
+	if _, err := seal(next).Open(first); err != ErrSeal {
+		t.Errorf("under another key: %v", err)
+	}
+	for i := range first {
+		bad := append([]byte(nil), first...)
+		bad[i] ^= 1
+		if _, err := seal(old).Open(bad); err == nil {
+			t.Fatalf("byte %d changed, and it is taken", i)
+		}
+		if _, err := seal(old).Open(first[:i]); err == nil {
+			t.Fatalf("cut at %d, and it is taken", i)
+		}
+	}
+	// Out of order within the window, each once; one far behind is not known to be new.
+	from, to := seal(old), seal(old)
+	var sent [][]byte
+	for range 100 {
+		sent = append(sent, append([]byte(nil), from.Close(d.Bytes())...))
+	}
+	for _, i := range []int{5, 3, 4, 60, 59} {
+		if _, err := to.Open(sent[i]); err != nil {
+			t.Errorf("number %d: %v", i, err)
+		}
+	}
+	to.Open(sent[99])
+	for _, i := range []int{3, 59, 10} {
+		if _, err := to.Open(sent[i]); err != ErrReplay {
+			t.Errorf("number %d again, or too late: %v", i, err)
+		}
+	}
+	for _, keys := range [][][]byte{{}, {[]byte("short")}, {old, next, old}} {
+		if _, err := NewSeal(keys...); err == nil {
+			t.Errorf("%d keys are taken", len(keys))
+		}
+	}
+}
+
+// Whoever is refused is told why.
+func TestTheRefusedIsTold(t *testing.T) {
+	c, s := core(t, "me")
+	other, err := New(Config{Name: "other", Fleet: "g", Life: NewLife(1), Slots: 3, Own: 1}, &silent{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.sent = nil
+	c.Receive(int64(time.Second), 1, other.datagram().Bytes())
+	c.Receive(int64(time.Second)+1, 1, other.datagram().Bytes())
+	if len(s.sent) != 1 {
+		t.Fatalf("%d answers to two datagrams of another fleet", len(s.sent))
+	}
+	if err := other.Receive(2, 0, s.sent[0]); err == nil || !strings.Contains(err.Error(), "another fleet") {
+		t.Errorf("it is told %v", err)
+	}
+}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -161,6 +161,8 @@
 	distrust  Time // until then nobody is accused
 	differs   Time // since when others' views differ from this one; 0: they do not
 	lastWant  Time
+	refusedAt Time
+	refusedBy string // why another did not take this process in; "": none did
 	left      bool
 	version   uint64
 	digest    uint32
@@ -491,6 +493,7 @@
 		return err
 	case ErrFleet:
 		c.counts.OtherFleet++
+		c.refuse(slot, r.fleet, refusedFleet)
 		return err
 	default:
 		c.counts.Malformed++
@@ -507,7 +510,8 @@
 	m := c.members[r.from]
 	if m != nil && m.Slot >= 0 && m.Slot != slot && r.life.Start() != m.Life.Start() && now-m.Heard < c.cfg.SilentFor && m.State == Alive {
 		c.counts.Clashes++
-		return fmt.Errorf("membership: the name of %d is in use by a live member", r.from)
+		c.refuse(slot, c.fleet, refusedName)
+		return fmt.Errorf("membership: the name of %08x is in use by a live member", r.from)
 	}
 	if m != nil && r.life < m.Life && !c.cfg.IgnoreLife {
 		// An earlier life, or one whose clock was set back: if it is the one that runs, it raises its own once it hears this.
@@ -535,9 +539,31 @@
 		p, _ := r.next()
 		c.take(m, slot, p)
 	}
+	if why := c.refusedBy; why != "" {
+		c.refusedBy = ""
+		return fmt.Errorf("membership: %08x does not take this process in: %s", r.from, why)
+	}
 	return nil
 }
 
+// Why a process is not taken in, as it is told.
+const (
+	refusedFleet = 1
+	refusedName  = 2
+)
+
+// refuse tells a process why it is not taken in, once a second at most: whoever it is can't have this one send without end.
+func (c *Core) refuse(slot int, fleet uint32, why byte) {
+	if slot < 0 || slot >= len(c.slots) || c.now-c.refusedAt < sec && c.refusedAt > 0 {
+		return
+	}
+	c.refusedAt = c.now
+	d := c.datagram()
+	d.begin(fleet, c.id, c.life, c.Digest(), Longest-c.cfg.Overhead)
+	d.refused(why)
+	c.transmit(slot, d)
+}
+
 func (c *Core) add(id uint32) *member {
 	m := &member{Member: Member{ID: id, Slot: -1}}
 	m.since = c.now
@@ -631,6 +657,15 @@
 			from.Unheard = append(from.Unheard, uint32(b[0])<<24|uint32(b[1])<<16|uint32(b[2])<<8|uint32(b[3]))
 		}
 		from.UnheardAt = c.now
+	case partRefused:
+		switch p.why {
+		case refusedFleet:
+			c.refusedBy = "it is of another fleet"
+		case refusedName:
+			c.refusedBy = "its name is in use by a live member"
+		default:
+			c.refusedBy = "for a reason that is not known here"
+		}
 	case partName:
 		if from.Name == "" && len(p.name) <= 64 {
 			if s := string(p.name); ID(s) == from.ID {
--- a/internal/membership/virtual/virtual_test.go
+++ b/internal/membership/virtual/virtual_test.go
@@ -164,3 +164,46 @@
 		t.Errorf("one that was killed is held for %s, one that left for %s", s, l)
 	}
 }
+
+// Three of five killed at once: the two that are left hold them for unreachable and give nobody up, having no majority. Three of
+// seven: the four do.
+func TestManyKilledAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		n    int
+		want membership.State
+	}{{5, membership.Unreachable}, {7, membership.Gone}} {
+		f := New(c.n, 5, membership.Config{})
+		for i := range 3 {
+			f.At(5*Sec, func() { f.Kill(i) })
+		}
+		f.Run(25 * Sec)
+		for i := range 3 {
+			if s := f.Sees(c.n-1, i); s != c.want {
+				t.Errorf("of %d: n%d is %s after 20 s, want %s", c.n, i, s, c.want)
+			}
+		}
+		if q := f.Nodes[c.n-1].Core.Quorum(); q != (c.want == membership.Gone) {
+			t.Errorf("of %d with three killed: quorum %t", c.n, q)
+		}
+	}
+}
+
+// A rolling restart of all: each comes back as a new life, nobody else is ever given up.
+func TestRollingRestart(t *testing.T) {
+	f := New(7, 6, membership.Config{})
+	wrong := 0
+	f.Changes = func(at int, c membership.Change) {
+		if c.To == membership.Gone {
+			wrong++
+		}
+	}
+	var plan []Fault
+	for i := range 7 {
+		plan = append(plan, Fault{Kind: "restart", At: 5000 + 2000*int64(i), For: 800, A: i})
+	}
+	calm := f.Apply(plan)
+	f.Run(calm*Ms + 5*Sec)
+	if why := f.Agreed(); why != "" || f.Broken != "" || wrong > 0 {
+		t.Errorf("%s %s, %d given up", why, f.Broken, wrong)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,7 +133,11 @@
 	core.Recall(handed.Kept.Memory)
 	if s := cfg.Settings; s.MayTell && cfg.Peers.Listen != "" && s.Peers > 1 {
 		// Messages help, and a proxy without them serves all the same.
-		told, err := peers.Open(loop, cfg.Peers, s.Me, handed.Datagram, core.PeerTold)
+		told, err := peers.Open(loop, cfg.Peers, s.Me, handed.Datagram, func(from int, data []byte) {
+			if !r.members.Take(from, data) {
+				core.PeerTold(from, data)
+			}
+		})
 		if err != nil {
 			slog.Warn("peers_off", "reason", err)
 		} else {
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -74,18 +74,22 @@
 func (r *replacing) join(o members.Options, now bool) (err error) {
 	r.joining, r.began = o, time.Now()
 	if o.On && now {
-		r.members, err = members.Start(r.loop, o, r.cfg.Name, r.began)
+		r.members, err = members.Start(r.loop, o, r.cfg.Name, r.began, r.platform())
 	}
 	return err
 }
 
+func (r *replacing) platform() members.Platform {
+	return members.Platform{Link: r.peers, Peers: len(r.cfg.Peers.Peers), Me: r.cfg.Settings.Me}
+}
+
 // rejoin is join for a process that has come to be the one that serves; the other one may hold the address a moment longer.
 func (r *replacing) rejoin() {
 	if !r.joining.On || r.handed {
 		return
 	}
 	r.members.Yield()
-	s, err := members.Start(r.loop, r.joining, r.cfg.Name, time.Now())
+	s, err := members.Start(r.loop, r.joining, r.cfg.Name, time.Now(), r.platform())
 	if err != nil {
 		slog.Warn("membership_waits", "reason", err)
 		r.loop.After(tellEvery, r.rejoin)
