--- a/internal/command/members_test.go
+++ b/internal/command/members_test.go
@@ -85,6 +85,17 @@
 		t.Errorf("a flood of forged datagrams changes the view: %v", err)
 	}
 
+	// A process that takes another's place is the same member, with a new life.
+	if err := r.Replace(0); err != nil {
+		t.Fatal(err)
+	}
+	whole("a replaced process")
+	for _, p := range r.Procs[1:] {
+		if lines := slices.Concat(p.Log("name=n0 from=alive to=unreachable"), p.Log("name=n0 from=alive to=left")); len(lines) > 0 {
+			t.Errorf("a replaced process is taken for lost: %s", lines)
+		}
+	}
+
 	// One killed, one that leaves: told apart. The killed one comes back as a new life.
 	r.Procs[3].Kill()
 	if err := r.Procs[4].Stop(); err != nil {
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -24,6 +24,7 @@
 	env   *Env
 	dir   string
 	setup []Setup
+	admin []string // where each one's operators call
 }
 
 // NewRig starts n processes that know one another through a mesh; run is added to each one's environment. key, if any, seals what
@@ -33,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Rig{env: e, dir: dir, Procs: make([]*Process, n)}
+	r := &Rig{env: e, dir: dir, Procs: make([]*Process, n), admin: make([]string, n)}
 	if r.Mesh, err = standin.NewMesh(n, seed); err != nil {
 		return nil, err
 	}
@@ -50,7 +51,15 @@
 		if err := os.WriteFile(path, []byte("(log (level info) (repeat 0))\n"+text+")\n"), 0o600); err != nil {
 			return nil, err
 		}
-		r.setup = append(r.setup, Setup{Name: virtual.Name(i), Discovery: "127.0.0.1:1", Known: standin.List{Rev: 1, All: true, Targets: []standin.Entry{}},
+		listen, err := FreeAddr()
+		if err != nil {
+			return nil, err
+		}
+		tmp := filepath.Join(dir, fmt.Sprintf("tmp%d", i))
+		if err := os.Mkdir(tmp, 0o700); err != nil {
+			return nil, err
+		}
+		r.setup = append(r.setup, Setup{Listen: listen, Tmp: tmp, Name: virtual.Name(i), Discovery: "127.0.0.1:1", Known: standin.List{Rev: 1, All: true, Targets: []standin.Entry{}},
 			Settings: path, Cores: 0.5, Sockets: 256, MemoryMB: 64, Env: run})
 	}
 	for i := range n {
@@ -66,10 +75,27 @@
 
 // Start begins a process, or a new life of it.
 func (r *Rig) Start(i int) (err error) {
-	r.Procs[i], err = r.env.Proxy(r.setup[i])
+	s := r.setup[i]
+	if s.Admin, err = FreeAddr(); err != nil {
+		return err
+	}
+	r.admin[i] = s.Admin
+	r.Procs[i], err = r.env.Proxy(s)
 	return err
 }
 
+// Replace starts another process in a process's place, as a release does, and ends the one before in order.
+func (r *Rig) Replace(i int) error {
+	old := r.Procs[i]
+	if err := r.Start(i); err != nil {
+		return err
+	}
+	if err := Ready(r.admin[i], 20*time.Second); err != nil {
+		return err
+	}
+	return old.Stop()
+}
+
 // Ask asks a process who is there.
 func (r *Rig) Ask(i int) (members.Report, error) { return members.Ask(r.socket(i)) }
 
