Members that come and go: joining by a few seeds, addresses learnt

Need: where members come and go nobody can list all addresses. A file may name seeds; addresses are told beside news, kept once what came from them could be read and is the fleet's, 4,096 at most; who has left or is gone makes room. Tests: twelve in virtual time (a late one, one that leaves, both seeds restarted), four processes by two seeds.

--- a/internal/command/members_test.go
+++ b/internal/command/members_test.go
@@ -1,14 +1,18 @@
 package command
 
 import (
+	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
 
 	"croftlock/internal/lab"
+	"croftlock/internal/members"
 	"croftlock/internal/membership"
 	"croftlock/internal/membership/virtual"
+	"croftlock/internal/standin"
 )
 
 // Five processes of the program with faults between them: what may never happen does not, and what has happened is known to all in
@@ -115,3 +119,44 @@
 	}
 	whole("a restart of both")
 }
+
+// Where members come and go, two addresses are enough to begin with: the third process and the fourth find one another by what the
+// seeds tell.
+func TestMembersFindOneAnotherBySeeds(t *testing.T) {
+	env, dir := &lab.Env{Croftlock: os.Args[0], Dir: t.TempDir()}, t.TempDir()
+	mesh, err := standin.NewMesh(4, 1) // for addresses that are free
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket := func(i int) string { return filepath.Join(dir, fmt.Sprint("n", i)) }
+	at := []string{mesh.Own(0), mesh.Own(1), mesh.Own(2), mesh.Own(3)}
+	mesh.Close()
+	for i := range 4 {
+		path := socket(i) + ".sexp"
+		text := fmt.Sprintf("(membership (on on) (listen %q) (seeds %q) (base 4) (socket %q))", at[i], at[0]+" "+at[1], socket(i))
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p, err := env.Proxy(lab.Setup{Name: fmt.Sprint("n", i), Discovery: "127.0.0.1:1", Known: standin.List{Rev: 1, All: true, Targets: []standin.Entry{}},
+			Settings: path, Sockets: 256, MemoryMB: 64, Env: []string{"CROFTLOCK_TEST_RUN=1"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Kill)
+	}
+	for i := range 4 {
+		if _, ok := lab.Until(40*time.Second, func() bool {
+			rep, err := members.Ask(socket(i))
+			alive := 0
+			for _, m := range rep.Members {
+				if m.State == membership.Alive.String() && m.HeardMS >= 0 {
+					alive++
+				}
+			}
+			return err == nil && alive == 3 && rep.Quorum
+		}); !ok {
+			rep, err := members.Ask(socket(i))
+			t.Errorf("n%d has not found all others: %+v, %v", i, rep, err)
+		}
+	}
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"croftlock/internal/membership"
@@ -30,6 +31,7 @@
 	Fleet  string
 	Listen string
 	Peers  []string // every member's address as reached from here, the own included
+	Seeds  []string // addresses of some, in place of Peers, where members come and go
 	Base   int
 	Keys   []string // files; none: datagrams are not sealed
 	Socket string   // where operators ask; "": nowhere
@@ -43,21 +45,27 @@
 		f.Bool("on", "whether proxies tell one another who is there, by datagrams", &o.On)
 		f.Text("fleet", "name of the fleet; others' datagrams are refused", "a name", &o.Fleet, func(s string) bool { return s != "" && len(s) <= 64 })
 		f.Text("listen", "own address for datagrams", "an address with a port", &o.Listen, isAddr)
-		var list string
-		f.Text("peers", "addresses of all members, the own included, as reached from here, with spaces between", "addresses with ports", &list, func(s string) bool {
-			o.Peers = o.Peers[:0]
-			for _, p := range bytes.Fields([]byte(s)) {
-				if !isAddr(string(p)) || slices.Contains(o.Peers, string(p)) {
-					return false
+		addresses := func(to *[]string) func(s string) bool {
+			return func(s string) bool {
+				for _, p := range strings.Fields(s) {
+					if !isAddr(p) || slices.Contains(*to, p) {
+						return false
+					}
+					*to = append(*to, p)
 				}
-				o.Peers = append(o.Peers, string(p))
+				return len(*to) > 0
 			}
-			return len(o.Peers) > 0
-		})
+		}
+		var list string
+		f.Text("peers", "addresses of all members, the own included, as reached from here, with spaces between", "addresses with ports", &list, addresses(&o.Peers))
+		f.Text("seeds", "addresses of some members, in place of peers, where members come and go; the others' are learnt", "addresses with ports", &list, addresses(&o.Seeds))
 		f.Int("base", "members that the fleet is meant to have, for a majority; 0: as many as peers", &o.Base, 0, 10000)
 		f.Paths("keys", "files with the keys of datagrams, at most two: the first seals, either opens; readable by their owner alone", &o.Keys)
 		f.Path("socket", "Unix socket at which operators ask who is there", &o.Socket)
-		if o.On && len(o.Peers)+len(o.Listen) > 0 && !slices.Contains(o.Peers, o.Listen) {
+		if len(o.Seeds) > 0 && (len(o.Peers) > 0 || o.Listen == "") {
+			f.Fault("seeds", "seeds go with listen and without peers")
+		}
+		if o.On && len(o.Seeds) == 0 && len(o.Peers)+len(o.Listen) > 0 && !slices.Contains(o.Peers, o.Listen) {
 			f.Fault("peers", "the own address %q is not among the peers, expected it there", o.Listen)
 		}
 		if len(o.Keys) > 2 {
@@ -103,6 +111,7 @@
 	seal   *membership.Seal
 	name   string
 	door   net.Listener
+	learns bool // members come and go, and their addresses are learnt
 	shared bool // the link is the decision module's too
 	bad    int  // datagrams under no key, or taken before
 	odd    int  // and those that were not to be taken for another reason
@@ -123,14 +132,18 @@
 	}
 	s := &Shell{loop: l, seal: seal, name: name}
 	slots, own := len(o.Peers), slices.Index(o.Peers, o.Listen)
-	if slots == 0 {
+	cfg := membership.Config{Name: name, Fleet: o.Fleet, Life: membership.NewLife(life.UnixMilli()), Base: o.Base, Seed: uint64(life.UnixNano())}
+	for _, a := range o.Seeds {
+		cfg.Seeds = append(cfg.Seeds, netip.MustParseAddrPort(a)) // the section has checked it
+	}
+	s.learns = len(cfg.Seeds) > 0
+	if slots == 0 && !s.learns {
 		if on.Link == nil {
 			return nil, errors.New("membership: no peers, and the platform has none or forbids messages between them")
 		}
 		s.link, s.shared, slots, own = on.Link, true, on.Peers, on.Me
 	}
-	cfg := membership.Config{Name: name, Fleet: o.Fleet, Life: membership.NewLife(life.UnixMilli()), Slots: slots, Own: own, Base: o.Base,
-		Seed: uint64(life.UnixNano())}
+	cfg.Slots, cfg.Own = slots, own
 	if seal != nil {
 		cfg.Overhead = membership.SealLen
 	} else {
@@ -139,7 +152,12 @@
 	if s.core, err = membership.New(cfg, s); err != nil {
 		return nil, err
 	}
-	if !s.shared {
+	if s.learns {
+		if s.link, err = peers.OpenAny(l, o.Listen, s.takeFrom); err != nil {
+			return nil, fmt.Errorf("membership: %w", err)
+		}
+		s.link.Hear()
+	} else if !s.shared {
 		if s.link, err = peers.Open(l, peers.Addresses{Listen: o.Listen, Peers: o.Peers}, own, -1, s.take); err != nil {
 			return nil, fmt.Errorf("membership: %w", err)
 		}
@@ -172,8 +190,16 @@
 	return true
 }
 
-// take takes a datagram. The first of each kind of trouble is told; the rest is counted.
 func (s *Shell) take(from int, data []byte) {
+	s.open(from, data, func(data []byte) error { return s.core.Receive(s.loop.Now(), from, data) })
+}
+
+func (s *Shell) takeFrom(from netip.AddrPort, data []byte) {
+	s.open(from, data, func(data []byte) error { return s.core.ReceiveFrom(s.loop.Now(), from, data) })
+}
+
+// open takes a datagram out of its seal. The first of each kind of trouble is told; the rest is counted.
+func (s *Shell) open(from any, data []byte, take func([]byte) error) {
 	if s.closed {
 		return
 	}
@@ -186,7 +212,7 @@
 			return
 		}
 	}
-	if err := s.core.Receive(s.loop.Now(), from, data); err != nil {
+	if err := take(data); err != nil {
 		if s.odd++; s.odd == 1 {
 			slog.Warn("membership_refused", "peer", from, "reason", err)
 		}
@@ -198,6 +224,10 @@
 	if s.seal != nil {
 		data = s.seal.Close(data)
 	}
+	if s.learns {
+		s.link.TellTo(s.core.Where(slot), data)
+		return
+	}
 	s.link.Tell(slot, data)
 }
 
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"net/netip"
 )
 
 // Longest is the longest datagram, in bytes.
@@ -17,15 +18,16 @@
 
 // The kinds of part that a datagram holds, any number of them behind its head.
 const (
-	partPing    = 1 // seq: answer
-	partAck     = 2 // seq
-	partPingFor = 3 // seq, id: ask id in my stead
-	partAckFor  = 4 // seq, id: id has answered
-	partNews    = 5 // news about one member
-	partRow     = 6 // whom the sender does not hear
-	partWant    = 7 // send your whole view
-	partName    = 8 // the sender's name, which its id is the hash of
-	partRefused = 9 // why the receiver is not taken in
+	partPing    = 1  // seq: answer
+	partAck     = 2  // seq
+	partPingFor = 3  // seq, id: ask id in my stead
+	partAckFor  = 4  // seq, id: id has answered
+	partNews    = 5  // news about one member
+	partRow     = 6  // whom the sender does not hear
+	partWant    = 7  // send your whole view
+	partName    = 8  // the sender's name, which its id is the hash of
+	partRefused = 9  // why the receiver is not taken in
+	partWhere   = 10 // at which address a member is, where members come and go
 )
 
 // ErrMalformed is told of a datagram that is none of this codec's; ErrVersion of one of another version, and ErrFleet of another
@@ -130,6 +132,21 @@
 	}
 }
 
+const whereLen = 1 + 4 + 4 + 2
+
+func (d *Datagram) where(id uint32, a netip.AddrPort) {
+	if !a.Addr().Is4() || !d.fits(whereLen) {
+		return
+	}
+	p := d.buf[d.n:]
+	p[0] = partWhere
+	binary.BigEndian.PutUint32(p[1:], id)
+	ip := a.Addr().As4()
+	copy(p[5:], ip[:])
+	binary.BigEndian.PutUint16(p[9:], a.Port())
+	d.n += whereLen
+}
+
 func (d *Datagram) refused(why byte) {
 	d.buf[d.n], d.buf[d.n+1] = partRefused, why
 	d.n += 2
@@ -182,6 +199,7 @@
 	row     []byte
 	name    []byte
 	why     byte
+	addr    netip.AddrPort
 }
 
 func (r *reader) next() (p part, ok bool) {
@@ -199,6 +217,8 @@
 		n = 1
 	case partRefused:
 		n = 2
+	case partWhere:
+		n = whereLen
 	case partRow:
 		if len(b) < 2 {
 			return p, false
@@ -232,6 +252,9 @@
 		p.name = b[2:n]
 	case partRefused:
 		p.why = b[1]
+	case partWhere:
+		p.id = binary.BigEndian.Uint32(b[1:])
+		p.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[5:9])), binary.BigEndian.Uint16(b[9:]))
 	}
 	r.rest = b[n:]
 	return p, true
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -12,6 +12,8 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"sort"
 )
 
@@ -59,8 +61,10 @@
 	Life        Life // of this process; a successor that takes over the name's work goes on with the same one
 	Slots       int  // addresses at which members may be, by number
 	Own         int  // the own one among them; -1: none
-	Base        int  // how many members the fleet is meant to have; a majority is more than half of it
-	Overhead    int  // bytes of each datagram that the caller adds, such as a keyed hash
+	// Seeds are addresses of some members, in place of Slots and Own, where members come and go: the others' are learnt.
+	Seeds    []netip.AddrPort
+	Base     int // how many members the fleet is meant to have; a majority is more than half of it
+	Overhead int // bytes of each datagram that the caller adds, such as a keyed hash
 
 	Period    Time // between two probes; 0: 200 ms
 	Within    Time // how long an answer may take before others are asked; 0: 150 ms
@@ -143,9 +147,10 @@
 	started bool
 
 	members map[uint32]*member
-	order   []uint32 // of ids, sorted: what is drawn must not follow the order of a map
-	slots   []uint32 // who is at an address; 0: not known
-	turn    []int    // slots in the order in which they are probed
+	order   []uint32         // of ids, sorted: what is drawn must not follow the order of a map
+	slots   []uint32         // who is at an address; 0: not known
+	where   []netip.AddrPort // the addresses, where members come and go
+	turn    []int            // slots in the order in which they are probed
 	at      int
 	probes  map[uint32]*pending
 	seq     uint32
@@ -189,6 +194,9 @@
 	if cfg.Name == "" || len(cfg.Name) > 64 {
 		return nil, fmt.Errorf("membership: a name of %d bytes, 1 to 64 are possible", len(cfg.Name))
 	}
+	if len(cfg.Seeds) > 0 {
+		cfg.Slots, cfg.Own = len(cfg.Seeds), -1
+	}
 	if cfg.Slots < 1 || cfg.Own >= cfg.Slots || cfg.Overhead < 0 || cfg.Overhead > 64 {
 		return nil, fmt.Errorf("membership: %d addresses, the own one number %d, %d bytes taken off each datagram", cfg.Slots, cfg.Own, cfg.Overhead)
 	}
@@ -206,6 +214,7 @@
 	c := &Core{cfg: cfg, fx: fx, id: ID(cfg.Name), fleet: ID("fleet " + cfg.Fleet), life: cfg.Life, members: map[uint32]*member{},
 		slots: make([]uint32, cfg.Slots), probes: map[uint32]*pending{}}
 	c.rng = rand.New(rand.NewPCG(cfg.Seed, uint64(c.id)))
+	c.where = slices.Clone(cfg.Seeds)
 	for i := range cfg.Slots {
 		if i != cfg.Own {
 			c.turn = append(c.turn, i)
@@ -442,6 +451,7 @@
 	for _, r := range c.rumours {
 		if d.news(c.about(r.id)) {
 			r.left--
+			c.tellWhere(d, r.id)
 		}
 		if r.left > 0 {
 			kept = append(kept, r)
@@ -471,6 +481,13 @@
 	return News{ID: id, State: m.State, Life: m.Life, Age: uint16(max(0, age))}
 }
 
+// tellWhere tells a member's address, where members come and go.
+func (c *Core) tellWhere(d *Datagram, id uint32) {
+	if m := c.members[id]; m != nil && m.Slot >= 0 && m.Slot < len(c.where) && m.State != Left && m.State != Gone {
+		d.where(id, c.where[m.Slot])
+	}
+}
+
 // unheard are those alive members that did not answer this process since it last heard them.
 func (c *Core) unheard() (ids []uint32) {
 	for _, id := range c.order {
@@ -482,6 +499,42 @@
 	return ids
 }
 
+// Where is the address of a slot, where members come and go.
+func (c *Core) Where(slot int) netip.AddrPort { return c.where[slot] }
+
+// mostSlots bounds how many addresses are kept.
+const mostSlots = 4096
+
+// place gives the slot of an address, a new one where there is none yet; under 0 where there is no room.
+func (c *Core) place(a netip.AddrPort) int {
+	for i, w := range c.where {
+		if w == a {
+			return i
+		}
+	}
+	for i, id := range c.slots {
+		// Who has left or is gone makes room, but no seed does: by those a fleet that was apart finds together.
+		if m := c.members[id]; i >= len(c.cfg.Seeds) && m != nil && (m.State == Left || m.State == Gone) {
+			m.Slot = -1
+			c.where[i], c.slots[i] = a, 0
+			return i
+		}
+	}
+	if len(c.where) >= mostSlots {
+		return -1
+	}
+	c.where, c.slots, c.turn = append(c.where, a), append(c.slots, 0), append(c.turn, len(c.where))
+	return len(c.where) - 1
+}
+
+// ReceiveFrom is Receive where members come and go: an address is kept once what came from it can be read and is this fleet's.
+func (c *Core) ReceiveFrom(now Time, from netip.AddrPort, data []byte) error {
+	if _, err := read(data, c.fleet); err != nil {
+		return c.Receive(now, -1, data)
+	}
+	return c.Receive(now, c.place(from), data)
+}
+
 // Receive takes a datagram that came from an address. What is wrong with it is counted, and told.
 func (c *Core) Receive(now Time, slot int, data []byte) error {
 	c.now = max(c.now, now)
@@ -503,6 +556,11 @@
 		c.counts.Malformed++
 		return ErrMalformed
 	}
+	if r.from == c.id && len(c.where) > 0 && r.life.Start() == c.life.Start() {
+		// The own address is among the seeds.
+		c.turn = slices.DeleteFunc(c.turn, func(i int) bool { return i == slot })
+		return nil
+	}
 	if r.from == c.id {
 		c.counts.Clashes++
 		return fmt.Errorf("membership: another process has the name %s", c.cfg.Name)
@@ -526,6 +584,9 @@
 	c.health = max(0, c.health-1)
 	if m == nil {
 		m = c.add(r.from)
+		if len(c.where) > 0 {
+			defer c.spread(r.from) // the others may not know where it is
+		}
 	}
 	c.heard(m, slot, r.life)
 	if r.digest != c.Digest() {
@@ -657,6 +718,13 @@
 			from.Unheard = append(from.Unheard, uint32(b[0])<<24|uint32(b[1])<<16|uint32(b[2])<<8|uint32(b[3]))
 		}
 		from.UnheardAt = c.now
+	case partWhere:
+		if m := c.members[p.id]; m != nil && m.Slot < 0 && len(c.where) > 0 && m.State != Left && m.State != Gone {
+			if slot := c.place(p.addr); slot >= 0 {
+				m.Slot, c.slots[slot] = slot, p.id
+				c.ask(m)
+			}
+		}
 	case partRefused:
 		switch p.why {
 		case refusedFleet:
@@ -683,6 +751,7 @@
 				if !d.news(c.about(id)) {
 					break
 				}
+				c.tellWhere(d, id)
 				c.page++
 				if n == len(c.order) {
 					c.transmit(slot, d)
--- a/internal/membership/virtual/virtual.go
+++ b/internal/membership/virtual/virtual.go
@@ -6,6 +6,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 
 	"croftlock/internal/membership"
@@ -58,6 +59,7 @@
 	Jitter  Time    // up to so much more: what is sent later may come sooner
 	Cut     map[[2]int]bool
 	Changes func(at int, c membership.Change)
+	Seeds   int    // over 0: processes know the addresses of so many, and learn the others'
 	Broken  string // the first thing that may never happen and did
 	now     Time
 	seq     int
@@ -108,6 +110,19 @@
 	heap.Push(&f.queue, event{max(t, f.now), f.seq, do})
 }
 
+// addr is a process's address where they have to learn them.
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i))
+}
+
+func (n *Node) receive(from int, data []byte) {
+	if n.fleet.Seeds > 0 {
+		n.Core.ReceiveFrom(n.fleet.now, addr(from), data)
+	} else {
+		n.Core.Receive(n.fleet.now, from, data)
+	}
+}
+
 // Name is a process's.
 func Name(i int) string { return fmt.Sprint("n", i) }
 
@@ -116,6 +131,9 @@
 	n := f.Nodes[i]
 	cfg := f.plant
 	cfg.Name, cfg.Fleet, cfg.Slots, cfg.Own, cfg.Seed = Name(i), "lab", len(f.Nodes), i, f.rng.Uint64()
+	for s := range f.Seeds {
+		cfg.Seeds = append(cfg.Seeds, addr(s))
+	}
 	cfg.Life = membership.NewLife((wallZero + f.now + n.Step) / Ms)
 	core, err := membership.New(cfg, n)
 	if err != nil {
@@ -176,7 +194,7 @@
 		n.Core.Tick(n.fleet.now, wallZero+n.fleet.now+n.Step)
 	}
 	for _, m := range inbox {
-		n.Core.Receive(n.fleet.now, m.from, m.data)
+		n.receive(m.from, m.data)
 	}
 	n.check()
 }
@@ -185,6 +203,9 @@
 func (n *Node) Send(slot int, data []byte) {
 	f := n.fleet
 	n.Sends++
+	if f.Seeds > 0 {
+		slot = int(n.Core.Where(slot).Port()) - 1000
+	}
 	if n.Mute || len(data) > membership.Longest {
 		if len(data) > membership.Longest {
 			f.fail("a datagram of %d bytes", len(data))
@@ -212,7 +233,7 @@
 			n.inbox = append(n.inbox, mail{from, data})
 		}
 	default:
-		n.Core.Receive(n.fleet.now, from, data)
+		n.receive(from, data)
 		n.check()
 	}
 }
@@ -246,7 +267,7 @@
 			f.fail("n%d: %d is taken for an earlier life", n.i, m.ID)
 		}
 		n.seen[m.ID] = max(m.Life, n.seen[m.ID])
-		if m.State == membership.Gone && m.Slot >= 0 && f.heardByAll(m.ID, m.Slot, m.Life) {
+		if f.Seeds == 0 && m.State == membership.Gone && m.Slot >= 0 && f.heardByAll(m.ID, m.Slot, m.Life) {
 			f.fail("n%d: n%d is gone, whom all others have heard within the last second", n.i, m.Slot)
 		}
 	}
--- a/internal/membership/virtual/virtual_test.go
+++ b/internal/membership/virtual/virtual_test.go
@@ -207,3 +207,28 @@
 		t.Errorf("%s %s, %d given up", why, f.Broken, wrong)
 	}
 }
+
+// Where members come and go they know two addresses at first and learn the others'; one that comes late is known to all, one that
+// leaves makes room, and after both seeds were restarted all find together again.
+func TestJoiningBySeeds(t *testing.T) {
+	for seed := range uint64(5) {
+		f := New(12, seed, membership.Config{Base: 12})
+		f.Seeds = 2
+		f.At(Sec, func() { f.Kill(11) })
+		f.Run(10 * Sec)
+		if why := f.Agreed(); why != "" {
+			t.Errorf("seed %d: %s", seed, why)
+		}
+		f.At(f.now, func() { f.Start(11) })
+		f.At(f.now, func() { f.Leave(10) })
+		f.Run(15 * Sec)
+		if why := f.Agreed(); why != "" {
+			t.Errorf("seed %d, after one came and one left: %s", seed, why)
+		}
+		f.Apply([]Fault{{Kind: "restart", At: 16000, For: 500, A: 0}, {Kind: "restart", At: 16000, For: 800, A: 1}})
+		f.Run(30 * Sec)
+		if why := f.Agreed(); why != "" || f.Broken != "" {
+			t.Errorf("seed %d, after both seeds were restarted: %s %s", seed, why, f.Broken)
+		}
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -69,6 +69,31 @@
 	return k, nil
 }
 
+// OpenAny listens for datagrams from anywhere, where members come and go: who may speak is for take to tell.
+func OpenAny(l *netio.Loop, listen string, take func(from netip.AddrPort, data []byte)) (*Link, error) {
+	own, err := address("listen", listen)
+	if err != nil {
+		return nil, err
+	}
+	k := &Link{me: -1}
+	if k.conn, err = bind(own, -1); err != nil {
+		return nil, err
+	}
+	k.hear = func() {
+		go k.receive(l, func(a netip.AddrPort) (func([]byte), bool) { return func(data []byte) { take(a, data) }, true })
+	}
+	return k, nil
+}
+
+// TellTo sends a datagram to an address.
+func (k *Link) TellTo(to netip.AddrPort, data []byte) {
+	if len(data) == 0 || len(data) > Longest {
+		slog.Error("peer_message", "bytes", len(data), "most", Longest)
+		return
+	}
+	k.send(to, data)
+}
+
 func bind(own netip.AddrPort, fd int) (*net.UDPConn, error) {
 	if fd < 0 {
 		return net.ListenUDP("udp4", net.UDPAddrFromAddrPort(own))
@@ -114,6 +139,14 @@
 }
 
 func (k *Link) read(l *netio.Loop, from map[netip.AddrPort]int, take func(int, []byte)) {
+	k.receive(l, func(a netip.AddrPort) (func([]byte), bool) {
+		sender, known := from[a]
+		return func(data []byte) { take(sender, data) }, known && sender != k.me
+	})
+}
+
+// receive posts what comes to the loop, for whoever who says takes it from there.
+func (k *Link) receive(l *netio.Loop, who func(netip.AddrPort) (take func([]byte), known bool)) {
 	var waiting atomic.Int32
 	buf := make([]byte, Longest+1)
 	for {
@@ -124,8 +157,8 @@
 		if err != nil {
 			continue // an earlier datagram of ours met a closed port: that says nothing of the next one
 		}
-		sender, known := from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
-		if !known || sender == k.me || n > Longest || waiting.Load() >= backlog {
+		take, known := who(netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()))
+		if !known || n > Longest || waiting.Load() >= backlog {
 			k.dropped.Add(1)
 			continue
 		}
@@ -133,7 +166,7 @@
 		waiting.Add(1)
 		l.Post(func() {
 			waiting.Add(-1)
-			take(sender, data)
+			take(data)
 		})
 	}
 }
