A full disk in the rig of several processes

Need: a disk that fills is one of the faults between processes. A limit on the size of files makes every write fail, without privileges; the process says so in its log, keeps its answers and its membership.

--- a/internal/command/members_test.go
+++ b/internal/command/members_test.go
@@ -89,6 +89,22 @@
 		t.Errorf("a flood of forged datagrams changes the view: %v", err)
 	}
 
+	// A disk that is full is said in the log, and ends nothing.
+	full := []virtual.Fault{{Kind: "full", For: 3000, A: 1}}
+	go func() { done <- r.Play(full) }()
+	lab.Until(patience, func() bool {
+		r.Suspend(1, true)
+		r.Suspend(1, false)
+		return len(r.Procs[1].Log("event=state_not_kept")) > 0
+	})
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Procs[1].Log("event=state_not_kept")) == 0 {
+		t.Errorf("a full disk is not told\n%s", lab.PlanText(full))
+	}
+	whole("a full disk")
+
 	// A process that takes another's place is the same member, with a new life.
 	if err := r.Replace(0); err != nil {
 		t.Fatal(err)
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"croftlock/internal/members"
 	"croftlock/internal/membership"
 	"croftlock/internal/membership/virtual"
@@ -59,7 +61,7 @@
 		if err := os.Mkdir(tmp, 0o700); err != nil {
 			return nil, err
 		}
-		r.setup = append(r.setup, Setup{Listen: listen, Tmp: tmp, Name: virtual.Name(i), Discovery: "127.0.0.1:1", Known: standin.List{Rev: 1, All: true, Targets: []standin.Entry{}},
+		r.setup = append(r.setup, Setup{Listen: listen, Tmp: tmp, Name: virtual.Name(i), Discovery: "127.0.0.1:1", Known: standin.List{Rev: 1, All: true, Targets: []standin.Entry{{UID: "s0", Endpoint: "127.0.0.1:1", State: "up", Weight: 1}}},
 			Settings: path, Cores: 0.5, Sockets: 256, MemoryMB: 64, Env: run})
 	}
 	for i := range n {
@@ -96,6 +98,19 @@
 	return old.Stop()
 }
 
+// Suspend has a process's operators take its one host out, or call it back; what is kept of that goes to its disk.
+func (r *Rig) Suspend(i int, out bool) error {
+	word := "resume"
+	if out {
+		word = "suspend"
+	}
+	status, body, _, err := Call(r.admin[i], "POST", "/v1/catalogue-servers/s0/"+word)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("%s: %d %s", word, status, body)
+	}
+	return err
+}
+
 // Ask asks a process who is there.
 func (r *Rig) Ask(i int) (members.Report, error) { return members.Ask(r.socket(i)) }
 
@@ -276,6 +291,14 @@
 	switch p.Kind {
 	case "pause":
 		return func() error { r.Procs[p.A].Signal(syscall.SIGSTOP); return nil }, func() error { r.Procs[p.A].Signal(syscall.SIGCONT); return nil }, nil
+	case "full":
+		// A limit on the size of files stands for a disk that is full: each write to one fails at once. It needs no privileges.
+		limit := func(most uint64) func() error {
+			return func() error {
+				return unix.Prlimit(r.Procs[p.A].cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: most, Max: unix.RLIM_INFINITY}, nil)
+			}
+		}
+		return limit(0), limit(unix.RLIM_INFINITY), nil
 	case "kill":
 		return func() error { r.Procs[p.A].Kill(); return nil }, nothing, nil
 	case "restart":
--- a/internal/membership/virtual/plan.go
+++ b/internal/membership/virtual/plan.go
@@ -121,5 +121,8 @@
 	return n
 }
 
-// Known tells whether there is such a fault; garbage is one between real processes only, whose datagrams can be sealed.
-func Known(kind string) bool { return slices.Contains(kinds, kind) || kind == "garbage" }
+// Known tells whether there is such a fault. Spoilt datagrams (garbage) and a full disk (full) are for real processes only, whose
+// datagrams can be sealed and who have a disk.
+func Known(kind string) bool {
+	return slices.Contains(kinds, kind) || kind == "garbage" || kind == "full"
+}
