--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"croftlock/internal/membership"
@@ -30,6 +31,7 @@
 	Fleet  string
 	Listen string
 	Peers  []string // every member's address as reached from here, the own included
+	Seeds  []string // addresses of some, in place of Peers, where members come and go
 	Base   int
 	Keys   []string // files; none: datagrams are not sealed
 	Socket string   // where operators ask; "": nowhere
@@ -43,21 +45,27 @@
 		f.Bool("on", "whether proxies tell one another who is there, by datagrams", &o.On)
 		f.Text("fleet", "name of the fleet; others' datagrams are refused", "a name", &o.Fleet, func(s string) bool { return s != "" && len(s) <= 64 })
 		f.Text("listen", "own address for datagrams", "an address with a port", &o.Listen, isAddr)
-		var list string
-		f.Text("peers", "addresses of all members, the own included, as reached from here, with spaces between", "addresses with ports", &list, func(s string) bool {
-			o.Peers = o.Peers[:0]
-			for _, p := range bytes.Fields([]byte(s)) {
-				if !isAddr(string(p)) || slices.Contains(o.Peers, string(p)) {
-					return false
+		addresses := func(to *[]string) func(s string) bool {
+			return func(s string) bool {
+				for _, p := range strings.Fields(s) {
+					if !isAddr(p) || slices.Contains(*to, p) {
+						return false
+					}
+					*to = append(*to, p)
 				}
-				o.Peers = append(o.Peers, string(p))
+				return len(*to) > 0
 			}
-			return len(o.Peers) > 0
-		})
+		}
+		var list string
+		f.Text("peers", "addresses of all members, the own included, as reached from here, with spaces between", "addresses with ports", &list, addresses(&o.Peers))
+		f.Text("seeds", "addresses of some members, in place of peers, where members come and go; the others' are learnt", "addresses with ports", &list, addresses(&o.Seeds))
 		f.Int("base", "members that the fleet is meant to have, for a majority; 0: as many as peers", &o.Base, 0, 10000)
 		f.Paths("keys", "files with the keys of datagrams, at most two: the first seals, either opens; readable by their owner alone", &o.Keys)
 		f.Path("socket", "Unix socket at which operators ask who is there", &o.Socket)
-		if o.On && !slices.Contains(o.Peers, o.Listen) {
+		if len(o.Seeds) > 0 && (len(o.Peers) > 0 || o.Listen == "") {
+			f.Fault("seeds", "seeds go with listen and without peers")
+		}
+		if o.On && len(o.Seeds) == 0 && len(o.Peers)+len(o.Listen) > 0 && !slices.Contains(o.Peers, o.Listen) {
 			f.Fault("peers", "the own address %q is not among the peers, expected it there", o.Listen)
 		}
 		if len(o.Keys) > 2 {
@@ -103,20 +111,39 @@
 	seal   *membership.Seal
 	name   string
 	door   net.Listener
-	bad    int // datagrams under no key, or taken before
+	learns bool // members come and go, and their addresses are learnt
+	shared bool // the link is the decision module's too
+	bad    int  // datagrams under no key, or taken before
+	odd    int  // and those that were not to be taken for another reason
 	closed bool
 }
 
-// Start begins. life is when this process, or the one whose work it goes on with, began.
-func Start(l *netio.Loop, o Options, name string, life time.Time) (*Shell, error) {
+// Platform is the platform's own way between its proxies, for a section without addresses; whoever reads from it calls Take.
+type Platform struct {
+	Link      *peers.Link // nil: there is none
+	Peers, Me int
+}
+
+// Start begins. life is when this process began.
+func Start(l *netio.Loop, o Options, name string, life time.Time, on Platform) (*Shell, error) {
 	seal, err := o.seal()
 	if err != nil {
 		return nil, err
 	}
-	own := slices.Index(o.Peers, o.Listen)
 	s := &Shell{loop: l, seal: seal, name: name}
-	cfg := membership.Config{Name: name, Fleet: o.Fleet, Life: membership.NewLife(life.UnixMilli()), Slots: len(o.Peers), Own: own, Base: o.Base,
-		Seed: uint64(life.UnixNano())}
+	slots, own := len(o.Peers), slices.Index(o.Peers, o.Listen)
+	cfg := membership.Config{Name: name, Fleet: o.Fleet, Life: membership.NewLife(life.UnixMilli()), Base: o.Base, Seed: uint64(life.UnixNano())}
+	for _, a := range o.Seeds {
+		cfg.Seeds = append(cfg.Seeds, netip.MustParseAddrPort(a)) // the section has checked it
+	}
+	s.learns = len(cfg.Seeds) > 0
+	if slots == 0 && !s.learns {
+		if on.Link == nil {
+			return nil, errors.New("membership: no peers, and the platform has none or forbids messages between them")
+		}
+		s.link, s.shared, slots, own = on.Link, true, on.Peers, on.Me
+	}
+	cfg.Slots, cfg.Own = slots, own
 	if seal != nil {
 		cfg.Overhead = membership.SealLen
 	} else {
@@ -125,16 +152,23 @@
 	if s.core, err = membership.New(cfg, s); err != nil {
 		return nil, err
 	}
-	if s.link, err = peers.Open(l, peers.Addresses{Listen: o.Listen, Peers: o.Peers}, own, -1, s.take); err != nil {
-		return nil, fmt.Errorf("membership: %w", err)
+	if s.learns {
+		if s.link, err = peers.OpenAny(l, o.Listen, s.takeFrom); err != nil {
+			return nil, fmt.Errorf("membership: %w", err)
+		}
+		s.link.Hear()
+	} else if !s.shared {
+		if s.link, err = peers.Open(l, peers.Addresses{Listen: o.Listen, Peers: o.Peers}, own, -1, s.take); err != nil {
+			return nil, fmt.Errorf("membership: %w", err)
+		}
+		s.link.Hear()
 	}
 	if o.Socket != "" {
 		if err := s.serve(o.Socket); err != nil {
-			s.link.Close()
+			s.Yield()
 			return nil, fmt.Errorf("membership: %w", err)
 		}
 	}
-	s.link.Hear()
 	l.Post(s.turn)
 	return s, nil
 }
@@ -147,8 +181,25 @@
 	s.loop.After(turn, s.turn)
 }
 
-// take takes a datagram. The first of each kind of trouble is told; the rest is counted.
+// Take takes a datagram from the platform's way between proxies, if it is one of these; a nil Shell takes none.
+func (s *Shell) Take(from int, data []byte) bool {
+	if s == nil || !s.shared || !membership.Ours(data) {
+		return false
+	}
+	s.take(from, data)
+	return true
+}
+
 func (s *Shell) take(from int, data []byte) {
+	s.open(from, data, func(data []byte) error { return s.core.Receive(s.loop.Now(), from, data) })
+}
+
+func (s *Shell) takeFrom(from netip.AddrPort, data []byte) {
+	s.open(from, data, func(data []byte) error { return s.core.ReceiveFrom(s.loop.Now(), from, data) })
+}
+
+// open takes a datagram out of its seal. The first of each kind of trouble is told; the rest is counted.
+func (s *Shell) open(from any, data []byte, take func([]byte) error) {
 	if s.closed {
 		return
 	}
@@ -161,8 +212,8 @@
 			return
 		}
 	}
-	if err := s.core.Receive(s.loop.Now(), from, data); err != nil {
-		if n := s.core.Counts(); n.Malformed+n.OtherFleet+n.OtherVersion+n.Clashes == 1 {
+	if err := take(data); err != nil {
+		if s.odd++; s.odd == 1 {
 			slog.Warn("membership_refused", "peer", from, "reason", err)
 		}
 	}
@@ -173,6 +224,10 @@
 	if s.seal != nil {
 		data = s.seal.Close(data)
 	}
+	if s.learns {
+		s.link.TellTo(s.core.Where(slot), data)
+		return
+	}
 	s.link.Tell(slot, data)
 }
 
@@ -198,7 +253,9 @@
 		return
 	}
 	s.closed = true
-	s.link.Close()
+	if !s.shared {
+		s.link.Close()
+	}
 	if s.door != nil {
 		s.door.Close()
 	}
--- a/internal/membership/virtual/virtual_test.go
+++ b/internal/membership/virtual/virtual_test.go
@@ -164,3 +164,71 @@
 		t.Errorf("one that was killed is held for %s, one that left for %s", s, l)
 	}
 }
+
+// Three of five killed at once: the two that are left hold them for unreachable and give nobody up, having no majority. Three of
+// seven: the four do.
+func TestManyKilledAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		n    int
+		want membership.State
+	}{{5, membership.Unreachable}, {7, membership.Gone}} {
+		f := New(c.n, 5, membership.Config{})
+		for i := range 3 {
+			f.At(5*Sec, func() { f.Kill(i) })
+		}
+		f.Run(25 * Sec)
+		for i := range 3 {
+			if s := f.Sees(c.n-1, i); s != c.want {
+				t.Errorf("of %d: n%d is %s after 20 s, want %s", c.n, i, s, c.want)
+			}
+		}
+		if q := f.Nodes[c.n-1].Core.Quorum(); q != (c.want == membership.Gone) {
+			t.Errorf("of %d with three killed: quorum %t", c.n, q)
+		}
+	}
+}
+
+// A rolling restart of all: each comes back as a new life, nobody else is ever given up.
+func TestRollingRestart(t *testing.T) {
+	f := New(7, 6, membership.Config{})
+	wrong := 0
+	f.Changes = func(at int, c membership.Change) {
+		if c.To == membership.Gone {
+			wrong++
+		}
+	}
+	var plan []Fault
+	for i := range 7 {
+		plan = append(plan, Fault{Kind: "restart", At: 5000 + 2000*int64(i), For: 800, A: i})
+	}
+	calm := f.Apply(plan)
+	f.Run(calm*Ms + 5*Sec)
+	if why := f.Agreed(); why != "" || f.Broken != "" || wrong > 0 {
+		t.Errorf("%s %s, %d given up", why, f.Broken, wrong)
+	}
+}
+
+// Where members come and go they know two addresses at first and learn the others'; one that comes late is known to all, one that
+// leaves makes room, and after both seeds were restarted all find together again.
+func TestJoiningBySeeds(t *testing.T) {
+	for seed := range uint64(5) {
+		f := New(12, seed, membership.Config{Base: 12})
+		f.Seeds = 2
+		f.At(Sec, func() { f.Kill(11) })
+		f.Run(10 * Sec)
+		if why := f.Agreed(); why != "" {
+			t.Errorf("seed %d: %s", seed, why)
+		}
+		f.At(f.now, func() { f.Start(11) })
+		f.At(f.now, func() { f.Leave(10) })
+		f.Run(15 * Sec)
+		if why := f.Agreed(); why != "" {
+			t.Errorf("seed %d, after one came and one left: %s", seed, why)
+		}
+		f.Apply([]Fault{{Kind: "restart", At: 16000, For: 500, A: 0}, {Kind: "restart", At: 16000, For: 800, A: 1}})
+		f.Run(30 * Sec)
+		if why := f.Agreed(); why != "" || f.Broken != "" {
+			t.Errorf("seed %d, after both seeds were restarted: %s %s", seed, why, f.Broken)
+		}
+	}
+}
