Read over: accessors that nobody calls, a branch that said one thing twice

Need: estimate.Host.Queue and members.Shell.Core had no caller; told() spread a member's news in both branches; virtual.Start kept what it did not use. Behaviour as before, tests keep their assertions.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -55,9 +55,6 @@
 // Heard is when a report last came; 0: never.
 func (h *Host) Heard() int64 { return h.last }
 
-// Queue is how many requests waited, as last told.
-func (h *Host) Queue() float64 { return h.queue }
-
 // Changed notes that this balancer's own load there has grown by so much, or shrunk, in the caller's unit of load.
 func (h *Host) Changed(now int64, load float64) {
 	h.prune()
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -60,11 +60,11 @@
 	for _, x := range []float64{-1, math.NaN(), math.Inf(1)} {
 		h.Report(2*sec, x, 0)
 	}
-	if x := h.Now(2*sec, 0, 0.4); x != 0.6 || h.Queue() != 3 {
-		t.Errorf("%.3f, queue %.0f", x, h.Queue())
+	if x := h.Now(2*sec, 0, 0.4); x != 0.6 || h.queue != 3 {
+		t.Errorf("%.3f, queue %.0f", x, h.queue)
 	}
 	h.Report(2*sec, 0.5, math.NaN())
-	if h.Queue() != 0 || h.Heard() != 2*sec {
+	if h.queue != 0 || h.Heard() != 2*sec {
 		t.Error("a report without a queue is a report")
 	}
 	for i := range 10 * kept {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -236,9 +236,6 @@
 	slog.Info("member", "id", fmt.Sprintf("%08x", c.ID), "name", c.Name, "from", c.From, "to", c.To, "life", c.Life.Start(), "version", c.Version, "reason", c.Reason)
 }
 
-// Core is what knows the members.
-func (s *Shell) Core() *membership.Core { return s.core }
-
 // Leave tells the others that this process ends in order, and ends.
 func (s *Shell) Leave() {
 	if s != nil && !s.closed {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -851,10 +851,8 @@
 	case n.State == Gone:
 		if c.now-m.HeardBy > c.cfg.SilentFor && c.now >= c.distrust {
 			c.set(m, Gone, "others say so, and nobody here has heard it")
-			c.spread(m.ID)
-		} else {
-			c.spread(m.ID)
 		}
+		c.spread(m.ID) // or that it was heard
 	case n.State == Joining:
 	default:
 		if newer && ended {
--- a/internal/membership/virtual/virtual.go
+++ b/internal/membership/virtual/virtual.go
@@ -140,7 +140,6 @@
 	if err != nil {
 		panic(err)
 	}
-	was := n.Core
 	n.Core, n.Up, n.Asleep, n.inbox, n.ver, n.woke = core, true, false, nil, 0, 0
 	clear(n.seen)
 	delete(f.left, i)
@@ -156,7 +155,6 @@
 		f.At(f.now+Turn, turn)
 	}
 	f.At(f.now+Time(f.rng.Int64N(int64(Turn))), turn)
-	_ = was
 }
 
 // Kill ends a process without a word.
