Read over: woke took a length of sleep that it did not use

Need: Tick kept the last turn's time beside the gap that says the same, and passed a second figure that nobody read.

--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -229,13 +229,12 @@
 // Tick is to be called every 50 ms or so; wall is the wall clock, in nanoseconds. A gap shows that the process slept.
 func (c *Core) Tick(now, wall Time) {
 	gap, jump := now-c.lastTick, (wall-c.lastWall)-(now-c.lastTick)
-	was := c.lastTick
 	c.now, c.lastTick, c.lastWall = now, now, wall
 	if !c.started {
 		c.started, c.nextProbe, c.lastHeard = true, now, now
 		c.shuffle()
 	} else if (gap > 4*c.cfg.Period || jump > 4*c.cfg.Period) && !c.cfg.IgnorePause {
-		c.woke(now-was, max(gap, jump))
+		c.woke(gap)
 	}
 	c.expire()
 	for c.now >= c.nextProbe && !c.left {
@@ -246,7 +245,7 @@
 }
 
 // woke takes back what the time in which this process heard nothing would have it conclude.
-func (c *Core) woke(gap, slept Time) {
+func (c *Core) woke(gap Time) {
 	c.counts.Pauses++
 	c.distrust = c.now + trustAfter
 	c.lastHeard = c.now
@@ -579,7 +578,7 @@
 	if gap := now - c.lastTick; c.started && gap > 4*c.cfg.Period && !c.cfg.IgnorePause {
 		// This process slept, and what waited for it comes before its turn does.
 		c.lastTick, c.lastWall = now, c.lastWall+gap
-		c.woke(gap, gap)
+		c.woke(gap)
 	}
 	r, err := read(data, c.fleet)
 	switch err {
