Read over: one reader of files that only their owner may read

ReadSecret serves both; a refusal now names the mode too. strange() looks at told loads before it works out what only the other way needs. Decisions as before; tests of certs, brain, membership and of the command line pass.

--- a/brain/groups.go
+++ b/brain/groups.go
@@ -20,14 +20,14 @@
 			return 0
 		}
 	}
+	if b.reports() {
+		return strangeTold * groupCost * max(1, b.meanCost) * s.before
+	}
 	place, most := 0.0, 2.0
 	if thin {
 		most = thinPlaces
 		place = min(most, 2*b.slowness(s)/slowAt)
 	}
-	if b.reports() {
-		return strangeTold * groupCost * max(1, b.meanCost) * s.before
-	}
 	for _, i := range b.order(r.Group) {
 		o := b.servers[i]
 		if o == s || place >= most {
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -247,25 +247,27 @@
 // ErrOpenKey is a key file that others than its owner may read.
 var ErrOpenKey = errors.New("others than its owner may read it; expected mode 0600 or 0400")
 
+// ReadSecret reads a file that only its owner may read, as ReadFile does.
+func ReadSecret(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return nil, fmt.Errorf("%s: mode %04o: %w", path, info.Mode().Perm(), ErrOpenKey)
+	}
+	return ReadFile(path)
+}
+
 // LoadKey reads a private key. passwordFile is needed where it is encrypted. Errors never hold anything of the key's.
 func LoadKey(path, passwordFile string) (crypto.Signer, error) {
-	secret := func(path string) ([]byte, error) {
-		info, err := os.Stat(path)
-		if err != nil {
-			return nil, err
-		}
-		if info.Mode().Perm()&0o077 != 0 {
-			return nil, fmt.Errorf("%s: mode %04o: %w", path, info.Mode().Perm(), ErrOpenKey)
-		}
-		return ReadFile(path)
-	}
-	data, err := secret(path)
+	data, err := ReadSecret(path)
 	if err != nil {
 		return nil, err
 	}
 	options := []pemutil.Options{}
 	if passwordFile != "" {
-		password, err := secret(passwordFile)
+		password, err := ReadSecret(passwordFile)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"croftlock/internal/certs"
 	"croftlock/internal/membership"
 	"croftlock/internal/netio"
 	"croftlock/internal/peers"
@@ -87,14 +88,7 @@
 	}
 	var keys [][]byte
 	for _, path := range o.Keys {
-		info, err := os.Stat(path)
-		if err != nil {
-			return nil, fmt.Errorf("keys: %w", err)
-		}
-		if info.Mode().Perm()&0o077 != 0 {
-			return nil, fmt.Errorf("keys: %s is readable by others than its owner", path)
-		}
-		data, err := os.ReadFile(path)
+		data, err := certs.ReadSecret(path)
 		if err != nil {
 			return nil, fmt.Errorf("keys: %w", err)
 		}
