--- /dev/null
+++ b/deploy/examples/owners.sexp
@@ -0,0 +1,20 @@
+; One of three proxies that share the fleet's work: membership first, and on it one owner at a time for each job. Each has a file of its own:
+; listen is the own address. The three vote, and keep their votes on a disk that lasts: (dir "/var/lib/croftlock"); without dir they go by
+; memory. docs/operate-ownership.md.
+;   croftlock check --settings deploy/examples/owners.sexp
+
+(log (format text) (level info))
+(membership
+  (on on)
+  (fleet "valley")
+  (listen "127.0.0.1:7946")
+  (peers "127.0.0.1:7946 127.0.0.1:7947 127.0.0.1:7948")
+  (base 3)
+  (socket "members.sock"))
+(owners
+  (on on)
+  (group "valley")
+  (voters "proxy-1 proxy-2 proxy-3")
+  (hosts on)
+  (pace 20)
+  (socket "owners.sock"))
--- a/internal/byhand/book.go
+++ b/internal/byhand/book.go
@@ -48,12 +48,15 @@
 // Book is the bans, and the uids that a call may name.
 type Book struct {
 	banned map[string]int64 // since when
+	fleet  map[string]int64 // and those that are out for the whole fleet, by its owner's list
 	known  map[string]bool
 	order  []string // of known, oldest first
 }
 
 // New makes an empty book.
-func New() *Book { return &Book{banned: map[string]int64{}, known: map[string]bool{}} }
+func New() *Book {
+	return &Book{banned: map[string]int64{}, fleet: map[string]int64{}, known: map[string]bool{}}
+}
 
 // Listed notes that a list has named a host.
 func (b *Book) Listed(id string) {
@@ -76,7 +79,7 @@
 
 // Set bans a host or ends its ban, and tells whether that changed anything.
 func (b *Book) Set(id string, out bool, now int64) bool {
-	if b.Out(id) == out {
+	if _, is := b.banned[id]; is == out {
 		return false
 	}
 	if out {
@@ -88,19 +91,54 @@
 	return true
 }
 
+// SetFleet takes the list of hosts that are out for the whole fleet, and gives those of which that changes whether they are out. A host is out
+// while either word holds: a call at this proxy does not end the fleet's.
+func (b *Book) SetFleet(ids []string, now int64) (changed []string) {
+	next := map[string]int64{}
+	for _, id := range ids {
+		since, was := b.fleet[id]
+		if !was {
+			since = now
+		}
+		next[id] = since
+	}
+	for id := range b.fleet {
+		if _, still := next[id]; !still {
+			if _, own := b.banned[id]; !own {
+				changed = append(changed, id)
+			}
+		}
+	}
+	for id := range next {
+		if !b.Out(id) {
+			changed = append(changed, id)
+		}
+	}
+	b.fleet = next
+	slices.Sort(changed)
+	return changed
+}
+
 // IDs is every uid that a call may name, the oldest first.
 func (b *Book) IDs() []string { return slices.Clone(b.order) }
 
 // Out tells whether a host is banned.
 func (b *Book) Out(id string) bool {
 	_, out := b.banned[id]
-	return out
+	_, fleet := b.fleet[id]
+	return out || fleet
 }
 
-// Ban is a host's ban.
-func (b *Book) Ban(id string) Ban { return Ban{id, b.banned[id]} }
+// Ban is a host's ban, the earlier where there are two.
+func (b *Book) Ban(id string) Ban {
+	since, own := b.banned[id]
+	if at, fleet := b.fleet[id]; fleet && (!own || at < since) {
+		since = at
+	}
+	return Ban{id, since}
+}
 
-// All is every ban, sorted.
+// All is every ban that was set at this proxy, sorted.
 func (b *Book) All() []Ban {
 	out := make([]Ban, 0, len(b.banned))
 	for id, since := range b.banned {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -44,6 +44,7 @@
 			"It tells every fault as file:line:col: what, expected, and exits with 1 where there is any.",
 		Example: "  croftlock check --settings deploy/croftlock.sexp"})
 	root.AddCommand(c.settings(), certCommands())
+	root.AddCommand(c.fleet()...)
 	return root
 }
 
--- /dev/null
+++ b/internal/command/fleet.go
@@ -0,0 +1,170 @@
+package command
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"croftlock/internal/members"
+	"croftlock/internal/node"
+	"croftlock/internal/owners"
+)
+
+// fleet are the commands that ask a running proxy about the fleet, over the Unix sockets that the operators' file names.
+func (c *commands) fleet() []*cobra.Command {
+	var socket string
+	var asJSON bool
+	path := func(section string) (string, error) {
+		if socket != "" {
+			return socket, nil
+		}
+		file, err := node.Schema().Load(c.path)
+		if err != nil {
+			return "", err
+		}
+		p := file.Value("owners").(owners.Options).Socket
+		if section == "membership" {
+			p = file.Value("membership").(members.Options).Socket
+		}
+		if p == "" {
+			return "", fmt.Errorf("no socket: name it by --socket, or the operators' file with (%s (socket ...)) by --settings", section)
+		}
+		return p, nil
+	}
+	ask := func(cmd *cobra.Command, q owners.Request, show func(w io.Writer, r owners.Reply) error) error {
+		p, err := path("owners")
+		if err != nil {
+			return err
+		}
+		r, err := owners.Ask(p, q)
+		if err != nil {
+			return fmt.Errorf("%s: %w", p, err)
+		}
+		if asJSON {
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(r)
+		}
+		if r.Error != "" {
+			return errors.New(r.Error)
+		}
+		if show != nil {
+			return show(cmd.OutOrStdout(), r)
+		}
+		fmt.Fprintln(cmd.OutOrStdout(), r.Answer)
+		if strings.HasPrefix(r.Answer, "refused") || strings.HasPrefix(r.Answer, "unknown") {
+			return errors.New("it was not done, or nobody knows")
+		}
+		return nil
+	}
+	said := func(do string) func(cmd *cobra.Command, args []string) error {
+		return func(cmd *cobra.Command, args []string) error {
+			q := owners.Request{Do: do}
+			if q.A = args[0]; len(args) > 1 {
+				q.B = args[1]
+			}
+			return ask(cmd, q, nil)
+		}
+	}
+	own := &cobra.Command{Use: "owners", Args: cobra.NoArgs, Short: "Tell who owns which of the fleet's jobs",
+		Example: "  croftlock owners --socket /run/croftlock/owners.sock\n  croftlock owners move hosts proxy-2",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return ask(cmd, owners.Request{Do: "owners"}, showOwners)
+		}}
+	own.AddCommand(&cobra.Command{Use: "move JOB MEMBER", Args: cobra.ExactArgs(2), Short: "Have a job handed over", RunE: said("move"),
+		Example: "  croftlock owners move hosts proxy-2"})
+	group := &cobra.Command{Use: "group", Short: "The voters that the owners rest on"}
+	group.AddCommand(&cobra.Command{Use: "status", Args: cobra.NoArgs, Short: "Tell how the group stands, as this proxy sees it",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return ask(cmd, owners.Request{Do: "status"}, showGroup)
+		}})
+	for _, x := range []struct{ use, do, short string }{{"add NAME", "add", "Take a process in that asks for it, as one that listens"},
+		{"promote NAME", "promote", "Let a member that listens vote, in the place of its earlier self"}, {"remove NAME", "remove", "Take a member out"}} {
+		group.AddCommand(&cobra.Command{Use: x.use, Args: cobra.ExactArgs(1), Short: x.short, RunE: said(x.do)})
+	}
+	fleet := &cobra.Command{Use: "fleet", Short: "What holds at every proxy"}
+	for _, do := range []string{"suspend", "resume"} {
+		fleet.AddCommand(&cobra.Command{Use: do + " ID", Args: cobra.ExactArgs(1), Short: do + " a host at every proxy", RunE: said(do),
+			Long:    "The answer says at how many proxies it is done and which are still missing; refused; or unknown, where nobody can say.",
+			Example: "  croftlock fleet " + do + " catalogue-07"})
+	}
+	who := &cobra.Command{Use: "members", Args: cobra.NoArgs, Short: "Tell which proxies are there, as this one sees them",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p, err := path("membership")
+			if err != nil {
+				return err
+			}
+			r, err := members.Ask(p)
+			if err != nil {
+				return fmt.Errorf("%s: %w", p, err)
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(r)
+			}
+			return r.Print(cmd.OutOrStdout())
+		}}
+	all := []*cobra.Command{own, group, fleet, who}
+	for _, x := range all {
+		x.PersistentFlags().StringVar(&socket, "socket", "", "the running proxy's socket; else the one that the operators' file names")
+		x.PersistentFlags().BoolVar(&asJSON, "json", false, "as JSON")
+	}
+	return all
+}
+
+func showOwners(w io.Writer, r owners.Reply) error {
+	fmt.Fprintf(w, "%s  coordinator %s  lease left %d ms\n", r.Name, dash(r.Leader), r.Lease)
+	if r.Store != "" {
+		fmt.Fprintf(w, "its store can't be used: %s\n", r.Store)
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	if r.Jobs == nil {
+		fmt.Fprintln(w, "this proxy is no voter, and knows its own jobs alone")
+		fmt.Fprintln(t, "JOB\tTOKEN")
+		names := make([]string, 0, len(r.Mine))
+		for n := range r.Mine {
+			names = append(names, n)
+		}
+		sort.Strings(names)
+		for _, n := range names {
+			fmt.Fprintf(t, "%s\t%d\n", n, r.Mine[n])
+		}
+		return t.Flush()
+	}
+	fmt.Fprintln(t, "JOB\tOWNER\tTOKEN\tSINCE\tKEPT BYTES\tWHY")
+	for _, j := range r.Jobs {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d\t%s\n", j.Job, dash(j.Owner), j.Token, j.Since, j.Left, j.Why)
+	}
+	return t.Flush()
+}
+
+func showGroup(w io.Writer, r owners.Reply) error {
+	if r.Store != "" {
+		fmt.Fprintf(w, "%s: the store can't be used: %s\n", r.Name, r.Store)
+	}
+	if r.Group == nil {
+		fmt.Fprintf(w, "%s: no voter with a disk (%s); coordinator %s\n", r.Name, r.Kind, dash(r.Leader))
+		return nil
+	}
+	g := r.Group
+	fmt.Fprintf(w, "%s: %s %s  boots %d  term %d  leader %s  commit %d  applied %d\n", r.Name, g.Phase, g.Reason, g.Boots, g.Term, dash(g.Leader), g.Commit, g.Applied)
+	for _, n := range g.Waits {
+		fmt.Fprintf(w, "%s asks to be added\n", n)
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "MEMBER\tID\tVOTES\tMATCH\tANSWERS")
+	for _, m := range g.Members {
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%t\n", m.Name, m.ID, m.Votes, m.Match, m.Active)
+	}
+	return t.Flush()
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/internal/consensus/disk/disk_test.go
@@ -0,0 +1,277 @@
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"golang.org/x/sys/unix"
+
+	"croftlock/internal/consensus"
+)
+
+func entries(from, n int, term uint64) (out []raftpb.Entry) {
+	for i := range n {
+		out = append(out, raftpb.Entry{Index: uint64(from + i), Term: term, Data: []byte(fmt.Sprint("command ", from+i))})
+	}
+	return out
+}
+
+func fill(t testing.TB, path string) consensus.Saved {
+	t.Helper()
+	s, err := Open(path, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	must(s.SaveIdentity(consensus.Identity{Group: "g", Name: "a", ID: 7, Boots: 3}))
+	must(s.SaveSeen(9, consensus.Seen{Boots: 2, Life: 5}))
+	must(s.Save(raftpb.HardState{Term: 2, Vote: 9, Commit: 4}, entries(1, 10, 1), raftpb.Snapshot{}))
+	must(s.Save(raftpb.HardState{}, entries(8, 2, 2), raftpb.Snapshot{})) // takes the place of 8 to 10
+	must(s.Save(raftpb.HardState{}, nil, raftpb.Snapshot{Data: []byte("state"), Metadata: raftpb.SnapshotMetadata{Index: 4, Term: 1}}))
+	must(s.Compact(2))
+	out, err := s.Load()
+	must(err)
+	return out
+}
+
+func TestKeepsWhatItIsGiven(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "voter")
+	fill(t, path)
+	s, err := Open(path, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	got, err := s.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := append(entries(5, 3, 1), entries(8, 2, 2)...)
+	if got.ID != 7 || got.Boots != 3 || got.Hard.Vote != 9 || string(got.Snap.Data) != "state" || got.Seen[9].Boots != 2 || !reflect.DeepEqual(got.Entries, want) {
+		t.Errorf("%+v", got)
+	}
+	if _, err := Open(path, 1<<20); !errors.Is(err, ErrInUse) || !ByItself(err) {
+		t.Error("a store in use:", err)
+	}
+	// A snapshot from another voter, beyond all that is here, takes the log's place.
+	s.Save(raftpb.HardState{}, nil, raftpb.Snapshot{Data: []byte("later"), Metadata: raftpb.SnapshotMetadata{Index: 50, Term: 3}})
+	if got, err = s.Load(); err != nil || len(got.Entries) != 0 || got.Snap.Metadata.Index != 50 {
+		t.Errorf("%+v %v", got, err)
+	}
+}
+
+// TestDamagedFiles: a file with flipped bytes, a torn end or a page of another time is refused, or gives what was stored; never
+// something else, and the process goes on.
+func TestDamagedFiles(t *testing.T) {
+	dir := t.TempDir()
+	good := filepath.Join(dir, "good")
+	want := fill(t, good)
+	data, err := os.ReadFile(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	refused := 0
+	for i := range 300 {
+		bad := append([]byte(nil), data...)
+		switch i % 3 {
+		case 0:
+			for range 1 + rng.IntN(4) {
+				bad[rng.IntN(len(bad))] ^= byte(1 + rng.IntN(255))
+			}
+		case 1:
+			bad = bad[:rng.IntN(len(bad))]
+		case 2:
+			from, to := 4096*rng.IntN(len(bad)/4096), 4096*rng.IntN(len(bad)/4096)
+			copy(bad[to:to+4096], data[from:from+4096])
+		}
+		path := filepath.Join(dir, fmt.Sprint("bad", i))
+		if err := os.WriteFile(path, bad, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Open(path, 1<<20)
+		if err != nil {
+			refused++
+			continue
+		}
+		got, err := s.Load()
+		if err != nil {
+			refused++
+			if ByItself(err) {
+				t.Errorf("%d: %v is to pass by itself", i, err)
+			}
+		} else if !reflect.DeepEqual(got, want) && got.ID != 0 {
+			t.Errorf("%d: gives %+v", i, got)
+		}
+		s.Close()
+	}
+	if refused < 60 {
+		t.Errorf("%d of 300 refused: the damage does not reach what is read", refused)
+	}
+}
+
+// TestFullDisk: with no room left a call that saves fails, nothing half is kept, and with room again the file opens as it was.
+func TestFullDisk(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "voter")
+	s, err := Open(path, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.SaveIdentity(consensus.Identity{Group: "g", Name: "a", ID: 7, Boots: 1})
+	if err := s.Save(raftpb.HardState{Term: 1}, entries(1, 5, 1), raftpb.Snapshot{}); err != nil {
+		t.Fatal(err)
+	}
+	// A limit on the size of files stands for a disk without room.
+	var was unix.Rlimit
+	unix.Getrlimit(unix.RLIMIT_FSIZE, &was)
+	unix.Setrlimit(unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 4096, Max: was.Max})
+	err = s.Save(raftpb.HardState{Term: 2}, entries(6, 5, 2), raftpb.Snapshot{})
+	again := s.Save(raftpb.HardState{Term: 2}, nil, raftpb.Snapshot{})
+	unix.Setrlimit(unix.RLIMIT_FSIZE, &was)
+	if err == nil || !ByItself(err) {
+		t.Fatalf("no room: %v", err)
+	}
+	if again == nil || s.Save(raftpb.HardState{Term: 3}, nil, raftpb.Snapshot{}) == nil {
+		t.Error("a store that failed takes more")
+	}
+	s.Close()
+	if s, err = Open(path, 1<<20); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	got, err := s.Load()
+	if err != nil || got.Hard.Term != 1 || len(got.Entries) != 5 {
+		t.Errorf("%+v %v", got, err)
+	}
+}
+
+// TestBound: the store's own bound holds.
+func TestBound(t *testing.T) {
+	s, err := Open(filepath.Join(t.TempDir(), "voter"), 200<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for i := 1; i < 10000 && err == nil; i += 50 {
+		err = s.Save(raftpb.HardState{Term: 1}, entries(i, 50, 1), raftpb.Snapshot{})
+	}
+	if !errors.Is(err, ErrFull) || s.Size() > 600<<10 {
+		t.Errorf("%v at %d bytes", err, s.Size())
+	}
+}
+
+// TestFailedSync: only what can't have reached the disk in part may be tried again by the same process.
+func TestFailedSync(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		self bool
+	}{{&os.PathError{Op: "write", Err: syscall.ENOSPC}, true}, {&os.PathError{Op: "write", Err: syscall.EIO}, false}, {syscall.EIO, false},
+		{syscall.ENOSPC, false}, {&os.PathError{Op: "sync", Err: syscall.ENOSPC}, false}, {&os.PathError{Op: "open", Err: syscall.EROFS}, true}} {
+		if ByItself(fmt.Errorf("store: %w", c.err)) != c.self {
+			t.Errorf("%v: by itself %v", c.err, !c.self)
+		}
+	}
+}
+
+// TestKilledWhileItSaves: a process killed at any moment leaves a store that can be read, with all that was acknowledged.
+func TestKilledWhileItSaves(t *testing.T) {
+	if path := os.Getenv("CROFTLOCK_DISK_WRITER"); path != "" {
+		writer(path)
+	}
+	turns := 20
+	if s := os.Getenv("DISK_KILLS"); s != "" {
+		turns, _ = strconv.Atoi(s)
+	}
+	path := filepath.Join(t.TempDir(), "voter")
+	for turn := range turns {
+		c := exec.Command(os.Args[0], "-test.run", "TestKilledWhileItSaves")
+		c.Env = append(os.Environ(), "CROFTLOCK_DISK_WRITER="+path)
+		out, err := c.StdoutPipe()
+		if err == nil {
+			err = c.Start()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		said := make(chan int, 1)
+		go func() {
+			last, n := 0, 0
+			for {
+				if _, err := fmt.Fscanln(out, &n); err != nil {
+					said <- last
+					return
+				}
+				last = n
+			}
+		}()
+		time.Sleep(time.Duration(20+rand.IntN(30)) * time.Millisecond)
+		c.Process.Kill()
+		last := <-said
+		c.Wait()
+		var s *Store
+		for i := 0; i < 200; i++ { // the system may let go of the file a little later
+			if s, err = Open(path, 4<<20); !errors.Is(err, ErrInUse) {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if err != nil {
+			t.Fatalf("turn %d: %v", turn, err)
+		}
+		got, err := s.Load()
+		s.Close()
+		if err != nil {
+			t.Fatalf("turn %d: %v", turn, err)
+		}
+		at := int(got.Snap.Metadata.Index)
+		if n := len(got.Entries); n > 0 {
+			at = int(got.Entries[n-1].Index)
+		}
+		if at < last {
+			t.Fatalf("turn %d: %d was acknowledged, the store ends at %d", turn, last, at)
+		}
+	}
+}
+
+// writer appends and compacts until it is killed, and says what is durable.
+func writer(path string) {
+	s, err := Open(path, 4<<20)
+	if err != nil {
+		os.Exit(3)
+	}
+	got, err := s.Load()
+	if err != nil {
+		os.Exit(4)
+	}
+	at := int(got.Snap.Metadata.Index)
+	if n := len(got.Entries); n > 0 {
+		at = int(got.Entries[n-1].Index)
+	}
+	for {
+		if s.Save(raftpb.HardState{Term: 1, Commit: uint64(at)}, entries(at+1, 3, 1), raftpb.Snapshot{}) != nil {
+			os.Exit(5)
+		}
+		at += 3
+		fmt.Println(at)
+		if at%30 == 0 {
+			s.Save(raftpb.HardState{}, nil, raftpb.Snapshot{Data: make([]byte, 3000), Metadata: raftpb.SnapshotMetadata{Index: uint64(at), Term: 1}})
+			s.Compact(uint64(at - 10))
+		}
+	}
+}
--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -40,7 +40,7 @@
 	root.PersistentFlags().StringVar(&program, "croftlock", filepath.Join(filepath.Dir(self), "croftlock"), "the program to run")
 	root.PersistentFlags().StringVar(&out, "out", "", "folder to keep the report in, as JSON")
 
-	root.AddCommand(fleetCommand(), membersCommand())
+	root.AddCommand(fleetCommand(), membersCommand(), simCommand())
 	root.AddCommand(&cobra.Command{Use: "list", Short: "Name the experiments", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) {
 			for _, x := range experiments {
--- a/internal/lab/member.go
+++ b/internal/lab/member.go
@@ -7,10 +7,8 @@
 	"fmt"
 	"runtime"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -331,13 +329,7 @@
 			if asJSON {
 				return json.NewEncoder(cmd.OutOrStdout()).Encode(rep)
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "%s  version %d  view %s  quorum %t\n\n", rep.Name, rep.Version, rep.Digest, rep.Quorum)
-			t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 8, 2, ' ', 0)
-			fmt.Fprintln(t, "PEER\tNAME\tID\tSTATE\tLIFE\tHEARD MS AGO\tBY ANYBODY\tDOES NOT HEAR")
-			for _, m := range rep.Members {
-				fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", m.Slot, m.Name, m.ID, m.State, m.Life, m.HeardMS, m.AnyMS, strings.Join(m.Unheard, " "))
-			}
-			return t.Flush()
+			return rep.Print(cmd.OutOrStdout())
 		}}
 	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
 	return c
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -15,6 +18,7 @@
 	"croftlock/internal/members"
 	"croftlock/internal/membership"
 	"croftlock/internal/membership/virtual"
+	"croftlock/internal/owners"
 	"croftlock/internal/settings"
 	"croftlock/internal/standin"
 )
@@ -27,11 +31,18 @@
 	dir   string
 	setup []Setup
 	admin []string // where each one's operators call
+	mu    sync.Mutex
+	all   []*Process // every life that was begun
 }
 
 // NewRig starts n processes that know one another through a mesh; run is added to each one's environment. key, if any, seals what
 // they tell one another.
 func NewRig(e *Env, n int, seed uint64, key string, run ...string) (*Rig, error) {
+	return NewOwners(e, n, seed, key, "", run...)
+}
+
+// NewOwners is NewRig with more sections in each process's file, in which DIR stands for a folder of its own.
+func NewOwners(e *Env, n int, seed uint64, key, sections string, run ...string) (*Rig, error) {
 	dir, err := os.MkdirTemp(e.Dir, "rig")
 	if err != nil {
 		return nil, err
@@ -50,7 +61,12 @@
 			text += fmt.Sprintf(" (keys %q)", path)
 		}
 		path := filepath.Join(dir, fmt.Sprintf("n%d.sexp", i))
-		if err := os.WriteFile(path, []byte("(log (level info) (repeat 0))\n"+text+")\n"), 0o600); err != nil {
+		own := r.Dir(i)
+		if err := os.Mkdir(own, 0o700); err != nil {
+			return nil, err
+		}
+		more := strings.ReplaceAll(sections, "DIR", own)
+		if err := os.WriteFile(path, []byte("(log (level info) (repeat 0))\n"+text+")\n"+more+"\n"), 0o600); err != nil {
 			return nil, err
 		}
 		listen, err := FreeAddr()
@@ -73,6 +89,14 @@
 	return r, nil
 }
 
+// Dir is a process's own folder, which outlives it.
+func (r *Rig) Dir(i int) string { return filepath.Join(r.dir, fmt.Sprintf("own%d", i)) }
+
+// Owners asks a process about the fleet's owners.
+func (r *Rig) Owners(i int, q owners.Request) (owners.Reply, error) {
+	return owners.Ask(filepath.Join(r.Dir(i), "owners.sock"), q)
+}
+
 func (r *Rig) socket(i int) string { return filepath.Join(r.dir, fmt.Sprintf("n%d.sock", i)) }
 
 // Start begins a process, or a new life of it.
@@ -82,7 +106,11 @@
 		return err
 	}
 	r.admin[i] = s.Admin
-	r.Procs[i], err = r.env.Proxy(s)
+	if r.Procs[i], err = r.env.Proxy(s); err == nil {
+		r.mu.Lock()
+		r.all = append(r.all, r.Procs[i])
+		r.mu.Unlock()
+	}
 	return err
 }
 
@@ -339,3 +367,73 @@
 	}
 	return b.String()
 }
+
+// Holders asks all processes but some which jobs they own. A job that two own counts for none, and what is odd is told.
+func (r *Rig) Holders(but ...int) (map[string]int, string) {
+	out, odd := map[string]int{}, ""
+	for i := range r.Procs {
+		if slices.Contains(but, i) {
+			continue
+		}
+		rep, err := r.Owners(i, owners.Request{Do: "owners"})
+		if err != nil {
+			return nil, err.Error()
+		}
+		for job := range rep.Mine {
+			if j, two := out[job]; two {
+				odd = fmt.Sprintf("n%d and n%d both own %s", j, i, job)
+			}
+			out[job] = i
+		}
+	}
+	if odd != "" {
+		return nil, odd
+	}
+	return out, ""
+}
+
+// CheckTokens looks through all processes' logs, those of this rig's whole time: no token of a job was begun by two processes.
+func (r *Rig) CheckTokens() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	by := map[string]string{}
+	for life, p := range r.all {
+		for _, l := range p.Log("event=owns ") {
+			key := field(l, "job") + " " + field(l, "token")
+			me := fmt.Sprintf("life %d, at %s", life, p.Addr)
+			if o, taken := by[key]; taken && o != me {
+				return fmt.Errorf("token %s was begun by %s and by %s", key, o, me)
+			}
+			by[key] = me
+		}
+	}
+	if len(by) == 0 {
+		return errors.New("no job was ever begun")
+	}
+	return nil
+}
+
+func field(line, name string) string {
+	_, rest, _ := strings.Cut(line, " "+name+"=")
+	value, _, _ := strings.Cut(rest, " ")
+	return value
+}
+
+// Cut cuts a process from all others, in both directions, or heals that.
+func (r *Rig) Cut(i int, on bool) {
+	for j := range r.Procs {
+		if i != j {
+			r.Mesh.Set(i, j, func(l *standin.Link) { l.Cut = on })
+			r.Mesh.Set(j, i, func(l *standin.Link) { l.Cut = on })
+		}
+	}
+}
+
+// Full has a process's disk without room, and with it again.
+func (r *Rig) Full(i int) (begin, end func() error) {
+	begin, end, _ = r.effect(virtual.Fault{Kind: "full", A: i})
+	return begin, end
+}
+
+// Admin is where a process's operators call.
+func (r *Rig) Admin(i int) string { return r.admin[i] }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -14,6 +15,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"croftlock/internal/certs"
@@ -110,8 +112,61 @@
 	bad    int  // datagrams under no key, or taken before
 	odd    int  // and those that were not to be taken for another reason
 	closed bool
+	others map[byte]func(peer uint32, data []byte) // takers of what other packages send by this way
 }
 
+// Attach has what another package's like at a member sends taken, with who sent it: others use this way between members, its seal too.
+// nil ends that.
+func (s *Shell) Attach(whose byte, take func(peer uint32, data []byte)) {
+	if s.others == nil {
+		s.others = map[byte]func(uint32, []byte){}
+	}
+	s.others[whose] = take
+}
+
+// Room is how many bytes of an attached package's a datagram can carry.
+func (s *Shell) Room() int {
+	if s.seal != nil {
+		return membership.Room(membership.SealLen)
+	}
+	return membership.Room(0)
+}
+
+// Carry sends an attached package's data to a member; nowhere, where its address is not known.
+func (s *Shell) Carry(peer uint32, whose byte, data []byte) {
+	if !s.closed {
+		s.core.Carry(s.loop.Now(), peer, whose, data)
+	}
+}
+
+// Other is the core's.
+func (s *Shell) Other(from uint32, whose byte, data []byte) {
+	if take := s.others[whose]; take != nil {
+		take(from, append([]byte(nil), data...))
+	}
+}
+
+// View is the members as this process sees them, itself left out.
+func (s *Shell) View() []ViewMember {
+	var out []ViewMember
+	for _, m := range s.core.View() {
+		out = append(out, ViewMember{m.Name, m.ID, m.State.String(), uint64(m.Life), m.Unheard})
+	}
+	return out
+}
+
+// ViewMember is one of them.
+type ViewMember struct {
+	Name    string
+	ID      uint32
+	State   string
+	Life    uint64
+	Unheard []uint32
+}
+
+// Base is how many members the fleet is meant to have.
+func (s *Shell) Base() int { return s.core.Base() }
+
 // Platform is the platform's own way between its proxies, for a section without addresses; whoever reads from it calls Take.
 type Platform struct {
 	Link      *peers.Link // nil: there is none
@@ -263,6 +318,17 @@
 	Counts  map[string]int `json:"counts"`
 }
 
+// Print writes it as a table.
+func (r Report) Print(w io.Writer) error {
+	fmt.Fprintf(w, "%s  version %d  view %s  quorum %t\n\n", r.Name, r.Version, r.Digest, r.Quorum)
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "PEER\tNAME\tID\tSTATE\tLIFE\tHEARD MS AGO\tBY ANYBODY\tDOES NOT HEAR")
+	for _, m := range r.Members {
+		fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", m.Slot, m.Name, m.ID, m.State, m.Life, m.HeardMS, m.AnyMS, strings.Join(m.Unheard, " "))
+	}
+	return t.Flush()
+}
+
 // ReportMember is one row of it.
 type ReportMember struct {
 	ID      string   `json:"id"`
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -28,8 +28,15 @@
 	partName    = 8  // the sender's name, which its id is the hash of
 	partRefused = 9  // why the receiver is not taken in
 	partWhere   = 10 // at which address a member is, where members come and go
+	partOther   = 11 // what another package tells its like at the receiver, by the way that members have
 )
 
+// otherHead is what a part for others takes besides what it carries.
+const otherHead = 3
+
+// Room is how many bytes of another package's a datagram can carry, with so many taken off by the caller.
+func Room(overhead int) int { return Longest - overhead - headLen - otherHead }
+
 // ErrMalformed is told of a datagram that is none of this codec's; ErrVersion of one of another version, and ErrFleet of another
 // fleet's.
 var (
@@ -152,6 +159,15 @@
 	d.n += 2
 }
 
+func (d *Datagram) other(whose byte, data []byte) bool {
+	if !d.fits(otherHead+len(data)) || len(data) > 255 {
+		return false
+	}
+	d.buf[d.n], d.buf[d.n+1], d.buf[d.n+2] = partOther, whose, byte(len(data))
+	d.n += otherHead + copy(d.buf[d.n+otherHead:], data)
+	return true
+}
+
 func (d *Datagram) want() {
 	if d.fits(1) {
 		d.buf[d.n] = partWant
@@ -198,7 +214,8 @@
 	news    News
 	row     []byte
 	name    []byte
-	why     byte
+	why     byte // or whose data is
+	data    []byte
 	addr    netip.AddrPort
 }
 
@@ -229,6 +246,11 @@
 			return p, false
 		}
 		n = 2 + int(b[1])
+	case partOther:
+		if len(b) < otherHead {
+			return p, false
+		}
+		n = otherHead + int(b[2])
 	default:
 		return p, false
 	}
@@ -252,6 +274,8 @@
 		p.name = b[2:n]
 	case partRefused:
 		p.why = b[1]
+	case partOther:
+		p.why, p.data = b[1], b[otherHead:n]
 	case partWhere:
 		p.id = binary.BigEndian.Uint32(b[1:])
 		p.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[5:9])), binary.BigEndian.Uint16(b[9:]))
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -83,6 +83,11 @@
 	Changed(c Change)
 }
 
+// Others is what Effects may have besides: it takes what another package's like has sent by the way that members have.
+type Others interface {
+	Other(from uint32, whose byte, data []byte) // data is valid during the call only
+}
+
 // Change is one change of the view, with its reason.
 type Change struct {
 	Name     string // "" where it has not been told yet
@@ -536,6 +541,27 @@
 	return ids
 }
 
+// SlotOf is where a member is, by its id; under 0 where that is not known.
+func (c *Core) SlotOf(id uint32) int {
+	if m := c.members[id]; m != nil {
+		return m.Slot
+	}
+	return -1
+}
+
+// Carry sends another package's data to a member whose address is known; at most Room bytes, once, and it may be lost.
+func (c *Core) Carry(now Time, to uint32, whose byte, data []byte) {
+	c.now = max(c.now, now)
+	if slot := c.SlotOf(to); slot >= 0 && !c.left {
+		if d := c.datagram(); d.other(whose, data) {
+			c.transmit(slot, d)
+		}
+	}
+}
+
+// Base is how many members the fleet is meant to have.
+func (c *Core) Base() int { return c.cfg.Base }
+
 // Where is the address of a slot, where members come and go.
 func (c *Core) Where(slot int) netip.AddrPort { return c.where[slot] }
 
@@ -768,6 +794,10 @@
 				c.ask(m)
 			}
 		}
+	case partOther:
+		if o, takes := c.fx.(Others); takes {
+			o.Other(from.ID, p.why, p.data)
+		}
 	case partRefused:
 		switch p.why {
 		case refusedFleet:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"croftlock/internal/logging"
 	"croftlock/internal/members"
 	"croftlock/internal/netio"
+	"croftlock/internal/owners"
 	"croftlock/internal/peers"
 	"croftlock/internal/platform"
 	"croftlock/internal/proxy"
@@ -31,7 +32,7 @@
 
 // Schema is every section that the operators' file may have.
 func Schema() settings.Schema {
-	return settings.Schema{logging.Section(), tlslink.Section(), members.Section()}
+	return settings.Schema{logging.Section(), tlslink.Section(), members.Section(), owners.Section()}
 }
 
 // Check reads what the operators' file refers to and tells what of it can't be used.
@@ -48,9 +49,13 @@
 			faults = append(faults, fmt.Errorf("%s: tls: %w", file.Path, err))
 		}
 	}
-	if err := file.Value("membership").(members.Options).Check(); err != nil {
+	member := file.Value("membership").(members.Options)
+	if err := member.Check(); err != nil {
 		faults = append(faults, fmt.Errorf("%s: membership: %w", file.Path, err))
 	}
+	if err := file.Value("owners").(owners.Options).Check(member); err != nil {
+		faults = append(faults, fmt.Errorf("%s: owners: %w", file.Path, err))
+	}
 	return faults
 }
 
@@ -145,6 +150,7 @@
 			r.peers = told
 		}
 	}
+	r.owning = file.Value("owners").(owners.Options)
 	if err := r.join(file.Value("membership").(members.Options), old == nil); err != nil {
 		return err
 	}
@@ -167,7 +173,7 @@
 	slog.Info("ready", "name", cfg.Name, "listen", r.front.Addr(), "hosts", len(list.Hosts), "rev", list.Version,
 		"sessions", opt.Sessions)
 	n := &node{cfg: cfg, file: file, format: format, link: link, redirect: func(discovery string) { loop.Post(func() { r.watch.Redirect(discovery) }) },
-		leave: func() { loop.Post(func() { r.members.Leave(); core.Leave(loop.Stop) }) }}
+		leave: func() { loop.Post(func() { r.leave(); core.Leave(loop.Stop) }) }}
 	go n.obey(signals)
 	loop.Run()
 	slog.Info("stopped")
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -14,6 +14,7 @@
 	"croftlock/internal/line"
 	"croftlock/internal/members"
 	"croftlock/internal/netio"
+	"croftlock/internal/owners"
 	"croftlock/internal/peers"
 	"croftlock/internal/platform"
 	"croftlock/internal/proxy"
@@ -65,6 +66,8 @@
 	gave   brain.Memory      // what the other one was told as it took over
 
 	members *members.Shell // nil: off, or another process's still
+	owners  *owners.Shell  // the same
+	owning  owners.Options
 	began   time.Time
 	joining members.Options
 }
@@ -76,9 +79,29 @@
 	if o.On && now {
 		r.members, err = members.Start(r.loop, o, r.cfg.Name, r.began, r.platform())
 	}
+	if err == nil && now {
+		err = r.own()
+	}
 	return err
 }
 
+// own begins to take part in the fleet's work, where the operators want it. Membership has to be on.
+func (r *replacing) own() (err error) {
+	if !r.owning.On {
+		return nil
+	}
+	if r.owners, err = owners.Start(r.loop, r.owning, r.cfg.Name, r.members, r.core.SuspendForFleet); err == nil && r.owners.Paced() {
+		r.core.SetPacer(r.owners)
+	}
+	return err
+}
+
+// leave gives the fleet's work back, and then tells the others that this process ends in order.
+func (r *replacing) leave() {
+	r.owners.Leave(func() { r.members.Leave() })
+	r.owners = nil
+}
+
 func (r *replacing) platform() members.Platform {
 	return members.Platform{Link: r.peers, Peers: len(r.cfg.Peers.Peers), Me: r.cfg.Settings.Me}
 }
@@ -88,6 +111,7 @@
 	if !r.joining.On || r.handed {
 		return
 	}
+	r.owners.Yield()
 	r.members.Yield()
 	s, err := members.Start(r.loop, r.joining, r.cfg.Name, time.Now(), r.platform())
 	if err != nil {
@@ -96,6 +120,9 @@
 		return
 	}
 	r.members = s
+	if err := r.own(); err != nil {
+		slog.Warn("owners_off", "reason", err)
+	}
 }
 
 // predecessor asks the process that serves, if there is one, and else reads what one before has kept.
@@ -304,7 +331,8 @@
 	r := p.replacing
 	if r.with == p.of && r.older {
 		r.handed = true
-		r.members.Yield()
+		r.owners.Leave(func() { r.members.Yield() })
+		r.owners = nil
 		r.front.Stop()
 		if r.peers != nil {
 			r.peers.Deafen()
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,312 @@
+// Package ownership gives each of the fleet's jobs one owner at a time. It owns the table of jobs and their tokens, who is to own what,
+// the leases by which an owner stops by itself, and the fences by which a receiver refuses what an old owner sends. It does no I/O and
+// reads no clock: a run can be played again.
+//
+// Each grant carries a token that only ever rises. An owner whose lease has ended stops by itself, but that is a courtesy: it may sleep
+// between its check and its act. What makes it harmless is that every receiver keeps the highest token it has seen of a job and refuses
+// lower ones. docs/design-ownership.md says what each of the two can't do alone.
+//
+// The table is kept by a Group: voters with disks (package consensus) or without (Quorum). Whoever leads it is the coordinator: it knows
+// who is there by their sessions, and grants.
+package ownership
+
+import (
+	"fmt"
+	"sort"
+
+	"croftlock/internal/pack"
+)
+
+// Time is nanoseconds on the caller's monotonic clock.
+type Time = int64
+
+const (
+	ms  = Time(1e6)
+	sec = Time(1e9)
+
+	mostName = 64
+	// MostLeft bounds what a job leaves to its next owner, in bytes.
+	MostLeft = 32 << 10
+	// MostJobs bounds the jobs of a fleet.
+	MostJobs = 1000
+)
+
+// Group agrees on commands. Who leads may have been deposed without knowing; Confirm asks.
+type Group interface {
+	Tick(now Time)
+	Receive(now Time, from uint32, msg []byte) error
+	// Leading gives the epoch in which this process leads, as it believes; epochs only rise.
+	Leading() (epoch uint64, ok bool)
+	Leader() uint32
+	Propose(now Time, machine byte, tag uint64, cmd []byte) error
+	Confirm(now Time, tag uint64) error
+	Yield(now Time)
+}
+
+// epochBits is how many tokens of a job fit in an epoch.
+const epochBits = 20
+
+// Row is what is known of a job.
+type Row struct {
+	Job    string
+	Token  uint64 // of the last grant
+	Owner  string // "": nobody
+	Life   uint64 // of the owner's process
+	Number uint64 // of the last Left that was taken
+	Left   []byte // what its owners leave to their next one
+	Since  int64  // wall clock of the last change, milliseconds
+	Why    string // of it
+}
+
+// Table is the jobs, as a state machine of the group.
+type Table struct {
+	rows  map[string]*Row
+	names []string
+	// Version rises with each command that changes whose a job is.
+	Version uint64
+	unsure  bool
+}
+
+// Unsure says that the table may lack what came after it: nobody owns anything by it, and before anything is granted again every lease has
+// to have ended.
+func (t *Table) Unsure() {
+	t.unsure = true
+	t.Version++
+	for _, n := range t.names {
+		r := t.rows[n]
+		r.Owner, r.Life, r.Why = "", 0, "the voters lost their memory"
+	}
+}
+
+// NewTable makes one.
+func NewTable() *Table { return &Table{rows: map[string]*Row{}} }
+
+// Row gives a job's row; nil: there is none.
+func (t *Table) Row(job string) *Row { return t.rows[job] }
+
+// Rows are all of them, by name.
+func (t *Table) Rows() []*Row {
+	out := make([]*Row, 0, len(t.names))
+	for _, n := range t.names {
+		out = append(out, t.rows[n])
+	}
+	return out
+}
+
+// The commands.
+const (
+	cmdGrant   = 1
+	cmdRelease = 2
+	cmdNote    = 3
+	cmdRaise   = 4
+	cmdKnow    = 5
+	cmdSure    = 6
+)
+
+func grantCmd(job, owner string, life, token uint64, wall int64, why string) []byte {
+	var w pack.Writer
+	return w.Uint(cmdGrant).Text(job).Uint(token).Uint(uint64(wall)).Text(owner).Uint(life).Text(why).Data
+}
+
+func releaseCmd(job string, token, number uint64, left []byte, wall int64, why string) []byte {
+	var w pack.Writer
+	return w.Uint(cmdRelease).Text(job).Uint(token).Uint(uint64(wall)).Uint(number).Bytes(left).Text(why).Data
+}
+
+func noteCmd(job string, token, number uint64, left []byte) []byte {
+	var w pack.Writer
+	return w.Uint(cmdNote).Text(job).Uint(token).Uint(0).Uint(number).Bytes(left).Data
+}
+
+func raiseCmd(job string, token uint64) []byte {
+	var w pack.Writer
+	return w.Uint(cmdRaise).Text(job).Uint(token).Uint(0).Data
+}
+
+func sureCmd() []byte {
+	var w pack.Writer
+	return w.Uint(cmdSure).Text("").Uint(0).Uint(0).Data
+}
+
+func knowCmd(job string, wall int64) []byte {
+	var w pack.Writer
+	return w.Uint(cmdKnow).Text(job).Uint(0).Uint(uint64(wall)).Data
+}
+
+// Results of a command.
+const (
+	resultDone    = 1
+	resultRefused = 0
+)
+
+// Apply takes a command. The table is a receiver like any other: what carries an old token changes nothing.
+func (t *Table) Apply(cmd []byte) []byte {
+	if t.apply(cmd) {
+		if cmd[0] != cmdNote {
+			t.Version++
+		}
+		return []byte{resultDone}
+	}
+	return []byte{resultRefused}
+}
+
+func (t *Table) apply(cmd []byte) bool {
+	r := pack.Reader{Data: cmd}
+	kind, job, token, wall := r.Uint(), r.Text(mostName), r.Uint(), int64(r.Uint())
+	if kind == cmdSure && r.Err() == nil {
+		was := t.unsure
+		t.unsure = false
+		return was
+	}
+	if r.Err() != nil || job == "" {
+		return false
+	}
+	row := t.rows[job]
+	if kind == cmdKnow {
+		if row != nil || len(t.names) >= MostJobs {
+			return false
+		}
+		t.add(&Row{Job: job, Since: wall, Why: "made known"})
+		return true
+	}
+	if row == nil {
+		return false
+	}
+	switch kind {
+	case cmdGrant:
+		owner, life, why := r.Text(mostName), r.Uint(), r.Text(200)
+		if r.Err() != nil || token <= row.Token {
+			return false
+		}
+		row.Token, row.Owner, row.Life, row.Since, row.Why = token, owner, life, wall, why
+	case cmdRelease:
+		number, left, why := r.Uint(), r.Bytes(MostLeft), r.Text(200)
+		if r.Err() != nil || token != row.Token || row.Owner == "" {
+			return false
+		}
+		row.keep(number, left)
+		row.Owner, row.Life, row.Since, row.Why = "", 0, wall, why
+	case cmdNote:
+		number, left := r.Uint(), r.Bytes(MostLeft)
+		if r.Err() != nil || token != row.Token || row.Owner == "" {
+			return false
+		}
+		return row.keep(number, left)
+	case cmdRaise:
+		// A receiver has seen a later token than any that is known here. It may be another owner's, so nobody goes on under it.
+		if token <= row.Token || token > 1<<62 {
+			return false
+		}
+		row.Token, row.Owner, row.Life, row.Why = token, "", 0, "a receiver has seen a later token"
+	default:
+		return false
+	}
+	return true
+}
+
+func (r *Row) keep(number uint64, left []byte) bool {
+	if number <= r.Number {
+		return false
+	}
+	r.Number, r.Left = number, append([]byte(nil), left...)
+	return true
+}
+
+func (t *Table) add(r *Row) {
+	t.rows[r.Job] = r
+	i := sort.SearchStrings(t.names, r.Job)
+	t.names = append(t.names, "")
+	copy(t.names[i+1:], t.names[i:])
+	t.names[i] = r.Job
+}
+
+// Snapshot is the whole table.
+func (t *Table) Snapshot() []byte {
+	var w pack.Writer
+	w.Uint(1).Uint(t.Version).Bool(t.unsure).Uint(uint64(len(t.names)))
+	for _, n := range t.names {
+		r := t.rows[n]
+		w.Text(r.Job).Uint(r.Token).Text(r.Owner).Uint(r.Life).Uint(r.Number).Bytes(r.Left).Uint(uint64(r.Since)).Text(r.Why)
+	}
+	return w.Data
+}
+
+// Restore takes a snapshot in the table's place. One that is torn, or of a later version, changes nothing.
+func (t *Table) Restore(data []byte) error {
+	r := pack.Reader{Data: data}
+	if v := r.Uint(); v != 1 {
+		return fmt.Errorf("ownership: a table of version %d, only 1 is known", v)
+	}
+	next := NewTable()
+	next.Version, next.unsure = r.Uint(), r.Bool()
+	for n := r.Count(MostJobs); n > 0; n-- {
+		row := &Row{Job: r.Text(mostName), Token: r.Uint(), Owner: r.Text(mostName), Life: r.Uint(), Number: r.Uint(),
+			Left: append([]byte(nil), r.Bytes(MostLeft)...), Since: int64(r.Uint()), Why: r.Text(200)}
+		if r.Err() == nil && next.rows[row.Job] == nil {
+			next.add(row)
+		}
+	}
+	if err := r.Err(); err != nil {
+		return err
+	}
+	*t = *next
+	return nil
+}
+
+// Fence is what a receiver remembers of each job: the highest token it has seen, and of that the last effect.
+type Fence struct {
+	last map[string]Mark
+	// Forget is a planted fault: nothing is remembered.
+	Forget bool
+}
+
+// Mark is a place in a job's order of effects.
+type Mark struct{ Token, Number uint64 }
+
+// Before tells whether a mark comes before another.
+func (m Mark) Before(o Mark) bool {
+	return m.Token < o.Token || m.Token == o.Token && m.Number < o.Number
+}
+
+// Verdict is what becomes of an effect.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Taken Verdict = iota
+	Again         // it, or a later one of the same token, was taken before
+	Old           // a later token was seen
+)
+
+// Take tells whether an effect may be carried out, and notes it. Each carries all that it is to bring about, so that an earlier one of
+// the same token has nothing to add to a later one.
+func (f *Fence) Take(job string, m Mark) (Verdict, Mark) {
+	if f.last == nil {
+		f.last = map[string]Mark{}
+	}
+	k, known := f.last[job]
+	switch {
+	case f.Forget:
+	case m.Token < k.Token:
+		return Old, k
+	case m.Token == k.Token && m.Number <= k.Number:
+		return Again, k
+	case !known && len(f.last) >= MostJobs:
+		return Old, k // no room to remember: nothing is carried out that could not be refused later
+	}
+	f.last[job] = m
+	return Taken, m
+}
+
+// Last is the latest effect seen of a job.
+func (f *Fence) Last(job string) Mark { return f.last[job] }
+
+// Set raises what is remembered, as a durable receiver does at its start.
+func (f *Fence) Set(job string, m Mark) {
+	if f.last == nil {
+		f.last = map[string]Mark{}
+	}
+	if f.last[job].Before(m) {
+		f.last[job] = m
+	}
+}
--- /dev/null
+++ b/internal/pack/pack_test.go
@@ -0,0 +1,48 @@
+package pack
+
+import (
+	"bytes"
+	"testing"
+)
+
+// FuzzReader: whatever comes, nothing is read past the data, no length is believed beyond its bound, and what is whole comes back as
+// it was written.
+func FuzzReader(f *testing.F) {
+	w := Writer{}
+	f.Add(w.Uint(300).Text("name").Bool(true).Bytes([]byte{1, 2}).Data)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{5, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := Reader{Data: data}
+		n, s, b, c := r.Uint(), r.Text(16), r.Bool(), r.Bytes(8)
+		k := r.Count(4)
+		if len(s) > 16 || len(c) > 8 || k > 4 || len(r.Data) > len(data) {
+			t.Fatalf("read %q, %x, %d of %x", s, c, k, data)
+		}
+		if r.Err() != nil {
+			return
+		}
+		w := Writer{}
+		again := Reader{Data: w.Uint(n).Text(s).Bool(b).Bytes(c).Uint(uint64(k)).Data}
+		if again.Uint() != n || again.Text(16) != s || again.Bool() != b || !bytes.Equal(again.Bytes(8), c) {
+			t.Fatalf("%x does not come back", data)
+		}
+	})
+}
+
+func TestTornRecords(t *testing.T) {
+	w := Writer{}
+	whole := w.Uint(1 << 40).Text("abc").Data
+	for n := range whole {
+		r := Reader{Data: whole[:n]}
+		r.Uint()
+		r.Text(3)
+		if r.Err() == nil {
+			t.Errorf("%d of %d bytes are taken for whole", n, len(whole))
+		}
+	}
+	r := Reader{Data: whole}
+	if r.Uint() != 1<<40 || r.Text(2) != "" || r.Err() == nil {
+		t.Error("a text beyond its bound is taken")
+	}
+}
--- /dev/null
+++ b/internal/parcel/parcel.go
@@ -0,0 +1,310 @@
+// Package parcel carries messages of up to 200 KiB between a fleet's processes in datagrams of at most 256 bytes. It owns their
+// pieces: what is to be sent again, what has come in part, and how much memory that may take. It does no I/O and reads no clock.
+//
+// A message that fits one datagram is sent once and may be lost, as whoever uses it has to bear anyway. A longer one is sent in pieces, and
+// those that did not arrive again, until it has arrived, is given up after Patience, or newer ones take its room. Messages may come late
+// and in another order, never torn, and a long one never twice in the same life of its sender.
+package parcel
+
+import (
+	"encoding/binary"
+	"errors"
+	"sort"
+)
+
+// Time is nanoseconds on the caller's monotonic clock.
+type Time = int64
+
+const (
+	// First is the first byte of each datagram; others on the same socket begin otherwise.
+	First = 0x12
+	// Longest bounds a message, in bytes.
+	Longest = 200 << 10
+	// Patience is how long a message is sent again.
+	Patience = Time(3e9)
+
+	wholeHead = 2
+	pieceHead = 2 + 4 + 4 + 2 + 2
+	burst     = 24        // pieces sent at a time, a message
+	again     = Time(4e7) // between two such
+	mostOut   = 4         // long messages on their way to a peer
+	mostIn    = 4         // and from one
+	kept      = 32        // whole ones remembered, so that none is taken twice
+
+	kindWhole = 0
+	kindPiece = 1
+	kindTaken = 2
+)
+
+// ErrMalformed says that a datagram is no part of a message.
+var ErrMalformed = errors.New("parcel: malformed datagram")
+
+// ErrLong says that a message is too long.
+var ErrLong = errors.New("parcel: message over 200 KiB")
+
+// Ours tells whether a datagram is one of these.
+func Ours(data []byte) bool { return len(data) > 0 && data[0] == First }
+
+// Effects is what a Box can do. What is passed is valid during the call only.
+type Effects interface {
+	Datagram(peer uint32, data []byte)
+	Message(peer uint32, data []byte)
+}
+
+type outgoing struct {
+	seq    uint32
+	data   []byte
+	taken  []bool
+	left   int
+	at     int // the piece after the last one sent
+	sentAt Time
+	until  Time
+}
+
+type incoming struct {
+	life, seq uint32
+	data      []byte
+	have      []bool
+	left      int
+	size      int // of a piece
+	fresh     int // pieces since the last word to the sender
+}
+
+type peer struct {
+	out   []*outgoing
+	in    []*incoming
+	whole []uint64 // life and seq of messages that came whole, the latest last
+}
+
+// Box is one process's end.
+type Box struct {
+	fx    Effects
+	life  uint32
+	seq   uint32
+	piece int // bytes of a message in one datagram
+	peers map[uint32]*peer
+	order []uint32
+	buf   []byte
+	// Counts of what was met.
+	Malformed, GivenUp int
+}
+
+// New makes one. datagram is the longest that may be sent, in bytes; life tells this process's messages from an earlier one's.
+func New(datagram int, life uint32, fx Effects) *Box {
+	return &Box{fx: fx, life: life, piece: max(16, datagram-pieceHead), peers: map[uint32]*peer{}}
+}
+
+func (b *Box) peer(id uint32) *peer {
+	p := b.peers[id]
+	if p == nil {
+		p = &peer{}
+		b.peers[id] = p
+		i := sort.Search(len(b.order), func(i int) bool { return b.order[i] >= id })
+		b.order = append(b.order, 0)
+		copy(b.order[i+1:], b.order[i:])
+		b.order[i] = id
+	}
+	return p
+}
+
+// Send sends a message to a peer.
+func (b *Box) Send(now Time, to uint32, data []byte) error {
+	if len(data) <= b.piece+pieceHead-wholeHead {
+		b.buf = append(b.buf[:0], First, kindWhole)
+		b.fx.Datagram(to, append(b.buf, data...))
+		return nil
+	}
+	if len(data) > Longest {
+		return ErrLong
+	}
+	p := b.peer(to)
+	if len(p.out) >= mostOut { // the newest news matter most
+		p.out = p.out[1:]
+		b.GivenUp++
+	}
+	b.seq++
+	n := (len(data) + b.piece - 1) / b.piece
+	o := &outgoing{seq: b.seq, data: append([]byte(nil), data...), taken: make([]bool, n), left: n, until: now + Patience}
+	p.out = append(p.out, o)
+	b.sendSome(now, to, o)
+	return nil
+}
+
+// sendSome sends the next pieces that are not known to have arrived.
+func (b *Box) sendSome(now Time, to uint32, o *outgoing) {
+	o.sentAt = now
+	n := len(o.taken)
+	for sent, looked := 0, 0; sent < burst && looked < n; looked++ {
+		i := o.at % n
+		o.at++
+		if o.taken[i] {
+			continue
+		}
+		sent++
+		d := append(b.buf[:0], First, kindPiece)
+		d = binary.BigEndian.AppendUint32(d, b.life)
+		d = binary.BigEndian.AppendUint32(d, o.seq)
+		d = binary.BigEndian.AppendUint16(d, uint16(i))
+		d = binary.BigEndian.AppendUint16(d, uint16(n))
+		b.buf = append(d, o.data[i*b.piece:min(len(o.data), (i+1)*b.piece)]...)
+		b.fx.Datagram(to, b.buf)
+	}
+}
+
+// Tick is to be called every 20 to 100 ms.
+func (b *Box) Tick(now Time) {
+	for _, id := range b.order {
+		p := b.peers[id]
+		kept := p.out[:0]
+		for _, o := range p.out {
+			if now >= o.until {
+				b.GivenUp++
+				continue
+			}
+			kept = append(kept, o)
+			if now-o.sentAt >= again {
+				b.sendSome(now, id, o)
+			}
+		}
+		p.out = kept
+	}
+}
+
+// Receive takes a datagram from a peer.
+func (b *Box) Receive(now Time, from uint32, data []byte) error {
+	if len(data) < wholeHead || data[0] != First {
+		b.Malformed++
+		return ErrMalformed
+	}
+	ok := false
+	switch data[1] {
+	case kindWhole:
+		ok = true
+		b.fx.Message(from, data[wholeHead:])
+	case kindPiece:
+		ok = b.takePiece(from, data)
+	case kindTaken:
+		ok = b.takeTaken(now, from, data)
+	}
+	if !ok {
+		b.Malformed++
+		return ErrMalformed
+	}
+	return nil
+}
+
+func (b *Box) takePiece(from uint32, data []byte) bool {
+	if len(data) <= pieceHead {
+		return false
+	}
+	life, seq := binary.BigEndian.Uint32(data[2:]), binary.BigEndian.Uint32(data[6:])
+	i, n := int(binary.BigEndian.Uint16(data[10:])), int(binary.BigEndian.Uint16(data[12:]))
+	body := data[pieceHead:]
+	if i >= n || n < 2 || n*len(body) > 2*Longest {
+		return false
+	}
+	p := b.peer(from)
+	key := uint64(life)<<32 | uint64(seq)
+	for _, k := range p.whole {
+		if k == key {
+			b.tell(from, life, seq, nil)
+			return true
+		}
+	}
+	var m *incoming
+	for _, o := range p.in {
+		if o.life == life && o.seq == seq {
+			m = o
+		}
+	}
+	if m == nil {
+		if i == n-1 {
+			return true // shorter than the others: it can't be placed yet, and comes again
+		}
+		if n*len(body) > Longest+len(body) {
+			return false
+		}
+		m = &incoming{life: life, seq: seq, data: make([]byte, 0, n*len(body)), have: make([]bool, n), left: n, size: len(body)}
+		m.data = m.data[:n*len(body)]
+		if len(p.in) >= mostIn {
+			p.in = p.in[1:]
+		}
+		p.in = append(p.in, m)
+	}
+	if len(m.have) != n || i < n-1 && len(body) != m.size || len(body) > m.size {
+		return false
+	}
+	if !m.have[i] {
+		m.have[i] = true
+		m.left--
+		copy(m.data[i*m.size:], body)
+		if i == n-1 {
+			m.data = m.data[:i*m.size+len(body)]
+		}
+	}
+	m.fresh++
+	if m.left > 0 {
+		if m.fresh >= burst/2 || i == n-1 {
+			m.fresh = 0
+			b.tell(from, life, seq, m.have)
+		}
+		return true
+	}
+	for j, o := range p.in {
+		if o == m {
+			p.in = append(p.in[:j:j], p.in[j+1:]...)
+			break
+		}
+	}
+	if p.whole = append(p.whole, key); len(p.whole) > kept {
+		p.whole = p.whole[1:]
+	}
+	b.tell(from, life, seq, nil)
+	b.fx.Message(from, m.data)
+	return true
+}
+
+// tell tells a sender which pieces have come; nil: all.
+func (b *Box) tell(to uint32, life, seq uint32, have []bool) {
+	d := append(b.buf[:0], First, kindTaken)
+	d = binary.BigEndian.AppendUint32(d, life)
+	d = binary.BigEndian.AppendUint32(d, seq)
+	bits := make([]byte, (len(have)+7)/8)
+	for i, h := range have {
+		if h {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	// What does not fit is sent once more than it had to be.
+	b.buf = append(d, bits[:min(len(bits), b.piece)]...)
+	b.fx.Datagram(to, b.buf)
+}
+
+func (b *Box) takeTaken(now Time, from uint32, data []byte) bool {
+	if len(data) < 10 {
+		return false
+	}
+	if binary.BigEndian.Uint32(data[2:]) != b.life {
+		return true // of an earlier life of this process
+	}
+	seq, bits := binary.BigEndian.Uint32(data[6:]), data[10:]
+	p := b.peer(from)
+	for j, o := range p.out {
+		if o.seq != seq {
+			continue
+		}
+		for i := range o.taken {
+			if !o.taken[i] && i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
+				o.taken[i] = true
+				o.left--
+			}
+		}
+		if len(bits) == 0 || o.left == 0 {
+			p.out = append(p.out[:j:j], p.out[j+1:]...)
+		} else if o.at < 2*len(o.taken) {
+			b.sendSome(now, from, o) // the first round goes as fast as it is taken
+		}
+		break
+	}
+	return true
+}
--- /dev/null
+++ b/internal/parcel/parcel_test.go
@@ -0,0 +1,154 @@
+package parcel
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+)
+
+// wire is two ends with a bad link between them.
+type wire struct {
+	rng   *rand.Rand
+	loss  float64
+	ends  [2]*Box
+	queue []sent
+	got   [2][][]byte
+	most  int
+}
+
+type sent struct {
+	to   int
+	data []byte
+}
+
+type end struct {
+	w  *wire
+	me int
+}
+
+func (e end) Datagram(_ uint32, data []byte) {
+	w := e.w
+	w.most = max(w.most, len(data))
+	for range 1 + w.rng.IntN(2) { // some twice
+		if w.rng.Float64() >= w.loss {
+			w.queue = append(w.queue, sent{1 - e.me, append([]byte(nil), data...)})
+		}
+	}
+}
+
+func (e end) Message(_ uint32, data []byte) {
+	e.w.got[e.me] = append(e.w.got[e.me], append([]byte(nil), data...))
+}
+
+func newWire(seed uint64, loss float64) *wire {
+	w := &wire{rng: rand.New(rand.NewPCG(seed, 1)), loss: loss}
+	for i := range w.ends {
+		w.ends[i] = New(240, uint32(seed)+uint32(i), end{w, i})
+	}
+	return w
+}
+
+func (w *wire) run(from, to Time) {
+	for now := from; now < to; now += 1e7 {
+		q := w.queue
+		w.queue = nil
+		w.rng.Shuffle(len(q), func(i, j int) { q[i], q[j] = q[j], q[i] })
+		for _, s := range q {
+			w.ends[s.to].Receive(now, uint32(1-s.to), s.data)
+		}
+		w.ends[0].Tick(now)
+		w.ends[1].Tick(now)
+	}
+}
+
+// TestLongMessagesArriveOnce: through loss, doubling and another order, each arrives whole and once.
+func TestLongMessagesArriveOnce(t *testing.T) {
+	for seed := range uint64(40) {
+		for _, size := range []int{1, 238, 239, 1000, 5000, Longest} {
+			w := newWire(seed, 0.2)
+			data := make([]byte, size)
+			for i := range data {
+				data[i] = byte(w.rng.Uint32())
+			}
+			if err := w.ends[0].Send(0, 1, data); err != nil {
+				t.Fatal(err)
+			}
+			w.run(0, Patience)
+			if size > 238 && len(w.got[1]) != 1 {
+				t.Fatalf("seed %d, %d bytes: came %d times", seed, size, len(w.got[1]))
+			}
+			for _, g := range w.got[1] {
+				if !bytes.Equal(g, data) {
+					t.Fatalf("seed %d, %d bytes: came torn", seed, size)
+				}
+			}
+			if w.most > 240 {
+				t.Fatalf("a datagram of %d bytes", w.most)
+			}
+			if size == Longest && seed > 2 {
+				break
+			}
+		}
+	}
+}
+
+// TestBounds: messages for a peer that takes nothing, and pieces of messages that never get whole, take bounded room.
+func TestBounds(t *testing.T) {
+	w := newWire(1, 1)
+	for range 100 {
+		w.ends[0].Send(0, 1, make([]byte, 10000))
+	}
+	if n := len(w.ends[0].peers[1].out); n != mostOut {
+		t.Errorf("%d messages wait, want %d", n, mostOut)
+	}
+	if w.ends[0].Send(0, 1, make([]byte, Longest+1)) != ErrLong {
+		t.Error("a message over the bound is taken")
+	}
+	w.ends[0].Tick(Patience)
+	if n := len(w.ends[0].peers[1].out); n != 0 || w.ends[0].GivenUp != 100 {
+		t.Errorf("after the patience %d wait, %d given up", n, w.ends[0].GivenUp)
+	}
+	for i := range 100 {
+		d := []byte{First, kindPiece, 0, 0, 0, byte(i), 0, 0, 0, 1, 0, 0, 3, 0xff}
+		w.ends[1].Receive(0, 7, append(d, make([]byte, 150)...))
+	}
+	if n := len(w.ends[1].peers[7].in); n > mostIn {
+		t.Errorf("%d messages in part", n)
+	}
+}
+
+// TestRestartedSender: a new life's first message is not taken for the earlier one's.
+func TestRestartedSender(t *testing.T) {
+	w := newWire(1, 0)
+	w.ends[0].Send(0, 1, bytes.Repeat([]byte("a"), 1000))
+	w.run(0, 1e9)
+	w.ends[0] = New(240, 99, end{w, 0})
+	w.ends[0].Send(1e9, 1, bytes.Repeat([]byte("b"), 1000))
+	w.run(1e9, 2e9)
+	if len(w.got[1]) != 2 || w.got[1][1][0] != 'b' {
+		t.Fatalf("%d messages came", len(w.got[1]))
+	}
+}
+
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte{First, kindWhole, 1})
+	f.Add([]byte{First, kindPiece, 0, 0, 0, 1, 0, 0, 0, 1, 0, 0, 0, 2, 9})
+	f.Add([]byte{First, kindPiece, 0, 0, 0, 1, 0, 0, 0, 1, 0, 1, 0, 2, 9})
+	f.Add([]byte{First, kindTaken, 0, 0, 0, 1, 0, 0, 0, 1, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		w := newWire(1, 0)
+		w.ends[0].Send(0, 1, make([]byte, 2000))
+		b := w.ends[0]
+		for cut := range 2 {
+			b.Receive(0, 1, data[:len(data)/(cut+1)])
+			b.Receive(0, 1, append(append([]byte(nil), data...), data...))
+		}
+		for _, p := range b.peers {
+			for _, m := range p.in {
+				if len(m.data) > 2*Longest {
+					t.Fatalf("%d bytes kept", len(m.data))
+				}
+			}
+		}
+	})
+}
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -66,7 +66,10 @@
 	tenants   map[string]int
 
 	hosts    map[string]*host
-	hand     *byhand.Book // the hosts that operators have taken out
+	hand     *byhand.Book  // the hosts that operators have taken out
+	pacer    Pacer         // nil: clients leave as it suits this proxy
+	turns    []func() bool // clients that wait for it
+	asking   bool
 	figures  *figures.Table
 	requests map[string]*Request
 
--- a/internal/proxy/expiring.go
+++ b/internal/proxy/expiring.go
@@ -32,7 +32,14 @@
 	move := c.planner.Plan(c.loop.Now(), c.opt.Wall(), standing)
 	for _, id := range move {
 		c.counts.Expiring++
-		c.requests[id].move(brain.Cancelled)
+		r := c.requests[id]
+		c.paced(func() bool {
+			there := c.requests[id] == r
+			if there {
+				r.move(brain.Cancelled)
+			}
+			return there
+		})
 	}
 	if len(move) > 0 {
 		slog.Info("moved_expiring", "connections", len(move), "standing", len(standing), "first_ends", first.UTC().Format(time.RFC3339))
--- a/internal/proxy/hand.go
+++ b/internal/proxy/hand.go
@@ -37,11 +37,32 @@
 
 // setByHand has a host's ban, or the end of it, take effect.
 func (c *Core) setByHand(id string, out bool) {
-	ban, now := c.hand.Ban(id), c.loop.Now()
+	ban, now, was := c.hand.Ban(id), c.loop.Now(), c.hand.Out(id)
 	if !c.hand.Set(id, out, now) {
 		return
 	}
 	slog.Info("by_hand", "host", id, "out", out)
+	if c.hand.Out(id) != was {
+		c.treat(id, out, ban)
+	}
+}
+
+// SuspendForFleet takes the list of hosts that are out for the whole fleet, whole: a host that is no longer on it comes back.
+func (c *Core) SuspendForFleet(ids []string) {
+	bans := map[string]byhand.Ban{}
+	for _, id := range c.hand.IDs() {
+		bans[id] = c.hand.Ban(id)
+	}
+	for _, id := range c.hand.SetFleet(ids, c.loop.Now()) {
+		out := c.hand.Out(id)
+		slog.Info("by_hand", "host", id, "out", out, "fleet", true)
+		c.treat(id, out, bans[id])
+	}
+}
+
+// treat has a host that is out, or no longer, treated so. ban is the one that ends.
+func (c *Core) treat(id string, out bool, ban byhand.Ban) {
+	now := c.loop.Now()
 	h := c.hosts[id]
 	if h == nil || h.listed.State == brain.Departed {
 		return // it holds from the next list on that names the host
@@ -67,9 +88,13 @@
 // leaveHost moves a client off a host that is out, in its turn. The host is restarted next, which would cut it off.
 func (c *Core) leaveHost(h *host, r *Request) {
 	c.loop.After(byhand.Leave(r.ask.ID), func() {
-		if _, there := h.up[r]; there && c.hand.Out(h.id) {
-			r.move(brain.Cancelled)
-		}
+		c.paced(func() bool {
+			_, there := h.up[r]
+			if there = there && c.hand.Out(h.id); there {
+				r.move(brain.Cancelled)
+			}
+			return there
+		})
 	})
 }
 
--- a/internal/standin/mesh.go
+++ b/internal/standin/mesh.go
@@ -33,14 +33,22 @@
 func NewMesh(n int, seed uint64) (*Mesh, error) {
 	m := &Mesh{own: make([]netip.AddrPort, n), socks: make([][]*net.UDPConn, n), links: make([][]Link, n), rng: rand.New(rand.NewPCG(seed, 3))}
 	loopback := net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0"))
+	var own []*net.UDPConn
+	letGo := func() { // the processes' own from here on
+		for _, c := range own {
+			c.Close()
+		}
+	}
+	// Held until all others have theirs: a port that is let go before would be given to one of them.
+	defer letGo()
 	for i := range n {
 		c, err := net.ListenUDP("udp4", loopback)
 		if err != nil {
 			m.Close()
 			return nil, err
 		}
+		own = append(own, c)
 		m.own[i] = c.LocalAddr().(*net.UDPAddr).AddrPort()
-		c.Close() // the process's own from here on
 		m.socks[i], m.links[i] = make([]*net.UDPConn, n), make([]Link, n)
 		for j := range n {
 			if i == j {
