--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,6 +26,7 @@
 	tellEvery     = 2e9   // a server's trouble is told to all balancers at most so often
 	tellWithin    = 6e8   // by one of those that see it, whoever draws the shortest wait
 	ordersKept    = 256   // groups whose order of servers is remembered
+	farLuck       = 0.75  // a lot counts so much in another zone, and as much more in the own
 	zoneBias      = 100.0 // how fast a crossing's price takes turns from other zones
 	slowAt        = 0.33  // message delay, in shortest aims, that halves a server's turns; notes begin here
 	sharedPart    = 0.5   // when this part of the evidence fails, the fault is nobody's own
--- a/brain/cold.go
+++ b/brain/cold.go
@@ -58,6 +58,13 @@
 	if r.comesAgain() {
 		luck = waveLuck
 	}
+	if len(b.zones) > 1 {
+		if s.zone == b.zone {
+			luck *= 2 - farLuck
+		} else {
+			luck *= farLuck
+		}
+	}
 	seconds := float64(b.cfg.Fall) / 1e9
 	unused := math.Exp(-(b.fresh/b.rateTau() + b.again.n/seconds) * seconds)
 	p := luck * unused * b.coldRate(s) * float64(b.cfg.Peers) / r.flow
--- a/brain/lists.go
+++ b/brain/lists.go
@@ -29,6 +29,7 @@
 		s := b.byID[e.ID]
 		if s == nil {
 			s = &server{id: e.ID, hash: hash(e.ID), since: e.Since, tokensAt: now}
+			s.tokens = b.stagger(s)
 			b.byID[e.ID] = s
 			b.servers = append(b.servers, s)
 			added = true
@@ -37,7 +38,7 @@
 			// back is shunned for the rest of the old one's quarantine. So does an operator's word.
 			s.since, s.fails, s.until, s.ill, s.delay = e.Since, 0, 0, 0, 0
 			s.told.Forget()
-			s.passed, s.tokens, s.tokensAt, s.lag = 0, 0, now, min(s.lag, 0)
+			s.passed, s.tokens, s.tokensAt, s.lag = 0, b.stagger(s), now, min(s.lag, 0)
 		}
 		s.zone, s.cell, s.weight, s.known = b.zoneOf(e.Zone), e.Cell, e.Weight, true
 		if s.weight <= 0 {
@@ -75,6 +76,13 @@
 	b.pump()
 }
 
+// stagger gives each balancer another place in a server's first round of cold connections: were all alike,
+// all would send their first one at the same moment.
+func (b *Brain) stagger(s *server) float64 {
+	_, f := math.Modf(float64(s.hash%1024)/1024 + float64(b.cfg.Me)/float64(b.cfg.Peers))
+	return f
+}
+
 func (b *Brain) ask() {
 	if b.watching || b.asking {
 		return
