--- a/brain/cold.go
+++ b/brain/cold.go
@@ -65,6 +65,23 @@
 			luck *= farLuck
 		}
 	}
+	if r.Group != "" {
+		// Half of a zone's cold servers take a group: each pays for it, and bears little as yet.
+		cold, before := 0, 0
+		for _, i := range b.order(r.Group) {
+			if o := b.servers[i]; o.zone == s.zone && b.warmth(o) < 1 {
+				cold++
+				if o == s {
+					before = cold
+				}
+			}
+		}
+		take := (cold + 1) / 2
+		if before > take {
+			return false
+		}
+		luck *= float64(cold) / float64(take)
+	}
 	seconds := float64(b.cfg.Fall) / 1e9
 	unused := math.Exp(-(b.fresh/b.rateTau() + b.again.n/seconds) * seconds)
 	p := luck * unused * b.coldRate(s) * float64(b.cfg.Peers) / r.flow
