--- a/brain/pool.go
+++ b/brain/pool.go
@@ -52,7 +52,9 @@
 	if s.fails > 0 && sent < s.failedAt {
 		return // sent before the failure that is already counted
 	}
-	s.fails++
+	if s.fails == 0 || !b.shared(s.zone) {
+		s.fails++
+	}
 	s.failedAt = b.now
 	// Jitter, else all balancers that saw a shared outage try its servers at the same moment.
 	d := b.period(s.fails)
@@ -65,3 +67,18 @@
 func (b *Brain) period(fails int) Time {
 	return min(b.qMax, Time(float64(b.qInit)*math.Pow(2, float64(min(fails, 30)-1))))
 }
+
+// shared tells whether most of a zone fails: then the fault is the zone's, and doubling would shun it long
+// after.
+func (b *Brain) shared(zone int) bool {
+	n, failing := 0, 0
+	for _, s := range b.servers {
+		if s.zone == zone && s.state == Ready {
+			n++
+			if s.fails > 0 {
+				failing++
+			}
+		}
+	}
+	return failing > 1 && float64(failing) >= sharedPart*float64(n)
+}
