--- a/internal/fleetlog/fleetlog_test.go
+++ b/internal/fleetlog/fleetlog_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"sort"
 	"testing"
 	"time"
 
@@ -118,3 +119,46 @@
 		}
 	})
 }
+
+// TestLose: each second counts once, under what kept it from being a good one.
+func TestLose(t *testing.T) {
+	at := time.Date(2026, 12, 1, 10, 0, 0, 0, time.UTC)
+	var l Log
+	say := func(s float64, event string, kv ...string) {
+		e := Event{At: at.Add(time.Duration(s * float64(time.Second))), Proxy: "n0", Name: event, Field: map[string]string{}}
+		for i := 0; i < len(kv); i += 2 {
+			e.Field[kv[i]] = kv[i+1]
+		}
+		l.Events = append(l.Events, e)
+	}
+	for _, h := range []string{"a", "b", "c"} {
+		say(0, "host", "host", h, "weight", "1", "state", "0")
+	}
+	for _, r := range []string{"1", "2", "3", "4"} {
+		say(0.1, "asked", "request", r)
+		say(1.1, "stands", "request", r, "host", map[bool]string{true: "a", false: "b"}[r != "4"])
+	}
+	say(5.1, "told", "request", "1", "host", "a", "delay", "true", "value", "400")
+	say(5.1, "told", "request", "4", "host", "b", "delay", "true", "value", "400")
+	say(5.2, "told", "request", "4", "host", "c", "delay", "true", "value", "100")
+	say(8.1, "outcome", "request", "1", "host", "a", "status", "reset", "up", "true")
+	say(8.1, "outcome", "request", "2", "host", "a", "status", "cancelled", "up", "true")
+	say(8.1, "outcome", "request", "3", "host", "a", "status", "ok", "up", "true")
+	say(10.1, "asked", "request", "1")
+	say(10.1, "refused", "request", "1")
+	say(60.1, "outcome", "request", "4", "host", "b", "status", "ok", "up", "true")
+	sort.SliceStable(l.Events, func(i, j int) bool { return l.Events[i].At.Before(l.Events[j].At) })
+	got := Lose(&l, 250*time.Millisecond)
+	for _, c := range []struct {
+		what      string
+		got, want float64
+	}{{"waiting", got.Waiting, 4}, {"crowded", got.Crowded, 4.5}, {"slow", got.Slow, 1.5}, {"broken", got.Broken, 2}, {"moved", got.Moved, 10}, {"refused", got.Refused, 10},
+		{"good", got.Good, 3*5.5 + 57.5}} {
+		if c.got < c.want-0.8 || c.got > c.want+0.8 {
+			t.Errorf("%s: %.2f s, want %.2f", c.what, c.got, c.want)
+		}
+	}
+	if got.SpreadWorst != 0 || len(got.Hosts) != 3 || got.Hosts[0].Name != "a" || got.Hosts[0].Broken != 1 {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -14,7 +14,7 @@
 
 // fleetCommand counts over a folder of logs.
 func fleetCommand() *cobra.Command {
-	var window, warm, fall time.Duration
+	var window, warm, fall, aim time.Duration
 	c := &cobra.Command{Use: "fleet LOGDIR", Short: "Count over the logs of many proxies, on one time axis",
 		Long: "Reads each *.log in a folder as the log of one proxy, written with (log (level debug) (repeat 0)), and counts\n" +
 			"what all of them did together: by stretches of time, and by server.",
@@ -27,14 +27,32 @@
 			if err != nil {
 				return err
 			}
-			return printFleet(cmd.OutOrStdout(), l, fleetlog.Count(l, window, warm, fall))
+			if err := printFleet(cmd.OutOrStdout(), l, fleetlog.Count(l, window, warm, fall)); err != nil {
+				return err
+			}
+			return printLoss(cmd.OutOrStdout(), fleetlog.Lose(l, aim))
 		}}
 	c.Flags().DurationVar(&window, "window", 2*time.Second, "length of a stretch")
 	c.Flags().DurationVar(&warm, "warm", 23*time.Second, "how long a server counts as cold after its start")
 	c.Flags().DurationVar(&fall, "fall", 2*time.Second, "window over which the most sends to a cold server are told")
+	c.Flags().DurationVar(&aim, "aim", 250*time.Millisecond, "how long messages may take")
 	return c
 }
 
+// printLoss tells where the seconds went that clients wanted to be connected.
+func printLoss(to io.Writer, l *fleetlog.Loss) error {
+	all := max(l.All(), 1e-9)
+	fmt.Fprintf(to, "\nseconds wanted %.0f: good %.1f%%, on crowded hosts %.1f%%, on slow ones %.1f%%, waiting %.1f%%, after a break %.1f%%, after a refusal %.1f%%, after a move %.1f%%\n",
+		l.All(), 100*l.Good/all, 100*l.Crowded/all, 100*l.Slow/all, 100*l.Waiting/all, 100*l.Broken/all, 100*l.Refused/all, 100*l.Moved/all)
+	fmt.Fprintf(to, "most that a host holds over the mean, for its weight: median %.2f, worst %.2f\n", l.Spread, l.SpreadWorst)
+	t := tabwriter.NewWriter(to, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\nhost\tstood s\tcrowded s\tslow s\tbroke\tshare, mean\tmost\t")
+	for _, h := range l.Hosts[:min(10, len(l.Hosts))] {
+		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t\n", h.Name, h.Stood, h.Crowded, h.Slow, h.Broken, h.Share, h.ShareOf)
+	}
+	return t.Flush()
+}
+
 func printFleet(to io.Writer, l *fleetlog.Log, f *fleetlog.Fleet) error {
 	fmt.Fprintf(to, "%d proxies, %d events, %d lines skipped, from %s\n\n", l.Proxies, len(l.Events), l.Skipped,
 		f.Began.Format(time.RFC3339))
--- a/internal/lab/owner.go
+++ b/internal/lab/owner.go
@@ -737,9 +737,26 @@
 		{"lost", func(path string, _ []byte) error { return os.Remove(path) }, "outside"},
 	}
 	for _, k := range kinds {
+		e.Say("%s", k.name)
 		answered, lost, wrong := 0, 0, []string(nil)
-		for victim := range 3 {
-			a, l, state, err := diskTurn(e, victim, k.does)
+		type turn struct {
+			answered, lost int
+			state          string
+			err            error
+		}
+		var turns [3]turn
+		var all sync.WaitGroup
+		for victim := range turns {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				t := &turns[victim]
+				t.answered, t.lost, t.state, t.err = diskTurn(e, victim, k.does)
+			}()
+		}
+		all.Wait()
+		for victim, t := range turns {
+			a, l, state, err := t.answered, t.lost, t.state, t.err
 			if err != nil {
 				return fmt.Errorf("%s at n%d: %w", k.name, victim, err)
 			}
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -314,8 +314,11 @@
 	}
 }
 
-// Left tells whether all that Leave gave back has been taken, or nobody is there to take it.
-func (c *Core) Left() bool { return len(c.held) == 0 || c.now >= c.until }
+// Left tells whether all that Leave gave back has been taken, or nobody is there to take it. A coordinator has to see to it that others have it: what it
+// has granted and not told yet waits for the next one.
+func (c *Core) Left() bool {
+	return c.now >= c.until || len(c.held) == 0 && (c.leads == 0 || len(c.waits) == 0)
+}
 
 // SetGroup takes another group, or none: a voter whose store has failed is one no more until it is opened again. The table is the same one.
 func (c *Core) SetGroup(g Group) { c.group, c.leads = g, 0 }
