--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -99,7 +99,6 @@
 // leave gives the fleet's work back, and then tells the others that this process ends in order.
 func (r *replacing) leave() {
 	r.owners.Leave(func() { r.members.Leave() })
-	r.owners = nil
 }
 
 func (r *replacing) platform() members.Platform {
@@ -332,7 +331,6 @@
 	if r.with == p.of && r.older {
 		r.handed = true
 		r.owners.Leave(func() { r.members.Yield() })
-		r.owners = nil
 		r.front.Stop()
 		if r.peers != nil {
 			r.peers.Deafen()
--- a/internal/owners/owners.go
+++ b/internal/owners/owners.go
@@ -45,13 +45,14 @@
 	Hosts  bool
 	Pace   int // moves a second over the whole fleet; 0: not paced
 	Drill  int
+	Each   int // milliseconds between two numbers of a drill
 	Socket string
 }
 
 // Section is the operators' say.
 func Section() settings.Section {
 	return settings.Section{Name: "owners", Doc: "one owner at a time for the fleet's work", Bind: func(f *settings.Form) any {
-		o := Options{Group: "croftlock", MostKB: 8192}
+		o := Options{Group: "croftlock", MostKB: 8192, Each: 100}
 		f.Bool("on", "whether this proxy takes part; membership has to be on too", &o.On)
 		f.Text("group", "name of the group of voters; others' messages are refused", "a name", &o.Group, func(s string) bool { return s != "" && len(s) <= 64 })
 		var list string
@@ -66,6 +67,7 @@
 		f.Bool("hosts", "whether hosts can be taken out for the whole fleet: croftlock fleet suspend ID", &o.Hosts)
 		f.Int("pace", "clients that all proxies together may send away a second; 0: not bounded", &o.Pace, 0, 100000)
 		f.Int("drill", "jobs that only tell every proxy a number, to try the fleet's owners", &o.Drill, 0, 500)
+		f.Int("drill_ms", "time between two such numbers, in milliseconds", &o.Each, 20, 60000)
 		f.Path("socket", "Unix socket at which operators ask: croftlock owners, group, fleet", &o.Socket)
 		if o.On && len(o.Voters) == 0 {
 			f.Fault("voters", "no voters, expected the names of 1 to 7 proxies")
@@ -112,6 +114,8 @@
 	began   time.Time
 	door    *door
 	apply   func(out []string)
+	leaving []func() // to be called once this process has left
+	left    bool
 
 	box      *parcel.Box
 	table    *ownership.Table
@@ -166,7 +170,7 @@
 	}
 	for i := range o.Drill {
 		name := fmt.Sprintf("drill%03d", i)
-		s.handles[name] = &jobs.Drill{Every: int64(100 * time.Millisecond), Taken: func(m ownership.Mark) {
+		s.handles[name] = &jobs.Drill{Every: int64(time.Duration(max(20, o.Each)) * time.Millisecond), Taken: func(m ownership.Mark) {
 			slog.Debug("drill_taken", "job", name, "token", m.Token, "number", m.Number)
 		}}
 	}
@@ -399,12 +403,23 @@
 		done()
 		return
 	}
-	ended := false
+	if s.leaving != nil || s.left {
+		// A process that has handed over is ended next, and must not cut off what it is about to say.
+		if s.left {
+			done()
+		} else {
+			s.leaving = append(s.leaving, done)
+		}
+		return
+	}
+	s.leaving = append(s.leaving, done)
 	end := func() {
-		if !ended {
-			ended = true
+		if !s.left {
+			s.left = true
 			s.Yield()
-			done()
+			for _, f := range s.leaving {
+				f()
+			}
 		}
 	}
 	s.loop.After(leaveWithin, end)
