--- a/brain/brain.go
+++ b/brain/brain.go
@@ -22,7 +22,6 @@
 	groupCost     = 3.0   // mean connections that a group's first costs a server on top
 	areas         = 2     // sets of zones that have servers of their own for a group where traffic is thin
 	thinPlaces    = 8.0   // places in a group's order that count where traffic is thin
-	farPlaces     = 4.0   // and those that a server in another zone stands later
 	askSpread     = 5e7   // between calls on discovery, all balancers together, when it has failed them all
 	tellEvery     = 2e9   // a server's trouble is told to all balancers at most so often
 	tellWithin    = 6e8   // by one of those that see it, whoever draws the shortest wait
@@ -63,7 +62,8 @@
 		b.fx.After(b.cfg.Tick, "probe")
 	}
 	if b.cfg.Ask {
-		// Spread over the time allowed: discovery has the same capacity however many start together.
+		// Spread over the time allowed: discovery has the same capacity however many balancers start
+		// together.
 		spread := float64(b.cfg.AskWithin) / 4
 		b.fx.After(max(b.cfg.Tick, Time(spread*b.rng.Float64())), "ask")
 	}
--- a/brain/groups.go
+++ b/brain/groups.go
@@ -27,9 +27,6 @@
 	if thin {
 		most = thinPlaces
 		place = min(most, 2*b.slowness(s)/slowAt)
-		if s.zone != b.zone {
-			place += farPlaces // a crossing has its price, one host for all too little room
-		}
 	}
 	for _, i := range b.order(r.Group) {
 		o := b.servers[i]
