A process that hears nobody is given no job; shorter leases; fewer questions to the voters

Change: a process whose lease has ended says that it is not fit until it hears of another; leases of 2 s for 2.5 s; voters asked at most each 200 ms, turns of 100 ms; a move is told at once.

--- a/internal/owners/owners.go
+++ b/internal/owners/owners.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	turn      = 50 * time.Millisecond
+	turn      = 100 * time.Millisecond
 	storeWait = 5 * time.Second // until a store that had no room is tried again
 	inUseWait = 200 * time.Millisecond
 	backlog   = 256
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -19,12 +19,15 @@
 	Life   uint64   // of this process, over 0
 	Voters []string // who may lead the group
 	Jobs   []string // that this process can do
-	Lease  Time     // how long an owner may go on without a word from the coordinator; 0: 2.5 s
+	Lease  Time     // how long an owner may go on without a word from the coordinator; 0: 2 s
 	Wall   func() int64
 	// FromAnswer is a planted fault: a lease is counted from its answer, not from before it was asked for.
 	FromAnswer bool
 }
 
+// confirmEach bounds how often the voters are asked whether this process leads still: once for all keeps that came meanwhile.
+const confirmEach = 200 * ms
+
 // drift is by what part clocks may run apart, twice: an owner counts its lease shorter by so much, a coordinator longer.
 const drift = 50 // one fiftieth
 
@@ -126,21 +129,22 @@
 	hard    map[string]int
 
 	// As the coordinator.
-	leads    uint64 // epoch; 0: it does not lead
-	ledSince Time
-	fresh    bool // it leads a group that has given nothing yet
-	sessions map[who]*session
-	keeps    []confirming // that came since the last turn
-	lists    uint64
-	tag      uint64
-	waits    map[uint64]pending
-	busy     map[string]uint64 // jobs with a command under way, by its tag
-	confirms map[uint64][]confirming
-	since    map[string]Time
-	gives    map[string]Placement
-	gaveAt   Time
-	fails    map[string]*failing
-	looked   Time
+	leads       uint64 // epoch; 0: it does not lead
+	ledSince    Time
+	fresh       bool // it leads a group that has given nothing yet
+	sessions    map[who]*session
+	keeps       []confirming // that came since the voters were last asked
+	confirmedAt Time
+	lists       uint64
+	tag         uint64
+	waits       map[uint64]pending
+	busy        map[string]uint64 // jobs with a command under way, by its tag
+	confirms    map[uint64][]confirming
+	since       map[string]Time
+	gives       map[string]Placement
+	gaveAt      Time
+	fails       map[string]*failing
+	looked      Time
 }
 
 // New makes a process's part. table is the one that group keeps.
@@ -149,7 +153,7 @@
 		return nil, fmt.Errorf("ownership: name %q, life %d, %d voters and %d jobs are not possible", cfg.Name, cfg.Life, len(cfg.Voters), len(cfg.Jobs))
 	}
 	if cfg.Lease <= 0 {
-		cfg.Lease = 2500 * ms
+		cfg.Lease = 2 * sec
 	}
 	if cfg.Wall == nil {
 		cfg.Wall = func() int64 { return 0 }
@@ -238,7 +242,7 @@
 		return
 	}
 	var w pack.Writer
-	c.send(c.leader, w.Uint(msgReleased).Text(c.cfg.Name).Uint(c.cfg.Life).Bool(c.able && !c.leaving).Text(job).Uint(h.token).Uint(h.raise).Uint(h.number).Bytes(h.left).Text(h.why).Data)
+	c.send(c.leader, w.Uint(msgReleased).Text(c.cfg.Name).Uint(c.cfg.Life).Bool(c.fit()).Text(job).Uint(h.token).Uint(h.raise).Uint(h.number).Bytes(h.left).Text(h.why).Data)
 }
 
 // send sends a message, or keeps it for drain where this process is meant.
@@ -293,12 +297,16 @@
 	}
 	c.asked[c.seq] = c.now
 	var w pack.Writer
-	c.send(c.leader, w.Uint(msgKeep).Text(c.cfg.Name).Uint(c.cfg.Life).Uint(c.seq).Bool(c.able && !c.leaving).Uint(c.epoch).Uint(c.list).Data)
+	c.send(c.leader, w.Uint(msgKeep).Text(c.cfg.Name).Uint(c.cfg.Life).Uint(c.seq).Bool(c.fit()).Uint(c.epoch).Uint(c.list).Data)
 }
 
 // Able says whether this process is fit to own: not while it is starved or short of disk.
 func (c *Core) Able(able bool) { c.able = able }
 
+// fit tells whether this process should be given jobs: not one that had a lease and hears nobody renew it. It may be deaf, and would not hear of
+// a job either, though its own words arrive.
+func (c *Core) fit() bool { return c.able && !c.leaving && (c.until == 0 || c.now < c.until) }
+
 // Hard says how many members can't hear another, as membership's reach table has it; the coordinator keeps jobs away from such.
 func (c *Core) Hard(hard map[string]int) { c.hard = hard }
 
@@ -832,6 +840,7 @@
 		return fmt.Sprintf("%s owns %s already", to, job)
 	}
 	c.give(Placement{Job: job, To: to, Life: s.life, Handover: true, Why: "moved by an operator"})
+	c.tellLists()
 	return ""
 }
 
@@ -904,11 +913,12 @@
 	c.keeps = append(c.keeps, confirming{who: w, seq: seq, at: c.now})
 }
 
-// confirm asks the voters, once for all that asked for a lease since the last turn, whether this process leads still.
+// confirm asks the voters, once for all that asked for a lease since it last did, whether this process leads still.
 func (c *Core) confirm() {
-	if len(c.keeps) == 0 {
+	if len(c.keeps) == 0 || c.now-c.confirmedAt < confirmEach {
 		return
 	}
+	c.confirmedAt = c.now
 	if c.table.unsure {
 		c.keeps = nil // whoever owns something is to stop: it may not be in the table
 		return
