Voters with disks are a program of their own, so that a start costs what it did

Checked: a start took 5.9 and 6.4 ms of processor time for 3.5 and 4.3; GODEBUG=inittrace=1 names the tables of protobuf and raftpb.

Change: internal/group holds what ownership needs of a group; consensus and its store come in through internal/voter, in cmd/croftlock-voter (and croftlab) alone. croftlock says so where (dir ...) is set.

--- a/cmd/croftlab/main.go
+++ b/cmd/croftlab/main.go
@@ -8,9 +8,11 @@
 	"croftlock/internal/command"
 	"croftlock/internal/lab"
 	"croftlock/internal/owners"
+	"croftlock/internal/voter"
 )
 
 func main() {
+	owners.OpenVoter = voter.Open
 	if owners.Planted = os.Getenv(lab.PlantedEnv); owners.Planted != "" {
 		os.Exit(command.Run(os.Args[1:], os.Getenv)) // the program itself, with a fault that an experiment has to find
 	}
--- /dev/null
+++ b/cmd/croftlock-voter/main.go
@@ -0,0 +1,16 @@
+// Command croftlock-voter is croftlock with the voters that keep their votes on a disk: (owners (dir ...)). It is a program of its own since the
+// library that they need costs each start some milliseconds, which a proxy with a small part of a core feels.
+package main
+
+import (
+	"os"
+
+	"croftlock/internal/command"
+	"croftlock/internal/owners"
+	"croftlock/internal/voter"
+)
+
+func main() {
+	owners.OpenVoter = voter.Open
+	os.Exit(command.Run(os.Args[1:], os.Getenv))
+}
--- a/internal/command/main_test.go
+++ b/internal/command/main_test.go
@@ -10,6 +10,9 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	"croftlock/internal/owners"
+	"croftlock/internal/voter"
 )
 
 const usable = `{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ffffffffffffffff",
@@ -18,6 +21,7 @@
 
 // TestMain lets the test's own binary run as the program, so that signals meet a whole process.
 func TestMain(m *testing.M) {
+	owners.OpenVoter = voter.Open
 	if os.Getenv("CROFTLOCK_TEST_RUN") != "" {
 		os.Exit(Run(os.Args[1:], os.Getenv))
 	}
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -10,48 +10,42 @@
 import (
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"sort"
 
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 
+	"croftlock/internal/group"
 	"croftlock/internal/pack"
 )
 
 // Time is nanoseconds on the caller's monotonic clock.
-type Time = int64
+type Time = group.Time
+
+// What a group is to those who build on it.
+type (
+	Machine      = group.Machine
+	Effects      = group.Effects
+	Status       = group.Status
+	StatusMember = group.StatusMember
+)
 
-// Peer names a process in messages: its name, hashed as membership does.
-func Peer(name string) uint32 {
-	h := fnv.New32a()
-	h.Write([]byte(name))
-	return h.Sum32()
-}
+// Errors of what is asked of a Core.
+var (
+	ErrNotLeader = group.ErrNotLeader
+	ErrLong      = group.ErrLong
+	ErrBusy      = group.ErrBusy
+)
+
+// Peer names a process in messages.
+func Peer(name string) uint32 { return group.Peer(name) }
 
 // ID is a voter's identity: a process that lost its disk is not the voter that it was, and comes back under another nonce.
 func ID(name string, nonce uint32) uint64 { return uint64(nonce)<<32 | uint64(Peer(name)) }
 
 func peerOf(id uint64) uint32 { return uint32(id) }
 
-// Machine is a state machine of the group. The same commands in the same order bring it to the same state everywhere.
-type Machine interface {
-	Apply(cmd []byte) (result []byte)
-	Snapshot() []byte
-	Restore(data []byte) error
-}
-
-// Effects is what a Core can do. What is passed is valid during the call only.
-type Effects interface {
-	Send(peer uint32, msg []byte)
-	// Applied tells that a command was applied, with the tag it was proposed under here or at another process.
-	Applied(machine byte, tag uint64, result []byte)
-	// Confirmed tells that this process still led after Confirm was called.
-	Confirmed(tag uint64)
-	Tell(event string, args ...any)
-}
-
 // Store keeps what a voter must not forget. What returned without error is durable. After an error nothing else may be asked of it but
 // Close.
 type Store interface {
@@ -113,13 +107,6 @@
 	Keep        int  // commands kept behind it, for voters that lag; 0: 128
 }
 
-// Errors of what is asked of a Core.
-var (
-	ErrNotLeader = errors.New("consensus: this process does not lead the group")
-	ErrLong      = errors.New("consensus: a command over 64 KiB")
-	ErrBusy      = errors.New("consensus: a change of the group is under way, or too much waits to be agreed on")
-)
-
 const (
 	mostCommand = 64 << 10
 	mostName    = 64
@@ -985,29 +972,6 @@
 	return c.store.Close()
 }
 
-// Status is what operators see of a process's part.
-type Status struct {
-	Phase   string         `json:"phase"`
-	Reason  string         `json:"reason,omitempty"`
-	ID      string         `json:"id"`
-	Boots   uint64         `json:"boots"`
-	Term    uint64         `json:"term"`
-	Leader  string         `json:"leader"`
-	Commit  uint64         `json:"commit"`
-	Applied uint64         `json:"applied"`
-	Waits   []string       `json:"asks_to_be_added"`
-	Members []StatusMember `json:"members"`
-}
-
-// StatusMember is one row of it. Match and Active are known at the leader.
-type StatusMember struct {
-	Name   string `json:"name"`
-	ID     string `json:"id"`
-	Votes  bool   `json:"votes"`
-	Match  uint64 `json:"match"`
-	Active bool   `json:"active"`
-}
-
 // Status tells how this process stands.
 func (c *Core) Status() Status {
 	s := Status{Phase: c.phase.String(), Reason: c.why, ID: fmt.Sprintf("%016x", c.who.ID), Boots: c.who.Boots, Applied: c.applied, Waits: []string{}, Members: []StatusMember{}}
@@ -1030,7 +994,8 @@
 		}
 		for _, id := range ids {
 			pr := progress[id]
-			s.Members = append(s.Members, StatusMember{c.names[id], fmt.Sprintf("%016x", id), votes, pr.Match, pr.RecentActive || id == c.who.ID && pr.Match > 0})
+			s.Members = append(s.Members, StatusMember{Name: c.names[id], ID: fmt.Sprintf("%016x", id), Votes: votes, Match: pr.Match,
+				Active: pr.RecentActive || id == c.who.ID && pr.Match > 0})
 		}
 	}
 	return s
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -43,8 +43,8 @@
 	at       Time
 }
 
-// group is some voters in virtual time.
-type group struct {
+// fleet is some voters in virtual time.
+type fleet struct {
 	t       testing.TB
 	rng     *rand.Rand
 	now     Time
@@ -62,8 +62,8 @@
 	events  []string
 }
 
-func newGroup(t testing.TB, seed uint64, voters ...string) *group {
-	g := &group{t: t, rng: rand.New(rand.NewPCG(seed, 9)), initial: voters, cores: map[string]*Core{}, regs: map[string]*register{}, disks: map[string]*Memory{},
+func newGroup(t testing.TB, seed uint64, voters ...string) *fleet {
+	g := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 9)), initial: voters, cores: map[string]*Core{}, regs: map[string]*register{}, disks: map[string]*Memory{},
 		done: map[uint64]bool{}, led: map[uint64]bool{}, cut: func(string, string) bool { return false }}
 	for _, n := range voters {
 		g.start(n)
@@ -72,7 +72,7 @@
 }
 
 type side struct {
-	g    *group
+	g    *fleet
 	name string
 }
 
@@ -90,7 +90,7 @@
 	s.g.events = append(s.g.events, fmt.Sprint(s.name, " ", event, " ", args))
 }
 
-func (g *group) start(name string) error {
+func (g *fleet) start(name string) error {
 	if g.disks[name] == nil {
 		g.disks[name] = &Memory{}
 		g.names = append(g.names, name)
@@ -103,12 +103,12 @@
 	return err
 }
 
-func (g *group) kill(name string) {
+func (g *fleet) kill(name string) {
 	g.disks[name].Crash()
 	delete(g.cores, name)
 }
 
-func (g *group) run(d Time) {
+func (g *fleet) run(d Time) {
 	for end := g.now + d; g.now < end; g.now += 1e7 {
 		for i := 0; i < len(g.queue); i++ {
 			if m := g.queue[i]; m.at <= g.now {
@@ -132,7 +132,7 @@
 }
 
 // leader waits for one.
-func (g *group) leader() *Core {
+func (g *fleet) leader() *Core {
 	g.t.Helper()
 	for range 200 {
 		for _, n := range g.names {
@@ -153,10 +153,10 @@
 	return nil
 }
 
-func (g *group) tag() uint64 { g.tags++; return g.tags }
+func (g *fleet) tag() uint64 { g.tags++; return g.tags }
 
 // propose has a command agreed on, whoever leads.
-func (g *group) propose(text string) {
+func (g *fleet) propose(text string) {
 	g.t.Helper()
 	for range 50 {
 		tag := g.tag()
@@ -171,7 +171,7 @@
 	g.t.Fatalf("%q is not agreed on", text)
 }
 
-func (g *group) alike() {
+func (g *fleet) alike() {
 	g.t.Helper()
 	g.run(3e9)
 	var first []string
@@ -285,7 +285,7 @@
 	if votes != 3 || !slices.Equal(g.regs["b"].log, g.regs["a"].log) {
 		t.Errorf("%d voters; %+v", votes, s)
 	}
-	// Its vote counts: with another one gone the group goes on.
+	// Its vote counts: with another one gone the fleet goes on.
 	for _, n := range []string{"a", "c"} {
 		if g.leader() != g.cores[n] {
 			g.kill(n)
@@ -298,7 +298,7 @@
 	}
 }
 
-// TestNoSecondBeginning: two of three that lost their disks do not begin another group beside the third.
+// TestNoSecondBeginning: two of three that lost their disks do not begin another fleet beside the third.
 func TestNoSecondBeginning(t *testing.T) {
 	g := newGroup(t, 7, "a", "b", "c")
 	g.propose("one")
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -101,7 +101,11 @@
 		if err := os.Mkdir(tmp, 0o700); err != nil {
 			return nil, err
 		}
-		r.setup = append(r.setup, Setup{Listen: listen, Tmp: tmp, Name: virtual.Name(i), Discovery: setup.Discovery, Known: setup.Known,
+		program := ""
+		if strings.Contains(sections, "(dir ") && filepath.Base(e.Croftlock) == "croftlock" {
+			program = e.Croftlock + "-voter" // the program that keeps votes on a disk
+		}
+		r.setup = append(r.setup, Setup{Program: program, Listen: listen, Tmp: tmp, Name: virtual.Name(i), Discovery: setup.Discovery, Known: setup.Known,
 			Settings: path, Cores: 0.5, Sockets: 1024, MemoryMB: 64, Env: run})
 	}
 	for i := range n {
--- a/internal/owners/door.go
+++ b/internal/owners/door.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"croftlock/internal/consensus"
+	"croftlock/internal/group"
 	"croftlock/internal/jobs"
 	"croftlock/internal/ownership"
 )
@@ -31,7 +31,7 @@
 	Kind   string            `json:"kind,omitempty"`
 	Store  string            `json:"store,omitempty"` // what is wrong with it
 	Jobs   []JobRow          `json:"jobs,omitempty"`
-	Group  *consensus.Status `json:"group,omitempty"`
+	Group  *group.Status     `json:"group,omitempty"`
 	Counts *Counts           `json:"counts,omitempty"`
 	Mine   map[string]uint64 `json:"mine,omitempty"`
 	Seen   map[string]uint64 `json:"seen,omitempty"`
@@ -198,7 +198,7 @@
 		}) {
 			return late
 		}
-		if errors.Is(err, consensus.ErrNotLeader) {
+		if errors.Is(err, group.ErrNotLeader) {
 			err = fmt.Errorf("%w: group status names who does", err)
 		}
 		if err != nil {
--- a/internal/owners/owners.go
+++ b/internal/owners/owners.go
@@ -8,14 +8,12 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"croftlock/internal/consensus"
-	"croftlock/internal/consensus/disk"
+	"croftlock/internal/group"
 	"croftlock/internal/jobs"
 	"croftlock/internal/members"
 	"croftlock/internal/netio"
@@ -87,6 +85,9 @@
 	if o.Dir == "" {
 		return nil
 	}
+	if OpenVoter == nil {
+		return fmt.Errorf("dir: %w", errNoVoters)
+	}
 	info, err := os.Stat(o.Dir)
 	if err == nil && !info.IsDir() {
 		err = fmt.Errorf("%s is no folder", o.Dir)
@@ -121,7 +122,7 @@
 	table    *ownership.Table
 	fence    *ownership.Fence
 	core     *ownership.Core
-	raft     *consensus.Core
+	raft     Voter
 	group    ownership.Group
 	voter    bool
 	broken   string // why the store can't be used
@@ -142,6 +143,33 @@
 // Planted is a fault that experiments put in, to show that they find it. No file and no argument of the program sets it.
 var Planted string
 
+// Voter is a voter with a disk.
+type Voter interface {
+	ownership.Group
+	Stopped() *group.StoreError
+	Status() group.Status
+	Add(now group.Time, tag uint64, name string) error
+	Promote(now group.Time, tag uint64, name string) error
+	Remove(now group.Time, tag uint64, name string) error
+	Close() error
+}
+
+// VoterOptions are what a voter is opened with.
+type VoterOptions struct {
+	Group, Name string
+	Voters      []string
+	Dir         string
+	Most        int64 // bytes of its store
+	Seed        uint64
+	Machines    map[byte]group.Machine
+	Effects     group.Effects
+}
+
+// OpenVoter opens a voter with a disk; nil in a program that has none. It is set once, before anything is started.
+var OpenVoter func(VoterOptions) (Voter, *group.StoreError)
+
+var errNoVoters = errors.New("this program keeps no votes on a disk: croftlock-voter does; or leave dir out, and voters go by memory")
+
 // Counts are what a process has done and met.
 type Counts struct {
 	Taken, Again, Refused, Sent, Panics, Malformed int
@@ -253,12 +281,12 @@
 		for _, u := range m.Unheard {
 			if n := names[u]; n != "" {
 				hard[n]++
-			} else if u == consensus.Peer(s.name) {
+			} else if u == group.Peer(s.name) {
 				hard[s.name]++
 			}
 		}
 	}
-	there = append(there, jobs.Member{Name: s.name, Peer: consensus.Peer(s.name), Life: s.life, Here: true})
+	there = append(there, jobs.Member{Name: s.name, Peer: group.Peer(s.name), Life: s.life, Here: true})
 	s.post(func() { s.there, s.hard = there, hard })
 	s.loop.After(250*time.Millisecond, s.look)
 }
@@ -267,7 +295,7 @@
 func (s *Shell) open() {
 	s.group, s.raft, s.broken = nil, nil, ""
 	seed := uint64(time.Now().UnixNano())
-	machines := map[byte]consensus.Machine{ownership.Machine: s.table}
+	machines := map[byte]group.Machine{ownership.Machine: s.table}
 	switch {
 	case s.o.Dir == "" && s.voter:
 		q, err := ownership.NewQuorum(ownership.QuorumConfig{Group: s.o.Group, Name: s.name, Voters: s.o.Voters, Seed: seed, Clock: time.Now().UnixMilli()/10 - epochBegan}, machines, groupSide{s})
@@ -298,28 +326,22 @@
 // epochBegan is 2020 in hundredths of a second: epochs are counted from there, so that tokens have room.
 const epochBegan = 157783680000
 
-func (s *Shell) openDisk(seed uint64, machines map[byte]consensus.Machine) (*consensus.Core, error) {
-	st, err := disk.Open(filepath.Join(s.o.Dir, "voter.db"), int64(s.o.MostKB)<<10)
-	if err != nil {
-		return nil, err
-	}
-	c, err := consensus.Open(consensus.Config{Group: s.o.Group, Name: s.name, Initial: s.o.Voters, Seed: seed, Election: 6}, st, machines, groupSide{s})
-	if err != nil {
-		st.Close()
-		return nil, err
+func (s *Shell) openDisk(seed uint64, machines map[byte]group.Machine) (Voter, *group.StoreError) {
+	if OpenVoter == nil {
+		return nil, &group.StoreError{Err: errNoVoters}
 	}
-	return c, nil
+	return OpenVoter(VoterOptions{Group: s.o.Group, Name: s.name, Voters: s.o.Voters, Dir: s.o.Dir, Most: int64(s.o.MostKB) << 10, Seed: seed, Machines: machines, Effects: groupSide{s}})
 }
 
 // fail stops this voter's part. A store without room is tried again; any other waits for a restart.
-func (s *Shell) fail(err error) {
+func (s *Shell) fail(err *group.StoreError) {
 	s.broken = err.Error()
-	byItself := disk.ByItself(err)
+	byItself := err.ByItself
 	s.again = time.Time{}
 	if byItself {
 		s.again = time.Now().Add(storeWait)
 	}
-	if errors.Is(err, disk.ErrInUse) {
+	if err.InUse {
 		s.again = time.Now().Add(inUseWait) // by the process that this one replaces
 		slog.Info("store_waits", "reason", err)
 		return
@@ -330,8 +352,7 @@
 func (s *Shell) turn() {
 	now := s.now()
 	if s.raft != nil {
-		if p, _ := s.raft.Phase(); p == consensus.Broken {
-			err := s.raft.Failure()
+		if err := s.raft.Stopped(); err != nil {
 			s.raft.Close()
 			s.raft, s.group = nil, nil
 			s.core.SetGroup(nil)
--- a/internal/owners/owners_test.go
+++ b/internal/owners/owners_test.go
@@ -11,6 +11,9 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/consensus"
+	"croftlock/internal/consensus/disk"
+	"croftlock/internal/group"
 	"croftlock/internal/jobs"
 	"croftlock/internal/members"
 	"croftlock/internal/netio"
@@ -48,6 +51,42 @@
 	}
 }
 
+// voter is package voter's, which can't be used here: it is built on this one.
+type voter struct{ *consensus.Core }
+
+func (v voter) Stopped() *group.StoreError {
+	if err := v.Failure(); err != nil {
+		return &group.StoreError{Err: err}
+	}
+	return nil
+}
+
+func openVoter(o VoterOptions) (Voter, *group.StoreError) {
+	st, err := disk.Open(filepath.Join(o.Dir, "voter.db"), o.Most)
+	if err != nil {
+		return nil, &group.StoreError{Err: err}
+	}
+	c, err := consensus.Open(consensus.Config{Group: o.Group, Name: o.Name, Initial: o.Voters, Seed: o.Seed}, st, o.Machines, o.Effects)
+	if err != nil {
+		return nil, &group.StoreError{Err: err}
+	}
+	return voter{c}, nil
+}
+
+func TestMain(m *testing.M) {
+	OpenVoter = openVoter
+	os.Exit(m.Run())
+}
+
+// TestProgramWithoutVoters: where a program keeps no votes on a disk, a file that wants it is refused in clear words.
+func TestProgramWithoutVoters(t *testing.T) {
+	OpenVoter = nil
+	defer func() { OpenVoter = openVoter }()
+	if err := (Options{On: true, Dir: t.TempDir()}).Check(members.Options{On: true}); err == nil || !strings.Contains(err.Error(), "croftlock-voter") {
+		t.Error(err)
+	}
+}
+
 // alone is one process, its own only voter.
 func alone(t *testing.T, o Options) (*Shell, *netio.Loop) {
 	t.Helper()
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -6,7 +6,7 @@
 	"slices"
 	"sort"
 
-	"croftlock/internal/consensus"
+	"croftlock/internal/group"
 	"croftlock/internal/pack"
 )
 
@@ -247,7 +247,7 @@
 
 // send sends a message, or keeps it for drain where this process is meant.
 func (c *Core) send(peer uint32, msg []byte) {
-	if peer == consensus.Peer(c.cfg.Name) {
+	if peer == group.Peer(c.cfg.Name) {
 		c.inbox = append(c.inbox, slices.Clone(msg))
 		return
 	}
@@ -263,7 +263,7 @@
 	for len(c.inbox) > 0 {
 		msg := c.inbox[0]
 		c.inbox = c.inbox[1:]
-		c.receive(consensus.Peer(c.cfg.Name), msg)
+		c.receive(group.Peer(c.cfg.Name), msg)
 	}
 	c.draining = false
 }
@@ -285,7 +285,7 @@
 			c.leader = c.group.Leader()
 		}
 		if c.leader == 0 || c.now-c.heardAt > c.cfg.Lease {
-			c.leader = consensus.Peer(c.cfg.Voters[c.tryAt%len(c.cfg.Voters)])
+			c.leader = group.Peer(c.cfg.Voters[c.tryAt%len(c.cfg.Voters)])
 			c.tryAt++
 		}
 	}
@@ -379,11 +379,11 @@
 	defer c.drain()
 	var w pack.Writer
 	if h := c.held[job]; h != nil && !h.released && c.now < c.until {
-		c.fx.Asked(consensus.Peer(c.cfg.Name), job, tag, body)
+		c.fx.Asked(group.Peer(c.cfg.Name), job, tag, body)
 		return
 	}
 	if c.leader != 0 {
-		c.send(c.leader, w.Uint(msgAsk).Text(job).Uint(tag).Uint(uint64(consensus.Peer(c.cfg.Name))).Bytes(body).Data)
+		c.send(c.leader, w.Uint(msgAsk).Text(job).Uint(tag).Uint(uint64(group.Peer(c.cfg.Name))).Bytes(body).Data)
 	}
 }
 
@@ -434,7 +434,7 @@
 	switch kind := r.Uint(); kind {
 	case msgKeep:
 		name, life, seq, able, epoch, list := r.Text(mostName), r.Uint(), r.Uint(), r.Bool(), r.Uint(), r.Uint()
-		if r.Err() != nil || consensus.Peer(name) != from || life == 0 {
+		if r.Err() != nil || group.Peer(name) != from || life == 0 {
 			return errTorn
 		}
 		c.takeKeep(from, name, life, seq, able, epoch, list)
@@ -460,7 +460,7 @@
 		for n := r.Count(MostJobs); n > 0; n-- {
 			offers[r.Text(mostName)] = true
 		}
-		if r.Err() != nil || consensus.Peer(name) != from {
+		if r.Err() != nil || group.Peer(name) != from {
 			return errTorn
 		}
 		if s := c.sessions[who{name, life}]; s != nil {
@@ -472,7 +472,7 @@
 		name, life, able := r.Text(mostName), r.Uint(), r.Bool()
 		job, token, raise := r.Text(mostName), r.Uint(), r.Uint()
 		number, left, why := r.Uint(), r.Bytes(MostLeft), r.Text(200)
-		if r.Err() != nil || consensus.Peer(name) != from {
+		if r.Err() != nil || group.Peer(name) != from {
 			return errTorn
 		}
 		if s := c.sessions[who{name, life}]; s != nil && !able {
@@ -541,7 +541,7 @@
 		if h := c.held[job]; h != nil && !h.released && c.now < c.until {
 			c.fx.Asked(asker, job, tag, body)
 		} else if row := c.table.Row(job); c.leads != 0 && row != nil && row.Owner != "" && row.Owner != c.cfg.Name {
-			c.send(consensus.Peer(row.Owner), msg)
+			c.send(group.Peer(row.Owner), msg)
 		}
 	case msgAnswer:
 		tag, body := r.Uint(), r.Bytes(1<<16)
@@ -944,7 +944,7 @@
 		}
 		s.keptAt = max(s.keptAt, k.at)
 		var w pack.Writer
-		c.send(consensus.Peer(k.name), w.Uint(msgKept).Uint(k.seq).Uint(k.life).Uint(c.leads).Bool(s.offers == nil).Data)
+		c.send(group.Peer(k.name), w.Uint(msgKept).Uint(k.seq).Uint(k.life).Uint(c.leads).Bool(s.offers == nil).Data)
 		c.tellList(s)
 	}
 }
@@ -979,7 +979,7 @@
 		}
 	}
 	s.told, s.toldAt, s.list, s.behind = c.table.Version+1, c.now, c.lists, false
-	c.send(consensus.Peer(s.name), w.Data)
+	c.send(group.Peer(s.name), w.Data)
 }
 
 func (c *Core) takeReleased(name string, life uint64, job string, token, raise, number uint64, left []byte, why string) {
--- a/internal/ownership/explore_test.go
+++ b/internal/ownership/explore_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"croftlock/internal/consensus"
+	"croftlock/internal/group"
 	"croftlock/internal/pack"
 )
 
@@ -43,7 +43,7 @@
 
 func (x wire) Send(peer uint32, msg []byte) {
 	for i := range 3 {
-		if consensus.Peer(names[i]) == peer {
+		if group.Peer(names[i]) == peer {
 			x.w.flight = append(x.w.flight, envelope{from: x.me, to: i, data: slices.Clone(msg)})
 		}
 	}
@@ -64,7 +64,7 @@
 
 func (w *world) voter(i int, now Time, p planted) *Quorum {
 	q, err := NewQuorum(QuorumConfig{Group: "g", Name: names[i], Voters: names, Lease: quorumLease, Clock: now / (10 * ms), Eager: p.eager, FromAnswer: p.fromAnswer},
-		map[byte]consensus.Machine{}, wire{w, i})
+		map[byte]group.Machine{}, wire{w, i})
 	if err != nil {
 		panic(err)
 	}
@@ -102,7 +102,7 @@
 		put(uint64(q.now), uint64(q.started+1), q.promised, uint64(q.holder), q.epoch, uint64(q.until), q.state.epoch, q.state.version, q.counter, q.trying,
 			uint64(q.fetchOf), q.round, q.leads, q.ballot, uint64(q.lease), uint64(len(q.acked)))
 		for _, n := range names {
-			p, ok := q.promises[consensus.Peer(n)]
+			p, ok := q.promises[group.Peer(n)]
 			if ok && p.open {
 				put(1)
 			} else if ok {
@@ -113,7 +113,7 @@
 		for r := range 4 {
 			put(uint64(q.askedAt[uint64(r)]), uint64(len(q.grants[uint64(r)])))
 			for _, n := range names {
-				if q.grants[uint64(r)][consensus.Peer(n)] {
+				if q.grants[uint64(r)][group.Peer(n)] {
 					put(uint64(r))
 				}
 			}
@@ -185,7 +185,7 @@
 				return
 			}
 			q := c.voters[e.to]
-			q.Receive(q.now, consensus.Peer(names[e.from]), e.data)
+			q.Receive(q.now, group.Peer(names[e.from]), e.data)
 		})
 	}
 	if w.steps > 0 {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"croftlock/internal/consensus"
+	"croftlock/internal/group"
 )
 
 // TestTable: whatever commands come, a job's token never falls, an old token changes nothing, and a snapshot is the table.
@@ -149,7 +149,7 @@
 func lonely(t testing.TB) (*Core, *Quorum) {
 	t.Helper()
 	table := NewTable()
-	q, err := NewQuorum(QuorumConfig{Group: "g", Name: "a", Voters: []string{"a", "b", "c"}}, map[byte]consensus.Machine{Machine: table}, nobody{})
+	q, err := NewQuorum(QuorumConfig{Group: "g", Name: "a", Voters: []string{"a", "b", "c"}}, map[byte]group.Machine{Machine: table}, nobody{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -172,9 +172,9 @@
 		for range 3 {
 			now += 2 * sec
 			c.Tick(now)
-			c.Receive(now, consensus.Peer("b"), data)
-			q.Receive(now, consensus.Peer("b"), data)
-			q.Receive(now, consensus.Peer("b"), append([]byte{quorumPropose, 1, 'g'}, data...))
+			c.Receive(now, group.Peer("b"), data)
+			q.Receive(now, group.Peer("b"), data)
+			q.Receive(now, group.Peer("b"), append([]byte{quorumPropose, 1, 'g'}, data...))
 		}
 		if _, ok := c.group.Leading(); ok && c.Holds(now, "j", 1) {
 			t.Error("one peer's word makes an owner")
--- a/internal/ownership/quorum.go
+++ b/internal/ownership/quorum.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"sort"
 
-	"croftlock/internal/consensus"
+	"croftlock/internal/group"
 	"croftlock/internal/pack"
 )
 
@@ -19,8 +19,8 @@
 // fences refuse, and the job's next token is taken from what they remember.
 type Quorum struct {
 	cfg      QuorumConfig
-	fx       consensus.Effects
-	machines map[byte]consensus.Machine
+	fx       group.Effects
+	machines map[byte]group.Machine
 	kinds    []byte
 	rng      *rand.Rand
 	me       uint32
@@ -88,14 +88,14 @@
 }
 
 // NewQuorum makes a voter.
-func NewQuorum(cfg QuorumConfig, machines map[byte]consensus.Machine, fx consensus.Effects) (*Quorum, error) {
+func NewQuorum(cfg QuorumConfig, machines map[byte]group.Machine, fx group.Effects) (*Quorum, error) {
 	if cfg.Lease <= 0 {
 		cfg.Lease = 1500 * ms
 	}
 	if len(cfg.Voters) == 0 || len(cfg.Voters) > 15 || cfg.Clock < 0 {
 		return nil, fmt.Errorf("ownership: %d voters, clock at %d: 1 to 15 voters and a clock after 1970 are possible", len(cfg.Voters), cfg.Clock)
 	}
-	q := &Quorum{cfg: cfg, fx: fx, machines: machines, rng: rand.New(rand.NewPCG(cfg.Seed, 5)), me: consensus.Peer(cfg.Name), started: -1,
+	q := &Quorum{cfg: cfg, fx: fx, machines: machines, rng: rand.New(rand.NewPCG(cfg.Seed, 5)), me: group.Peer(cfg.Name), started: -1,
 		counter: uint64(cfg.Clock), askedAt: map[uint64]Time{}, grants: map[uint64]map[uint32]bool{}}
 	for k := range machines {
 		q.kinds = append(q.kinds, k)
@@ -146,7 +146,7 @@
 
 func (q *Quorum) all(msg []byte) {
 	for _, v := range q.cfg.Voters {
-		q.send(consensus.Peer(v), msg)
+		q.send(group.Peer(v), msg)
 	}
 }
 
@@ -225,12 +225,12 @@
 func (q *Quorum) Receive(now Time, from uint32, msg []byte) error {
 	q.now = max(q.now, now)
 	r := pack.Reader{Data: msg}
-	kind, group := r.Uint(), r.Text(mostName)
+	kind, of := r.Uint(), r.Text(mostName)
 	voter := false
 	for _, v := range q.cfg.Voters {
-		voter = voter || consensus.Peer(v) == from
+		voter = voter || group.Peer(v) == from
 	}
-	if r.Err() != nil || group != q.cfg.Group || !voter {
+	if r.Err() != nil || of != q.cfg.Group || !voter {
 		return errors.New("ownership: a message of another group, or of no voter, or torn")
 	}
 	b := r.Uint()
@@ -355,7 +355,7 @@
 func (q *Quorum) gather() {
 	open, knowing, best, whose := 0, 0, q.state, uint32(0)
 	for _, v := range q.cfg.Voters {
-		p, ok := q.promises[consensus.Peer(v)]
+		p, ok := q.promises[group.Peer(v)]
 		if !ok || !p.open {
 			continue
 		}
@@ -364,7 +364,7 @@
 			knowing++
 		}
 		if best.before(p.state) {
-			best, whose = p.state, consensus.Peer(v)
+			best, whose = p.state, group.Peer(v)
 		}
 	}
 	// Of what was agreed on a majority knew. Those that have lost their memory since know nothing, and are no part of one that would
@@ -415,7 +415,7 @@
 			}
 		}
 		for _, v := range q.cfg.Voters {
-			if p := consensus.Peer(v); p != q.me {
+			if p := group.Peer(v); p != q.me {
 				q.push(p)
 			}
 		}
@@ -434,7 +434,7 @@
 // resend brings voters that lag up to date.
 func (q *Quorum) resend() {
 	for _, v := range q.cfg.Voters {
-		p := consensus.Peer(v)
+		p := group.Peer(v)
 		have, known := q.acked[p]
 		switch {
 		case p == q.me || known && have >= q.state.version:
@@ -468,7 +468,7 @@
 	for len(q.log) > 0 && q.done < q.state.version {
 		n := 0
 		for _, v := range q.cfg.Voters {
-			if have, known := q.acked[consensus.Peer(v)]; known && have > q.done {
+			if have, known := q.acked[group.Peer(v)]; known && have > q.done {
 				n++
 			}
 		}
@@ -531,10 +531,10 @@
 func (q *Quorum) Propose(now Time, machine byte, tag uint64, cmd []byte) error {
 	q.now = max(q.now, now)
 	if _, ok := q.Leading(); !ok {
-		return consensus.ErrNotLeader
+		return group.ErrNotLeader
 	}
 	if q.state.version-q.done >= inFlight || q.machines[machine] == nil {
-		return consensus.ErrBusy
+		return group.ErrBusy
 	}
 	q.state.version++
 	c := command{version: q.state.version, tag: tag, machine: machine, data: append([]byte(nil), cmd...)}
@@ -543,7 +543,7 @@
 	}
 	q.acked[q.me] = c.version
 	for _, v := range q.cfg.Voters {
-		if p := consensus.Peer(v); p != q.me {
+		if p := group.Peer(v); p != q.me {
 			if have, known := q.acked[p]; known {
 				q.sendCommands(p, have)
 			}
@@ -557,7 +557,7 @@
 func (q *Quorum) Confirm(now Time, tag uint64) error {
 	q.now = max(q.now, now)
 	if _, ok := q.Leading(); !ok {
-		return consensus.ErrNotLeader
+		return group.ErrNotLeader
 	}
 	q.fx.Confirmed(tag)
 	return nil
--- /dev/null
+++ b/internal/voter/voter.go
@@ -0,0 +1,41 @@
+// Package voter opens a voter with a disk for the shell of owners: consensus on a bbolt file. It owns nothing; it is apart so that programs
+// without voters do not carry it.
+package voter
+
+import (
+	"errors"
+	"path/filepath"
+
+	"croftlock/internal/consensus"
+	"croftlock/internal/consensus/disk"
+	"croftlock/internal/group"
+	"croftlock/internal/owners"
+)
+
+type voter struct{ *consensus.Core }
+
+// Stopped is why the voter takes no part any more; nil: it does.
+func (v voter) Stopped() *group.StoreError {
+	if p, _ := v.Phase(); p == consensus.Broken {
+		return wrap(v.Failure())
+	}
+	return nil
+}
+
+func wrap(err error) *group.StoreError {
+	return &group.StoreError{Err: err, InUse: errors.Is(err, disk.ErrInUse), ByItself: disk.ByItself(err)}
+}
+
+// Open opens the voter whose store is in a folder.
+func Open(o owners.VoterOptions) (owners.Voter, *group.StoreError) {
+	st, err := disk.Open(filepath.Join(o.Dir, "voter.db"), o.Most)
+	if err != nil {
+		return nil, wrap(err)
+	}
+	c, err := consensus.Open(consensus.Config{Group: o.Group, Name: o.Name, Initial: o.Voters, Seed: o.Seed, Election: 6}, st, o.Machines, o.Effects)
+	if err != nil {
+		st.Close()
+		return nil, wrap(err)
+	}
+	return voter{c}, nil
+}
