A voter whose file was found to be old keeps that in the file, past a restart of all

Need: what a voter's store was found to be must not be forgotten with those who found it.

Change: Core.stale saves the mark with the identity; Open goes by it. A test restarts all after the find.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -62,6 +62,7 @@
 	Group, Name string
 	ID          uint64 // 0: none yet
 	Boots       uint64 // how often it was begun with
+	Stale       bool   // it was found to be older than what others have had: whoever found it may forget, so it is kept here
 }
 
 // Seen is the last start of another voter that this process knows of.
@@ -204,6 +205,11 @@
 			return nil, err
 		}
 	}
+	if c.who.Stale {
+		c.phase, c.why = Stale, staleWhy
+		fx.Tell("group_stale", "reason", c.why)
+		return c, nil
+	}
 	if c.who.ID != 0 {
 		c.who.Boots++
 		if err := store.SaveIdentity(c.who); err != nil {
@@ -509,10 +515,15 @@
 	return nil
 }
 
+const staleWhy = "its store is older than what others have had from this voter: a file was put back; move it away and have the voter replaced"
+
 func (c *Core) stale(from uint32) {
-	c.phase = Stale
-	c.why = fmt.Sprintf("its store is older than what peer %08x has had from this voter: a file was put back; move it away and have the voter replaced", from)
-	c.fx.Tell("group_stale", "reason", c.why)
+	c.who.Stale = true
+	if !c.check(c.store.SaveIdentity(c.who)) {
+		return
+	}
+	c.phase, c.why = Stale, staleWhy
+	c.fx.Tell("group_stale", "reason", c.why, "by", fmt.Sprintf("%08x", from))
 }
 
 // step takes a message of the library's.
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -238,6 +238,17 @@
 			t.Errorf("same life %v: phase %v, %q", sameLife, p, why)
 		}
 		g.propose("goes on without it")
+		// Also when all start anew, and nobody remembers what it was told.
+		for _, n := range []string{"a", "b", "c"} {
+			g.kill(n)
+		}
+		for _, n := range []string{"a", "b", "c"} {
+			g.start(n)
+		}
+		g.run(5e9)
+		if p, _ := g.cores["b"].Phase(); p != Stale {
+			t.Errorf("same life %v: phase %v after all started anew", sameLife, p)
+		}
 	}
 }
 
--- a/internal/consensus/disk/disk.go
+++ b/internal/consensus/disk/disk.go
@@ -181,7 +181,7 @@
 		}
 		if err := get(keyIdentity, func(data []byte) error {
 			r := pack.Reader{Data: data}
-			out.Identity = consensus.Identity{Group: r.Text(64), Name: r.Text(64), ID: r.Uint(), Boots: r.Uint()}
+			out.Identity = consensus.Identity{Group: r.Text(64), Name: r.Text(64), ID: r.Uint(), Boots: r.Uint(), Stale: r.Bool()}
 			return r.Err()
 		}); err != nil {
 			return err
@@ -286,7 +286,7 @@
 func (s *Store) SaveIdentity(id consensus.Identity) error {
 	return s.update(func(tx *bbolt.Tx) error {
 		var w pack.Writer
-		return put(tx.Bucket(bucketMeta), keyIdentity, w.Text(id.Group).Text(id.Name).Uint(id.ID).Uint(id.Boots).Data)
+		return put(tx.Bucket(bucketMeta), keyIdentity, w.Text(id.Group).Text(id.Name).Uint(id.ID).Uint(id.Boots).Bool(id.Stale).Data)
 	})
 }
 
