Read over: one opener of operators' sockets, one hash of names, dead state out

Need: the change wrote some pieces again that the project had, and left some that nothing uses.

Change: members.Door opens a Unix socket for operators; owners' serve had a copy of it. group.Peer is membership.ID and no second hash that has to stay the same. Waiting commands are looked through in any order: nothing depends on it. Gone: parcel.Ours, owners.Owned and Shell.answers, two fields of the virtual fleet. Behaviour is as it was.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -5,18 +5,15 @@
 
 import (
 	"errors"
-	"hash/fnv"
+
+	"croftlock/internal/membership"
 )
 
 // Time is nanoseconds on the caller's monotonic clock.
 type Time = int64
 
-// Peer names a process in messages: its name, hashed as membership does.
-func Peer(name string) uint32 {
-	h := fnv.New32a()
-	h.Write([]byte(name))
-	return h.Sum32()
-}
+// Peer names a process in messages, as membership does: by its word of who sent a datagram messages are told apart.
+func Peer(name string) uint32 { return membership.ID(name) }
 
 // Machine is a state machine of the group. The same commands in the same order bring it to the same state everywhere.
 type Machine interface {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -378,18 +378,10 @@
 
 // serve answers whoever connects to the Unix socket with one report. It runs beside the loop, which gives the report.
 func (s *Shell) serve(path string) error {
-	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
-		c.Close()
-		return fmt.Errorf("socket %s is in use", path)
-	}
-	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return err
-	}
-	l, err := net.Listen("unix", path)
+	l, err := Door(path)
 	if err != nil {
 		return err
 	}
-	os.Chmod(path, 0o600)
 	s.door = l
 	go func() {
 		for {
@@ -411,6 +403,24 @@
 	return nil
 }
 
+// Door opens a Unix socket for operators, which its owner alone may use. What an ended process left of it is taken away; one that somebody
+// answers at is refused.
+func Door(path string) (net.Listener, error) {
+	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("socket %s is in use", path)
+	}
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, err
+	}
+	os.Chmod(path, 0o600)
+	return l, nil
+}
+
 // Ask asks a running proxy who is there.
 func Ask(socket string) (Report, error) {
 	var r Report
--- a/internal/owners/door.go
+++ b/internal/owners/door.go
@@ -12,6 +12,7 @@
 
 	"croftlock/internal/group"
 	"croftlock/internal/jobs"
+	"croftlock/internal/members"
 	"croftlock/internal/ownership"
 )
 
@@ -58,18 +59,10 @@
 
 // serve answers at a Unix socket that only its owner may use.
 func serve(path string, s *Shell) (*door, error) {
-	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
-		c.Close()
-		return nil, fmt.Errorf("socket %s is in use", path)
-	}
-	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, err
-	}
-	l, err := net.Listen("unix", path)
+	l, err := members.Door(path)
 	if err != nil {
 		return nil, err
 	}
-	os.Chmod(path, 0o600)
 	room := make(chan struct{}, 8)
 	go func() {
 		for {
--- a/internal/owners/owners.go
+++ b/internal/owners/owners.go
@@ -137,7 +137,6 @@
 	asks     map[uint64]chan string
 	tags     uint64
 	counts   Counts
-	answers  map[string]Owned
 }
 
 // Planted is a fault that experiments put in, to show that they find it. No file and no argument of the program sets it.
@@ -175,9 +174,6 @@
 	Taken, Again, Refused, Sent, Panics, Malformed int
 }
 
-// Owned is a job as the coordinator last told of it.
-type Owned struct{ Token uint64 }
-
 // Start begins. apply carries out, on the loop, which hosts are out for the whole fleet.
 func Start(l *netio.Loop, o Options, name string, m *members.Shell, apply func(out []string)) (*Shell, error) {
 	if m == nil {
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -665,8 +665,8 @@
 		}
 		c.fx.Tell("coordinates", "epoch", epoch)
 	}
-	for _, tag := range c.sortedWaits() {
-		if p := c.waits[tag]; c.now >= p.until {
+	for tag, p := range c.waits {
+		if c.now >= p.until {
 			delete(c.waits, tag)
 			if c.busy[p.job] == tag {
 				delete(c.busy, p.job)
@@ -693,15 +693,6 @@
 	c.tellLists()
 }
 
-func (c *Core) sortedWaits() []uint64 {
-	tags := make([]uint64, 0, len(c.waits))
-	for t := range c.waits {
-		tags = append(tags, t)
-	}
-	slices.Sort(tags)
-	return tags
-}
-
 // over is when a lease that was given at a time has surely ended at whoever has it.
 func (c *Core) over(at Time) Time { return at + c.cfg.Lease + c.cfg.Lease/drift }
 
--- a/internal/ownership/virtual/virtual.go
+++ b/internal/ownership/virtual/virtual.go
@@ -38,11 +38,10 @@
 
 // Fault is one in a plan.
 type Fault struct {
-	Kind     string
-	At, For  Time
-	A, B     int
-	Part     float64
-	LoseDisk bool
+	Kind    string
+	At, For Time
+	A, B    int
+	Part    float64
 }
 
 func (f Fault) String() string {
@@ -97,7 +96,6 @@
 	acts   []func() // checked before the process slept, done after
 	jobs   map[string]*job
 	taken  map[string]ownership.Mark // since this receiver began, as the checks see it
-	cpu    int
 }
 
 type job struct {
--- a/internal/parcel/parcel.go
+++ b/internal/parcel/parcel.go
@@ -16,7 +16,7 @@
 type Time = int64
 
 const (
-	// First is the first byte of each datagram; others on the same socket begin otherwise.
+	// First is the first byte of each datagram.
 	First = 0x12
 	// Longest bounds a message, in bytes.
 	Longest = 200 << 10
@@ -42,9 +42,6 @@
 // ErrLong says that a message is too long.
 var ErrLong = errors.New("parcel: message over 200 KiB")
 
-// Ours tells whether a datagram is one of these.
-func Ours(data []byte) bool { return len(data) > 0 && data[0] == First }
-
 // Effects is what a Box can do. What is passed is valid during the call only.
 type Effects interface {
 	Datagram(peer uint32, data []byte)
