Each mesh of the rig has a loopback address of its own: ports no longer collide

Need: green every time.

Seen: TestHostsOutForTheFleet ended once with 127.0.0.1:41221 already in use. A port that the mesh had found free and let go was given to a socket of another rig's mesh, of those played side by side, before its process had it. Holding them longer within one mesh had mended the case of one mesh alone.

Change: processes listen at 127.P.K.K of their mesh alone, ports from 20000 on; the sockets between them stay as they were.

--- a/internal/standin/mesh.go
+++ b/internal/standin/mesh.go
@@ -5,7 +5,9 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,26 +31,20 @@
 	wg    sync.WaitGroup
 }
 
+// meshes counts those of this process.
+var meshes atomic.Uint32
+
 // NewMesh makes one for n processes.
 func NewMesh(n int, seed uint64) (*Mesh, error) {
 	m := &Mesh{own: make([]netip.AddrPort, n), socks: make([][]*net.UDPConn, n), links: make([][]Link, n), rng: rand.New(rand.NewPCG(seed, 3))}
 	loopback := net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0"))
-	var own []*net.UDPConn
-	letGo := func() { // the processes' own from here on
-		for _, c := range own {
-			c.Close()
-		}
-	}
-	// Held until all others have theirs: a port that is let go before would be given to one of them.
-	defer letGo()
+	// The processes' own addresses are a loopback address of this mesh's alone: a port that is found free and let go again would be given to
+	// another mesh's socket before its process has it.
+	k := meshes.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(k / 250), byte(1 + k%250)})
 	for i := range n {
-		c, err := net.ListenUDP("udp4", loopback)
-		if err != nil {
-			m.Close()
-			return nil, err
-		}
-		own = append(own, c)
-		m.own[i] = c.LocalAddr().(*net.UDPAddr).AddrPort()
+		var err error
+		m.own[i] = netip.AddrPortFrom(ip, uint16(20000+i))
 		m.socks[i], m.links[i] = make([]*net.UDPConn, n), make([]Link, n)
 		for j := range n {
 			if i == j {
