Set-ups that queue are waited for, and refused at once where they cannot stand in time

Seen (roll+mass, logs at debug over 312 lives): set-ups of one second take the same time at every host and proxy, 118 ms at 6 s, 229 at 8 s, 464 at 10 s, 1,755 at 14 s (tenth and ninetieth of a hundred within 100 ms): one queue that all share, the store. It gets through some 145 a second and turns away with ERR after 28 ms from 1.8 s on. From 9 s on 76 to 136 a second end in a timeout after 300 ms, the shortest aim: each has taken its place in the queue all the same. At 20 s 76 stand and 69 time out: half of what the store does is for nobody, and the claim class, with 1.8 s in all, gets next to nothing. Ruled out: the hanging hosts (timeouts lie at 40 hosts alike); the front and the proxies (1.7 ms to the first attempt until 10 s).

Lines at fault: `patience` gave the aim where fewer than four set-ups were seen, which after a restart is always, and took a second-old figure for the present one; `place` sent what could not stand in time; an ERR was followed by two more attempts within 60 ms; `giveUp` advised only what had not been tried.

Change: half of what is left where nothing is known, and longer by the age of what is; what cannot stand by the last two set-ups is refused at once, with advice; after two requests in a row were turned away the next attempt waits as in a jam.

--- a/brain/outcomes.go
+++ b/brain/outcomes.go
@@ -12,6 +12,7 @@
 		return
 	}
 	b.sample(float64(elapsed))
+	b.doneBy[0], b.doneBy[1], b.errors = b.doneBy[1], now+elapsed*3/2, 0
 	b.fade()
 	b.good++
 	b.stood++
@@ -22,41 +23,12 @@
 	b.stand(r)
 }
 
-func (b *Brain) stand(r *request) {
-	s := r.server
-	r.up, r.at, r.load = true, len(s.conns), r.cost
-	s.conns = append(s.conns, r)
-	s.load += r.load
-	if r.Tenant >= 0 {
-		b.tenants[r.Tenant]++
-	}
-}
-
-func (b *Brain) leave(r *request) {
-	if !r.up {
-		return
-	}
-	s := r.server
-	last := len(s.conns) - 1
-	s.conns[r.at] = s.conns[last]
-	s.conns[r.at].at = r.at
-	s.conns = s.conns[:last]
-	s.load -= r.load
-	b.placed(s, -r.load/max(1, b.meanCost))
-	if last == 0 {
-		s.load = 0
-	}
-	r.up = false
-	if r.Tenant >= 0 {
-		b.tenants[r.Tenant]--
-	}
-}
-
 func (b *Brain) sample(t float64) {
 	if b.setups == 0 {
 		b.setup, b.setupDev = t, t/2
 	}
 	b.setups++
+	b.sampled = b.now
 	d := t - b.setup
 	b.setup += d / 8
 	b.setupDev += (math.Abs(d) - b.setupDev) / 4
@@ -103,6 +75,7 @@
 			b.tried = max(0, b.tried-1)
 			b.failure(s, r.sentAt, true)
 		case Timeout:
+			b.doneBy[0], b.doneBy[1] = b.doneBy[1], now+elapsed
 			b.sample(float64(elapsed) * 1.5) // the truth lies beyond; else a slow store is never waited for
 			b.failure(s, r.sentAt, false)
 		case Reset:
@@ -111,6 +84,9 @@
 			b.tried = max(0, b.tried-1)
 			s.passed = now + b.aimLong
 		case Error:
+			if r.attempts == 1 {
+				b.errors, b.erredAt = b.errors+1, now
+			}
 			if r.attempts > 2 {
 				// It failed elsewhere too, twice: a client that asks for what no server can do must not
 				// look like a jam, and hold up all others.
--- a/brain/requests.go
+++ b/brain/requests.go
@@ -81,7 +81,7 @@
 // place sends a request to the server whose turn it is, or holds it, or gives its final answer.
 func (b *Brain) place(r *request) {
 	left := r.deadline - b.now - 2*b.cfg.Tick
-	if r.attempts >= b.cfg.MaxAttempts || left <= 0 {
+	if r.attempts >= b.cfg.MaxAttempts || left <= b.queued() {
 		b.giveUp(r)
 		return
 	}
@@ -90,7 +90,7 @@
 		b.giveUp(r) // it may have run: another attempt could bring the effect twice
 		return
 	}
-	if b.crowded() && !r.spare && !b.allOut() {
+	if (b.crowded() || b.turnedAway() && r.waitTo == 0) && !r.spare && !b.allOut() {
 		// Most attempts fail alike, so another server would not help, and each try adds to what jams them:
 		// the wait is spread out and grows with the attempts made.
 		r.waitTo = b.now + Time(float64(c.Aim)*float64(1+r.attempts)*(0.5+b.rng.Float64()))
@@ -110,7 +110,7 @@
 	t := b.patience(r, left)
 	b.spendCold(s, b.turns(r))
 	r.attempts++
-	r.out, r.server, r.sentAt, r.holdTo = true, s, b.now, 0
+	r.out, r.server, r.sentAt, r.holdTo, r.waitTo = true, s, b.now, 0, 0
 	r.tried = append(r.tried, s)
 	if s.fails > 0 {
 		s.trials++
@@ -131,19 +131,24 @@
 	return out
 }
 
-// patience is an attempt's time-out: what set-ups take of late, and the aim at least, as long as it
-// leaves room for another attempt; without that room all the time there is.
+// patience is an attempt's time-out: what set-ups took, longer by the time since one was seen, and the aim at
+// least; half of what is left where that is less or nothing was seen. All of it where another attempt has no
+// room: what is given up has still taken the store's time.
 func (b *Brain) patience(r *request, left Time) Time {
-	t := float64(b.cfg.Classes[r.Class].Aim)
-	if b.setups >= 4 {
-		t = max(t, b.setup+4*b.setupDev)
-	}
+	t := max(float64(b.cfg.Classes[r.Class].Aim), b.setup+4*b.setupDev)
 	if r.attempts+1 >= b.cfg.MaxAttempts || t*2 > float64(left) || b.failing(2) {
 		return left
 	}
-	return Time(t)
+	if b.setups < 4 {
+		return left / 2
+	}
+	return min(left/2, Time(t)+b.now-b.sampled)
 }
 
+// queued is how long a set-up takes now at least: a queue that all share falls by a second in a second at
+// most. Two set-ups say it, since one may be its host's alone.
+func (b *Brain) queued() Time { return max(0, min(b.doneBy[0], b.doneBy[1])-b.now) }
+
 // hold keeps a request for a moment: a cold fleet, or none known, may serve it soon. It is refused in time
 // for its client to come back while that still helps.
 func (b *Brain) hold(r *request) {
@@ -190,7 +195,7 @@
 		b.fx.Fail(r.ID)
 	} else {
 		wait := Time(0)
-		if b.cfg.RetryAfter && r.attempts == 0 {
+		if b.cfg.RetryAfter && (r.attempts == 0 || b.queued() > 0 || b.turnedAway() || b.failing(2)) {
 			wait = Time(float64(b.cfg.MaxRetryAfter) * (0.25 + 0.75*b.rng.Float64()))
 		}
 		b.fx.Refuse(r.ID, wait)
--- a/brain/state.go
+++ b/brain/state.go
@@ -99,6 +99,11 @@
 	setup     float64 // smoothed set-up time and its deviation
 	setupDev  float64
 	setups    int
+	sampled   Time    // when it was last seen
+	doneBy    [2]Time // until when a set-up begun now would take, as the last two tell
+	errors    int     // requests in a row whose first attempt ended in an error
+	erredAt   Time    // the last of them
+	ups       int     // connections that stand
 	good, bad float64 // recent set-ups that stood and that timed out, fading
 	fadeAt    Time
 	scratch   []*server
@@ -169,3 +174,37 @@
 	}
 	return b, nil
 }
+
+// stand notes a connection that is up.
+func (b *Brain) stand(r *request) {
+	s := r.server
+	r.up, r.at, r.load = true, len(s.conns), r.cost
+	s.conns = append(s.conns, r)
+	s.load += r.load
+	b.ups++
+	if r.Tenant >= 0 {
+		b.tenants[r.Tenant]++
+	}
+}
+
+// leave notes its end.
+func (b *Brain) leave(r *request) {
+	if !r.up {
+		return
+	}
+	s := r.server
+	last := len(s.conns) - 1
+	s.conns[r.at] = s.conns[last]
+	s.conns[r.at].at = r.at
+	s.conns = s.conns[:last]
+	s.load -= r.load
+	b.ups--
+	b.placed(s, -r.load/max(1, b.meanCost))
+	if last == 0 {
+		s.load = 0
+	}
+	r.up = false
+	if r.Tenant >= 0 {
+		b.tenants[r.Tenant]--
+	}
+}
--- a/brain/waves.go
+++ b/brain/waves.go
@@ -72,5 +72,8 @@
 	return b.failing(3)
 }
 
+// turnedAway tells whether the first attempts of the last two requests ended in errors, wherever they went.
+func (b *Brain) turnedAway() bool { return b.errors > 1 && b.now-b.erredAt < 2*b.aimLong }
+
 // failing tells whether attempts of late exceed twice those that stood by more than some leave.
 func (b *Brain) failing(leave float64) bool { return b.tried > b.stood/sharedPart+leave }
