--- a/brain/groups.go
+++ b/brain/groups.go
@@ -40,8 +40,8 @@
 	return groupCost * max(1, b.meanCost) * place / 2
 }
 
-// thin tells whether a balancer holds less than one connection a server, by the quotas if there are any: its own
-// turns and loads then say little of the fleet's.
+// thin tells whether a balancer holds less than one connection a server, by the quotas if there are any: its
+// own turns and loads then say little of the fleet's.
 func (b *Brain) thin() bool {
 	if b.standing > 0 {
 		return b.standing < float64(b.cfg.Peers*len(b.servers))
