Rules that the fleet agrees on: versions, and a right to act by them that lapses

Need: each proxy reads its own file, and two can act on rules that contradict each other for as long as nobody notices.

Change: internal/rules. A version is whole, numbered, hashed over one form (fxamacker/cbor); the keeper, an owner like that of any other job, has the group of voters keep it, and gives each proxy a right to act by the active one, counted from before it was asked for. A newer one becomes active once everyone that may hold a right has it ready or that right has lapsed. Cut off, a proxy refuses or keeps to its last version and says so; the right is looked at again at each attempt. A version that one can't use is active nowhere.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -109,7 +109,7 @@
 			}
 			return r.Print(cmd.OutOrStdout())
 		}}
-	all := []*cobra.Command{own, group, fleet, who}
+	all := []*cobra.Command{own, group, fleet, who, ruling(ask)}
 	for _, x := range all {
 		x.PersistentFlags().StringVar(&socket, "socket", "", "the running proxy's socket; else the one that the operators' file names")
 		x.PersistentFlags().BoolVar(&asJSON, "json", false, "as JSON")
--- /dev/null
+++ b/internal/node/joined.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"log/slog"
+	"time"
+
+	"croftlock/internal/members"
+	"croftlock/internal/owners"
+)
+
+// join begins to take part in the membership of the fleet, where the operators want it; a process that replaces another does so
+// once it has taken over, in the same place: to the others it is one member with a new life.
+func (r *replacing) join(o members.Options, now bool) (err error) {
+	r.joining, r.began = o, time.Now()
+	if o.On && now {
+		r.members, err = members.Start(r.loop, o, r.cfg.Name, r.began, r.platform())
+	}
+	if err == nil && now {
+		err = r.own()
+	}
+	return err
+}
+
+// own begins to take part in the fleet's work, where the operators want it. Membership has to be on.
+func (r *replacing) own() (err error) {
+	if !r.owning.On {
+		return nil
+	}
+	if r.owners, err = owners.Start(r.loop, r.owning, r.cfg.Name, r.members, r.core.SuspendForFleet); err == nil && r.owners.Paced() {
+		r.core.SetPacer(r.owners)
+	}
+	if g := r.owners.Gate(); err == nil && g != nil {
+		r.core.SetRules(g)
+	}
+	return err
+}
+
+// leave gives the fleet's work back, and then tells the others that this process ends in order.
+func (r *replacing) leave() {
+	r.owners.Leave(func() { r.members.Leave() })
+}
+
+func (r *replacing) platform() members.Platform {
+	return members.Platform{Link: r.peers, Peers: len(r.cfg.Peers.Peers), Me: r.cfg.Settings.Me}
+}
+
+// rejoin is join for a process that has come to be the one that serves; the other one may hold the address a moment longer.
+func (r *replacing) rejoin() {
+	if !r.joining.On || r.handed {
+		return
+	}
+	r.owners.Yield()
+	r.members.Yield()
+	s, err := members.Start(r.loop, r.joining, r.cfg.Name, time.Now(), r.platform())
+	if err != nil {
+		slog.Warn("membership_waits", "reason", err)
+		r.loop.After(tellEvery, r.rejoin)
+		return
+	}
+	r.members = s
+	if err := r.own(); err != nil {
+		slog.Warn("owners_off", "reason", err)
+	}
+}
--- /dev/null
+++ b/internal/node/predecessor.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"errors"
+	"log/slog"
+
+	"croftlock/internal/handover"
+	"croftlock/internal/platform"
+	"croftlock/internal/proxy"
+)
+
+// predecessor asks the process that serves, if there is one, and else reads what one before has kept.
+func predecessor(cfg *platform.Config, dir string, now int64) (*handover.Partner, *handover.Handed, error) {
+	type answer struct {
+		p *handover.Partner
+		h *handover.Handed
+	}
+	a, err := patiently(func() (answer, error) {
+		p, h, err := handover.Ask(dir, cfg.Listen, now)
+		return answer{p, h}, err
+	}, func(err error) bool { return errors.Is(err, handover.ErrBusy) })
+	if errors.Is(err, handover.ErrBusy) {
+		return nil, nil, err
+	}
+	if err != nil {
+		slog.Warn("handover_failed", "reason", err) // it serves on beside this one
+	}
+	if a.p != nil {
+		return a.p, a.h, nil
+	}
+	k, err := handover.Read(dir, now)
+	if err != nil {
+		slog.Warn("state_passed_over", "reason", err)
+	}
+	if k == nil {
+		return nil, nil, nil
+	}
+	return nil, &handover.Handed{Kept: k, Listener: -1, Datagram: -1}, nil
+}
+
+// known is the list to start from: what another process held, where it is the same service's and newer.
+func known(cfg *platform.Config, h *handover.Handed) proxy.Change {
+	if h == nil || h.Kept.Discovery != cfg.Discovery || h.Kept.Rev <= cfg.Known.Version {
+		return cfg.Known
+	}
+	return proxy.Change{Kind: cfg.Known.Kind, Version: h.Kept.Rev, Hosts: h.Kept.Hosts}
+}
--- a/internal/owners/door.go
+++ b/internal/owners/door.go
@@ -7,13 +7,13 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
 	"croftlock/internal/group"
 	"croftlock/internal/jobs"
 	"croftlock/internal/members"
-	"croftlock/internal/ownership"
 )
 
 // Request is what operators ask at the socket, one a connection.
@@ -21,33 +21,9 @@
 	Do string `json:"do"` // owners, move, status, add, promote, remove, suspend, resume
 	A  string `json:"a,omitempty"`
 	B  string `json:"b,omitempty"`
-}
-
-// Reply is the answer.
-type Reply struct {
-	Error  string            `json:"error,omitempty"`
-	Answer string            `json:"answer,omitempty"`
-	Name   string            `json:"name,omitempty"`
-	Leader string            `json:"leader,omitempty"`
-	Kind   string            `json:"kind,omitempty"`
-	Store  string            `json:"store,omitempty"` // what is wrong with it
-	Jobs   []JobRow          `json:"jobs,omitempty"`
-	Group  *group.Status     `json:"group,omitempty"`
-	Counts *Counts           `json:"counts,omitempty"`
-	Mine   map[string]uint64 `json:"mine,omitempty"`
-	Seen   map[string]uint64 `json:"seen,omitempty"`
-	Lease  int64             `json:"lease_ms"`
-}
 
-// JobRow is a job as this process's copy of the table has it: a voter's; others know their own jobs alone.
-type JobRow struct {
-	Job    string `json:"job"`
-	Owner  string `json:"owner"`
-	Token  uint64 `json:"token"`
-	Number uint64 `json:"number"`
-	Left   int    `json:"left_bytes"`
-	Since  string `json:"since"`
-	Why    string `json:"why"`
+	Rules   []byte `json:"rules,omitempty"`   // a version in its one form, made against
+	Against uint64 `json:"against,omitempty"` // this one
 }
 
 // askWithin bounds a request's time.
@@ -136,7 +112,7 @@
 			return late
 		}
 		return r
-	case "suspend", "resume", "move", "list":
+	case "suspend", "resume", "move", "list", "rules put", "rules show":
 		ch := make(chan string, 1)
 		var tag uint64
 		if !s.on(func() {
@@ -147,6 +123,10 @@
 				s.core.Move(s.now(), q.A, q.B, tag)
 				return
 			}
+			if strings.HasPrefix(q.Do, "rules ") {
+				s.askRules(q, tag, ch)
+				return
+			}
 			if s.handles["hosts"] == nil {
 				ch <- "refused: (owners (hosts on)) is not set"
 				return
@@ -202,35 +182,6 @@
 	return Reply{Error: fmt.Sprintf("no request %q", q.Do)}
 }
 
-func (s *Shell) report(r *Reply) {
-	r.Name, r.Kind, r.Store = s.name, "memory", s.broken
-	counts := s.counts
-	r.Counts = &counts
-	for _, m := range s.there {
-		if m.Peer == s.core.Leader() {
-			r.Leader = m.Name
-		}
-	}
-	if s.o.Dir != "" {
-		r.Kind = "disk"
-	}
-	if s.raft != nil {
-		st := s.raft.Status()
-		r.Group = &st
-	}
-	if s.group != nil {
-		for _, row := range s.table.Rows() {
-			r.Jobs = append(r.Jobs, JobRow{row.Job, row.Owner, row.Token, row.Number, len(row.Left), time.UnixMilli(row.Since).UTC().Format(time.RFC3339), row.Why})
-		}
-	}
-	r.Mine, r.Seen, r.Lease = s.core.Held(), map[string]uint64{}, s.core.Lease(s.now())/1e6
-	for _, n := range s.names {
-		if m := s.fence.Last(n); m != (ownership.Mark{}) {
-			r.Seen[n] = m.Token
-		}
-	}
-}
-
 // Ask asks a running proxy.
 func Ask(socket string, q Request) (Reply, error) {
 	var r Reply
--- /dev/null
+++ b/internal/owners/rules.go
@@ -0,0 +1,74 @@
+package owners
+
+import (
+	"encoding/hex"
+	"log/slog"
+	"time"
+
+	"croftlock/internal/rules"
+	"croftlock/internal/settings"
+)
+
+// Rules is what the section (owners …) says of rules on which the fleet agrees.
+type Rules struct {
+	On     bool
+	Within time.Duration // from the moment that any proxy acts on a newer rule none acts on one that it contradicts for longer
+	Cut    string        // what a proxy does whose right to act has lapsed: refuse or keep
+	Most   int           // entries that this proxy takes
+}
+
+func (r *Rules) bind(f *settings.Form) {
+	*r = Rules{Within: 3 * time.Second, Cut: "refuse", Most: rules.MostEntries}
+	f.Bool("rules", "whether requests are judged by rules that all proxies agree on: croftlock rules put FILE", &r.On)
+	f.Duration("agree_within", "how long at most two proxies act by rules that contradict each other; the same everywhere", &r.Within, 500*time.Millisecond, time.Minute)
+	f.Enum("when_cut", "what a proxy does that can't know whether its rules still hold: refuse new requests, or keep to the last ones", &r.Cut, "refuse", "keep")
+	f.Int("rules_most", "entries of rules that this proxy takes; a larger version is active nowhere", &r.Most, 1, rules.MostEntries)
+}
+
+// begin makes the keeper's and the member's parts; it is called before there is a goroutine.
+func (r Rules) begin(s *Shell) {
+	if !r.On {
+		return
+	}
+	within := int64(r.Within)
+	s.gate = &rules.Gate{Now: s.now, Keep: r.Cut == "keep", Wait: r.Within}
+	s.ruled = &rules.Member{Within: within, Most: r.Most, Gate: s.gate,
+		Ask: func(tag uint64, body []byte) {
+			s.tags++
+			s.ruleTags[s.tags] = tag
+			for t := range s.ruleTags {
+				if t+64 < s.tags {
+					delete(s.ruleTags, t)
+				}
+			}
+			s.core.Ask(s.now(), "rules", s.tags, body)
+		},
+		Swapped: func(n uint64, h rules.Hash) { slog.Info("rules", "version", n, "hash", hex.EncodeToString(h[:4])) }}
+	s.handles["rules"] = &rules.Keeper{Within: within, Told: s.ruled.Told}
+}
+
+// Gate is what requests are judged by; nil where there are no such rules.
+func (s *Shell) Gate() *rules.Gate {
+	if s == nil {
+		return nil
+	}
+	return s.gate
+}
+
+// askRules brings an operator's question to the keeper.
+func (s *Shell) askRules(q Request, tag uint64, ch chan string) {
+	if s.gate == nil {
+		ch <- "refused: (owners (rules on)) is not set"
+		return
+	}
+	body := rules.Show()
+	if q.Do == "rules put" {
+		v, err := rules.Decode(q.Rules)
+		if err != nil {
+			ch <- "refused: " + err.Error()
+			return
+		}
+		body = rules.Put(v, q.Against)
+	}
+	s.core.Ask(s.now(), "rules", tag, body)
+}
--- /dev/null
+++ b/internal/proxy/answer.go
@@ -0,0 +1,135 @@
+package proxy
+
+import (
+	"log/slog"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/figures"
+	"croftlock/internal/netio"
+)
+
+// refuse is the final answer that says trying again is harmless.
+func (r *Request) refuse(after time.Duration) {
+	if r.answered {
+		return
+	}
+	r.core.counts.Refused++
+	r.core.figures.Ended(r.ask.Class, figures.Refused)
+	if tracing() {
+		slog.Debug("refused", "request", r.ask.ID, "attempts", r.attempts, "after_ms", after.Milliseconds(),
+			"left_ms", (r.deadline-r.core.loop.Now())/1e6)
+	}
+	r.answer(func() { r.down.Refuse(after) })
+}
+
+// fail is the final answer that promises nothing.
+func (r *Request) fail(how figures.End) {
+	if r.answered {
+		return
+	}
+	r.core.counts.Failed++
+	r.core.figures.Ended(r.ask.Class, how)
+	r.answer(r.down.Fail)
+}
+
+// answer gives the client its one answer. Should an attempt be out all the same, it ends.
+func (r *Request) answer(say func()) {
+	r.answered = true
+	r.overdue.Stop()
+	say()
+	if r.out != nil {
+		r.out.finish(brain.Cancelled, netio.Ended)
+		return
+	}
+	r.forget()
+}
+
+// abandon answers for a module that has not, in time or at all.
+func (r *Request) abandon() {
+	if r.answered {
+		return
+	}
+	slog.Error("abandoned", "request", r.ask.ID, "attempts", r.attempts)
+	r.fail(figures.Abandoned)
+	r.gone()
+}
+
+// gone tells the module that the client is.
+func (r *Request) gone() {
+	if r.adopted {
+		return
+	}
+	c := r.core
+	c.decide(nil, func(now brain.Time) { c.module.Gone(now, r.ask.ID) })
+}
+
+// cancel ends an attempt at the module's wish.
+func (r *Request) cancel(attempt int) {
+	if a := r.out; a != nil && a.number == attempt && !a.up {
+		a.finish(brain.Cancelled, netio.Ended)
+	}
+}
+
+// move sends the client of an open connection away politely. status is what the module learns of its end.
+func (r *Request) move(status brain.Status) {
+	a := r.out
+	if a == nil || !a.up || !a.detach() {
+		return
+	}
+	r.core.counts.Moved++
+	r.down.Move()
+	a.conn.End(netio.Ended)
+	a.outcome(status)
+}
+
+// ---- events of the downstream ----
+
+// FromDownstream passes a client's message to its host; false: not now.
+func (r *Request) FromDownstream(m Message) bool {
+	a := r.out
+	if a == nil || !a.up {
+		return false
+	}
+	if !a.conn.Pass(m) {
+		return false
+	}
+	if len(a.waiting) < maxWaiting {
+		a.waiting = append(a.waiting, r.core.loop.Now())
+	}
+	return true
+}
+
+// DownstreamReady says that the client takes bytes again.
+func (r *Request) DownstreamReady() {
+	if a := r.out; a != nil {
+		a.conn.Pump()
+	}
+}
+
+// DownstreamEnded says that the client has gone, or was cut off.
+func (r *Request) DownstreamEnded(err *netio.Error) {
+	a := r.out
+	if a != nil && a.up {
+		if a.detach() {
+			a.conn.End(err.Cause)
+			a.outcome(brain.Cancelled)
+		}
+		return
+	}
+	if r.answered {
+		return
+	}
+	// It left before its answer: nothing is owed, but the attempt must not go on for nobody.
+	r.core.figures.Ended(r.ask.Class, figures.ClientLeft)
+	r.answered = true
+	r.overdue.Stop()
+	r.gone()
+	if a := r.out; a != nil {
+		a.finish(brain.Cancelled, netio.Ended)
+		return
+	}
+	r.forget()
+}
+
+// ---- events of the upstream ----
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"fmt"
 	"log/slog"
 	"runtime/debug"
 	"time"
@@ -11,6 +10,7 @@
 	"croftlock/internal/expiry"
 	"croftlock/internal/figures"
 	"croftlock/internal/netio"
+	"croftlock/internal/rules"
 )
 
 // Decider is the part of the decision module that the core calls.
@@ -59,8 +59,9 @@
 	opt       Options
 	starter   Starter
 	discovery Discovery
-	peers     Peers  // nil: there are none, or the settings forbid it
-	prober    Prober // nil: the settings do not permit probes
+	peers     Peers       // nil: there are none, or the settings forbid it
+	prober    Prober      // nil: the settings do not permit probes
+	gate      *rules.Gate // nil: no rules that the fleet agrees on
 	module    Decider
 	classes   map[string]int
 	tenants   map[string]int
@@ -234,98 +235,9 @@
 	f()
 }
 
-// effects is the core as the module sees it. Each effect is only noted here, to be carried out once the module has
-// returned: the module must never be entered from inside itself.
-type effects Core
-
-func (e *effects) later(f func()) { e.effects = append(e.effects, f) }
-
-func (e *effects) Send(id, server string, timeout brain.Time) {
-	e.later(func() { (*Core)(e).send(id, server, timeout) })
-}
-
-func (e *effects) Refuse(id string, after brain.Time) {
-	e.later(func() {
-		if r := e.requests[id]; r != nil {
-			r.refuse(time.Duration(after))
-		}
-	})
-}
-
-func (e *effects) Fail(id string) {
-	e.later(func() {
-		if r := e.requests[id]; r != nil {
-			r.fail(figures.Failed)
-		}
-	})
-}
-
-func (e *effects) Cancel(id string, attempt int) {
-	e.later(func() {
-		if r := e.requests[id]; r != nil {
-			r.cancel(attempt)
-		}
-	})
-}
-
-func (e *effects) Move(id string) {
-	e.later(func() {
-		if r := e.requests[id]; r != nil {
-			r.move(brain.Cancelled)
-		}
-	})
-}
-
-func (e *effects) After(delay brain.Time, token string) {
-	c := (*Core)(e)
-	e.later(func() {
-		c.loop.After(time.Duration(delay), func() {
-			c.decide(nil, func(now brain.Time) { c.module.Timer(now, token) })
-		})
-	})
-}
-
-func (e *effects) Watch(on bool) { e.later(func() { e.discovery.Watch(on) }) }
-func (e *effects) Fetch()        { e.later(func() { e.discovery.Fetch() }) }
-func (e *effects) Log(s string)  { slog.Info("module", "text", s) }
-
-// Probe asks a host how loaded it is. One that takes nothing new, and one that is not known any more, is left alone.
-func (e *effects) Probe(server string) {
-	e.later(func() {
-		c := (*Core)(e)
-		began := c.loop.Now()
-		done := func(status brain.Status, load []float64) {
-			if h, i := c.hosts[server], c.opt.Settings.ReportLoad; h != nil && i >= 0 && i < len(load) && load[i] >= 0 {
-				h.loaded, h.loadedAt = load[i], c.loop.Now()
-			}
-			if tracing() {
-				slog.Debug("probed", "host", server, "status", status.String(), "load", load, "ms", (c.loop.Now()-began)/1e6)
-			}
-			c.decide(nil, func(now brain.Time) { c.module.Probed(now, server, status, now-began, load) })
-		}
-		h := c.hosts[server]
-		if c.prober == nil || h == nil || h.state != brain.Ready {
-			done(brain.Moot, nil)
-			return
-		}
-		c.counts.Probed++
-		c.prober.Probe(Target{h.id, h.zone, h.endpoint}, done)
-	})
-}
-
 // SetProber gives the core its way to ask hosts how loaded they are.
 func (c *Core) SetProber(p Prober) { c.prober = p }
 
-// Tell is carried out where peers can be reached; a message may be lost in any case.
-func (e *effects) Tell(peer int, data []byte) {
-	e.later(func() {
-		if e.peers != nil {
-			e.counts.Told++
-			e.peers.Tell(peer, data)
-		}
-	})
-}
-
 // SetPeers gives the core its way to the other proxies.
 func (c *Core) SetPeers(p Peers) { c.peers = p }
 
@@ -334,55 +246,3 @@
 	c.counts.Heard++
 	c.decide(nil, func(now brain.Time) { c.module.Peer(now, from, data) })
 }
-
-// Open takes a client's request, and owes it one answer from here on. It gives nil where that is given already.
-func (c *Core) Open(d Downstream, o *Opening, first First) *Request {
-	c.counts.Opened++
-	q := brain.Request{ID: o.ID, Tenant: -1, Key: o.Key, Group: o.Group, Hint: o.Hint, Repeat: o.Repeat,
-		Returned: o.Returned}
-	class, known := c.classes[o.Class]
-	tenant, shares := c.tenants[o.Tenant]
-	if !known || !shares && len(c.tenants) > 0 || c.requests[o.ID] != nil {
-		// Without a class there is no deadline and no rule to serve it by; an id that is in use belongs to another's
-		// request; and what the settings do not name, no host can read either.
-		c.ended(o.Class, figures.Unknown)
-		c.Rejected(fmt.Errorf("class %q known=%t tenant %q known=%t", o.Class, known, o.Tenant, shares))
-		d.Fail()
-		return nil
-	}
-	if c.leaving {
-		c.counts.Refused++
-		c.figures.Ended(class, figures.Leaving)
-		d.Refuse(c.ComeBack())
-		return nil
-	}
-	q.Class = class
-	if shares {
-		q.Tenant = tenant
-	}
-	wait := o.Wait
-	if longest := time.Duration(c.opt.Settings.Classes[class].Deadline); !o.HasWait || wait > longest && o.At == "" {
-		wait = longest // no client waits longer, whatever it writes, and none may be kept for days
-	}
-	now := c.loop.Now()
-	r := &Request{core: c, down: d, first: first, ask: q, deadline: now + int64(wait)}
-	c.requests[o.ID] = r
-	if o.At != "" {
-		r.adopt(o.At)
-		return r
-	}
-	if tracing() {
-		slog.Debug("asked", "request", o.ID, "group", o.Group, "tenant", o.Tenant, "repeat", o.Repeat, "returned", o.Returned,
-			"ms", wait.Milliseconds())
-	}
-	// The module answers by the deadline. Should it not, the client gets its answer all the same.
-	r.overdue = c.loop.After(wait+overdueAfter, r.abandon)
-	c.decide(r, func(now brain.Time) {
-		if r.answered {
-			return
-		}
-		q.Left = r.deadline - now
-		c.module.Request(now, q)
-	})
-	return r
-}
--- /dev/null
+++ b/internal/proxy/effects.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"log/slog"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/figures"
+)
+
+// effects is the core as the module sees it. Each effect is only noted here, to be carried out once the module has
+// returned: the module must never be entered from inside itself.
+type effects Core
+
+func (e *effects) later(f func()) { e.effects = append(e.effects, f) }
+
+func (e *effects) Send(id, server string, timeout brain.Time) {
+	e.later(func() { (*Core)(e).send(id, server, timeout) })
+}
+
+func (e *effects) Refuse(id string, after brain.Time) {
+	e.later(func() {
+		if r := e.requests[id]; r != nil {
+			r.refuse(time.Duration(after))
+		}
+	})
+}
+
+func (e *effects) Fail(id string) {
+	e.later(func() {
+		if r := e.requests[id]; r != nil {
+			r.fail(figures.Failed)
+		}
+	})
+}
+
+func (e *effects) Cancel(id string, attempt int) {
+	e.later(func() {
+		if r := e.requests[id]; r != nil {
+			r.cancel(attempt)
+		}
+	})
+}
+
+func (e *effects) Move(id string) {
+	e.later(func() {
+		if r := e.requests[id]; r != nil {
+			r.move(brain.Cancelled)
+		}
+	})
+}
+
+func (e *effects) After(delay brain.Time, token string) {
+	c := (*Core)(e)
+	e.later(func() {
+		c.loop.After(time.Duration(delay), func() {
+			c.decide(nil, func(now brain.Time) { c.module.Timer(now, token) })
+		})
+	})
+}
+
+func (e *effects) Watch(on bool) { e.later(func() { e.discovery.Watch(on) }) }
+func (e *effects) Fetch()        { e.later(func() { e.discovery.Fetch() }) }
+func (e *effects) Log(s string)  { slog.Info("module", "text", s) }
+
+// Probe asks a host how loaded it is. One that takes nothing new, and one that is not known any more, is left alone.
+func (e *effects) Probe(server string) {
+	e.later(func() {
+		c := (*Core)(e)
+		began := c.loop.Now()
+		done := func(status brain.Status, load []float64) {
+			if h, i := c.hosts[server], c.opt.Settings.ReportLoad; h != nil && i >= 0 && i < len(load) && load[i] >= 0 {
+				h.loaded, h.loadedAt = load[i], c.loop.Now()
+			}
+			if tracing() {
+				slog.Debug("probed", "host", server, "status", status.String(), "load", load, "ms", (c.loop.Now()-began)/1e6)
+			}
+			c.decide(nil, func(now brain.Time) { c.module.Probed(now, server, status, now-began, load) })
+		}
+		h := c.hosts[server]
+		if c.prober == nil || h == nil || h.state != brain.Ready {
+			done(brain.Moot, nil)
+			return
+		}
+		c.counts.Probed++
+		c.prober.Probe(Target{h.id, h.zone, h.endpoint}, done)
+	})
+}
+
+// Tell is carried out where peers can be reached; a message may be lost in any case.
+func (e *effects) Tell(peer int, data []byte) {
+	e.later(func() {
+		if e.peers != nil {
+			e.counts.Told++
+			e.peers.Tell(peer, data)
+		}
+	})
+}
--- /dev/null
+++ b/internal/proxy/open.go
@@ -0,0 +1,68 @@
+package proxy
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/figures"
+)
+
+// Open takes a client's request, and owes it one answer from here on. It gives nil where that is given already.
+func (c *Core) Open(d Downstream, o *Opening, first First) *Request {
+	c.counts.Opened++
+	q := brain.Request{ID: o.ID, Tenant: -1, Key: o.Key, Group: o.Group, Hint: o.Hint, Repeat: o.Repeat,
+		Returned: o.Returned}
+	class, known := c.classes[o.Class]
+	tenant, shares := c.tenants[o.Tenant]
+	if !known || !shares && len(c.tenants) > 0 || c.requests[o.ID] != nil {
+		// Without a class there is no deadline and no rule to serve it by; an id that is in use belongs to another's
+		// request; and what the settings do not name, no host can read either.
+		c.ended(o.Class, figures.Unknown)
+		c.Rejected(fmt.Errorf("class %q known=%t tenant %q known=%t", o.Class, known, o.Tenant, shares))
+		d.Fail()
+		return nil
+	}
+	if c.leaving {
+		c.counts.Refused++
+		c.figures.Ended(class, figures.Leaving)
+		d.Refuse(c.ComeBack())
+		return nil
+	}
+	if refused, after := c.ruled(o.Tenant, o.Class, o.ID); refused && o.At == "" {
+		c.counts.Refused++
+		c.figures.Ended(class, figures.Refused)
+		d.Refuse(after)
+		return nil
+	}
+	q.Class = class
+	if shares {
+		q.Tenant = tenant
+	}
+	wait := o.Wait
+	if longest := time.Duration(c.opt.Settings.Classes[class].Deadline); !o.HasWait || wait > longest && o.At == "" {
+		wait = longest // no client waits longer, whatever it writes, and none may be kept for days
+	}
+	now := c.loop.Now()
+	r := &Request{core: c, down: d, first: first, ask: q, tenant: o.Tenant, deadline: now + int64(wait)}
+	c.requests[o.ID] = r
+	if o.At != "" {
+		r.adopt(o.At)
+		return r
+	}
+	if tracing() {
+		slog.Debug("asked", "request", o.ID, "group", o.Group, "tenant", o.Tenant, "repeat", o.Repeat, "returned", o.Returned,
+			"ms", wait.Milliseconds())
+	}
+	// The module answers by the deadline. Should it not, the client gets its answer all the same.
+	r.overdue = c.loop.After(wait+overdueAfter, r.abandon)
+	c.decide(r, func(now brain.Time) {
+		if r.answered {
+			return
+		}
+		q.Left = r.deadline - now
+		c.module.Request(now, q)
+	})
+	return r
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -26,6 +26,7 @@
 	down     Downstream
 	first    First
 	ask      brain.Request
+	tenant   string // as its client named it
 	deadline int64
 	overdue  *netio.Timer
 
@@ -84,6 +85,20 @@
 		})
 		return
 	}
+	refused, passed, after := c.again(r, server)
+	switch {
+	case refused:
+		r.refuse(after)
+		c.decide(r, func(now brain.Time) {
+			c.module.Outcome(now, id, number, brain.Moot, 0, true, nil)
+		})
+		return
+	case passed:
+		c.decide(r, func(now brain.Time) {
+			c.module.Outcome(now, id, number, brain.Full, 0, false, nil)
+		})
+		return
+	}
 	r.start(h, number, until)
 }
 
@@ -189,241 +204,3 @@
 		delete(r.core.requests, r.ask.ID)
 	}
 }
-
-// refuse is the final answer that says trying again is harmless.
-func (r *Request) refuse(after time.Duration) {
-	if r.answered {
-		return
-	}
-	r.core.counts.Refused++
-	r.core.figures.Ended(r.ask.Class, figures.Refused)
-	if tracing() {
-		slog.Debug("refused", "request", r.ask.ID, "attempts", r.attempts, "after_ms", after.Milliseconds(),
-			"left_ms", (r.deadline-r.core.loop.Now())/1e6)
-	}
-	r.answer(func() { r.down.Refuse(after) })
-}
-
-// fail is the final answer that promises nothing.
-func (r *Request) fail(how figures.End) {
-	if r.answered {
-		return
-	}
-	r.core.counts.Failed++
-	r.core.figures.Ended(r.ask.Class, how)
-	r.answer(r.down.Fail)
-}
-
-// answer gives the client its one answer. Should an attempt be out all the same, it ends.
-func (r *Request) answer(say func()) {
-	r.answered = true
-	r.overdue.Stop()
-	say()
-	if r.out != nil {
-		r.out.finish(brain.Cancelled, netio.Ended)
-		return
-	}
-	r.forget()
-}
-
-// abandon answers for a module that has not, in time or at all.
-func (r *Request) abandon() {
-	if r.answered {
-		return
-	}
-	slog.Error("abandoned", "request", r.ask.ID, "attempts", r.attempts)
-	r.fail(figures.Abandoned)
-	r.gone()
-}
-
-// gone tells the module that the client is.
-func (r *Request) gone() {
-	if r.adopted {
-		return
-	}
-	c := r.core
-	c.decide(nil, func(now brain.Time) { c.module.Gone(now, r.ask.ID) })
-}
-
-// cancel ends an attempt at the module's wish.
-func (r *Request) cancel(attempt int) {
-	if a := r.out; a != nil && a.number == attempt && !a.up {
-		a.finish(brain.Cancelled, netio.Ended)
-	}
-}
-
-// move sends the client of an open connection away politely. status is what the module learns of its end.
-func (r *Request) move(status brain.Status) {
-	a := r.out
-	if a == nil || !a.up || !a.detach() {
-		return
-	}
-	r.core.counts.Moved++
-	r.down.Move()
-	a.conn.End(netio.Ended)
-	a.outcome(status)
-}
-
-// ---- events of the downstream ----
-
-// FromDownstream passes a client's message to its host; false: not now.
-func (r *Request) FromDownstream(m Message) bool {
-	a := r.out
-	if a == nil || !a.up {
-		return false
-	}
-	if !a.conn.Pass(m) {
-		return false
-	}
-	if len(a.waiting) < maxWaiting {
-		a.waiting = append(a.waiting, r.core.loop.Now())
-	}
-	return true
-}
-
-// DownstreamReady says that the client takes bytes again.
-func (r *Request) DownstreamReady() {
-	if a := r.out; a != nil {
-		a.conn.Pump()
-	}
-}
-
-// DownstreamEnded says that the client has gone, or was cut off.
-func (r *Request) DownstreamEnded(err *netio.Error) {
-	a := r.out
-	if a != nil && a.up {
-		if a.detach() {
-			a.conn.End(err.Cause)
-			a.outcome(brain.Cancelled)
-		}
-		return
-	}
-	if r.answered {
-		return
-	}
-	// It left before its answer: nothing is owed, but the attempt must not go on for nobody.
-	r.core.figures.Ended(r.ask.Class, figures.ClientLeft)
-	r.answered = true
-	r.overdue.Stop()
-	r.gone()
-	if a := r.out; a != nil {
-		a.finish(brain.Cancelled, netio.Ended)
-		return
-	}
-	r.forget()
-}
-
-// ---- events of the upstream ----
-
-// UpstreamSent says that the last byte of the first line is written.
-func (a *upstreamRequest) UpstreamSent() { a.req.core.figures.Dispatched() }
-
-// FromUpstream takes a message of the host's.
-func (a *upstreamRequest) FromUpstream(m Message) bool {
-	r := a.req
-	if r.out != a {
-		return true
-	}
-	if a.up {
-		return a.pass(m)
-	}
-	a.report = m.Report
-	switch m.Kind {
-	case Receipt:
-		a.stand(m)
-	case Busy:
-		a.finish(brain.Full, netio.Ended)
-	case Fault:
-		a.finish(brain.Error, netio.Ended)
-	default:
-		slog.Warn("odd_answer", "host", a.host.id, "request", r.ask.ID, "text", string(m.Text))
-		a.finish(brain.Error, netio.Ended)
-	}
-	return true
-}
-
-// stand is the host's acceptance: the client's answer.
-func (a *upstreamRequest) stand(m Message) {
-	r, c := a.req, a.req.core
-	a.up, r.answered = true, true
-	a.timer.Stop()
-	r.overdue.Stop()
-	delete(a.host.trying, a)
-	a.host.up[r] = struct{}{}
-	if c.hand.Out(a.host.id) {
-		c.leaveHost(a.host, r) // it was on its way before the operators' word
-	}
-	c.counts.Served++
-	how := figures.Stood
-	if r.adopted {
-		how = figures.Adopted
-	}
-	c.figures.Ended(r.ask.Class, how)
-	r.down.Serve(m)
-	elapsed := c.loop.Now() - a.sentAt
-	if tracing() {
-		slog.Debug("stands", "request", r.ask.ID, "number", a.number, "host", a.host.id, "adopted", r.adopted,
-			"ms", elapsed/1e6)
-	}
-	c.decide(nil, func(now brain.Time) {
-		if r.adopted {
-			c.module.Open(now, r.ask, a.host.id)
-			return
-		}
-		c.module.First(now, r.ask.ID, a.number, elapsed)
-	})
-}
-
-// pass hands a line of an open connection on and takes note of what it tells.
-func (a *upstreamRequest) pass(m Message) bool {
-	r, c := a.req, a.req.core
-	if !r.down.Pass(m) {
-		return false
-	}
-	switch m.Kind {
-	case Farewell, MoveAway:
-		a.last, a.report = m.Kind, m.Report
-	case LoadTold:
-		a.loadTold(m.Load)
-	default:
-		if len(a.waiting) > 0 {
-			a.host.delay.answered(c.loop.Now(), a.waiting[0])
-			a.waiting = a.waiting[:copy(a.waiting, a.waiting[1:])]
-		}
-	}
-	return true
-}
-
-// UpstreamReady says that the host takes bytes again.
-func (a *upstreamRequest) UpstreamReady() {
-	if a.req.out == a && a.up {
-		a.req.down.Pump()
-	}
-}
-
-// UpstreamEnded says that the connection to the host is over, or never stood.
-func (a *upstreamRequest) UpstreamEnded(err *netio.Error) {
-	if !a.up {
-		// Up to the last byte of the first line the host cannot have acted on it.
-		status := brain.Reset
-		if err.Stage < netio.Sent {
-			status = brain.ConnectFailed
-		}
-		a.finish(status, netio.Ended)
-		return
-	}
-	if !a.detach() {
-		return
-	}
-	status := brain.Reset
-	switch a.last {
-	case Farewell:
-		status = brain.OK
-	case MoveAway:
-		status = brain.Cancelled
-	default:
-		a.req.core.counts.Lost++
-	}
-	a.req.down.End(err.Cause)
-	a.outcome(status)
-}
--- /dev/null
+++ b/internal/proxy/upstream.go
@@ -0,0 +1,122 @@
+package proxy
+
+import (
+	"log/slog"
+
+	"croftlock/brain"
+	"croftlock/internal/figures"
+	"croftlock/internal/netio"
+)
+
+// UpstreamSent says that the last byte of the first line is written.
+func (a *upstreamRequest) UpstreamSent() { a.req.core.figures.Dispatched() }
+
+// FromUpstream takes a message of the host's.
+func (a *upstreamRequest) FromUpstream(m Message) bool {
+	r := a.req
+	if r.out != a {
+		return true
+	}
+	if a.up {
+		return a.pass(m)
+	}
+	a.report = m.Report
+	switch m.Kind {
+	case Receipt:
+		a.stand(m)
+	case Busy:
+		a.finish(brain.Full, netio.Ended)
+	case Fault:
+		a.finish(brain.Error, netio.Ended)
+	default:
+		slog.Warn("odd_answer", "host", a.host.id, "request", r.ask.ID, "text", string(m.Text))
+		a.finish(brain.Error, netio.Ended)
+	}
+	return true
+}
+
+// stand is the host's acceptance: the client's answer.
+func (a *upstreamRequest) stand(m Message) {
+	r, c := a.req, a.req.core
+	a.up, r.answered = true, true
+	a.timer.Stop()
+	r.overdue.Stop()
+	delete(a.host.trying, a)
+	a.host.up[r] = struct{}{}
+	if c.hand.Out(a.host.id) {
+		c.leaveHost(a.host, r) // it was on its way before the operators' word
+	}
+	c.counts.Served++
+	how := figures.Stood
+	if r.adopted {
+		how = figures.Adopted
+	}
+	c.figures.Ended(r.ask.Class, how)
+	r.down.Serve(m)
+	elapsed := c.loop.Now() - a.sentAt
+	if tracing() {
+		slog.Debug("stands", "request", r.ask.ID, "number", a.number, "host", a.host.id, "adopted", r.adopted,
+			"ms", elapsed/1e6)
+	}
+	c.decide(nil, func(now brain.Time) {
+		if r.adopted {
+			c.module.Open(now, r.ask, a.host.id)
+			return
+		}
+		c.module.First(now, r.ask.ID, a.number, elapsed)
+	})
+}
+
+// pass hands a line of an open connection on and takes note of what it tells.
+func (a *upstreamRequest) pass(m Message) bool {
+	r, c := a.req, a.req.core
+	if !r.down.Pass(m) {
+		return false
+	}
+	switch m.Kind {
+	case Farewell, MoveAway:
+		a.last, a.report = m.Kind, m.Report
+	case LoadTold:
+		a.loadTold(m.Load)
+	default:
+		if len(a.waiting) > 0 {
+			a.host.delay.answered(c.loop.Now(), a.waiting[0])
+			a.waiting = a.waiting[:copy(a.waiting, a.waiting[1:])]
+		}
+	}
+	return true
+}
+
+// UpstreamReady says that the host takes bytes again.
+func (a *upstreamRequest) UpstreamReady() {
+	if a.req.out == a && a.up {
+		a.req.down.Pump()
+	}
+}
+
+// UpstreamEnded says that the connection to the host is over, or never stood.
+func (a *upstreamRequest) UpstreamEnded(err *netio.Error) {
+	if !a.up {
+		// Up to the last byte of the first line the host cannot have acted on it.
+		status := brain.Reset
+		if err.Stage < netio.Sent {
+			status = brain.ConnectFailed
+		}
+		a.finish(status, netio.Ended)
+		return
+	}
+	if !a.detach() {
+		return
+	}
+	status := brain.Reset
+	switch a.last {
+	case Farewell:
+		status = brain.OK
+	case MoveAway:
+		status = brain.Cancelled
+	default:
+		a.req.core.counts.Lost++
+	}
+	a.req.down.End(err.Cause)
+	a.outcome(status)
+}
--- /dev/null
+++ b/internal/rules/member.go
@@ -0,0 +1,154 @@
+package rules
+
+import (
+	"crypto/sha256"
+	"fmt"
+
+	"croftlock/internal/jobs"
+	"croftlock/internal/ownership"
+)
+
+// keep is what a member says of itself with each question for a right, and what it gets.
+type (
+	keepAsk struct {
+		_             struct{} `cbor:",toarray"`
+		Active, Ready uint64
+		ReadyHash     []byte
+		Fault         string // why a version can't be used here
+		FaultOf       []byte // its hash
+	}
+	keepAnswer struct {
+		_      struct{} `cbor:",toarray"`
+		Right  uint64   // the version that the asker may act by
+		Hash   []byte
+		Active []byte // that version, where the asker has it not
+		Staged []byte // the next one, where the asker has it not
+	}
+)
+
+// Member is a process's own part: it asks for its right again and again, and holds the next version ready. It belongs to one goroutine.
+type Member struct {
+	Within Time // agree_within
+	Most   int  // entries that this process takes
+	Gate   *Gate
+	// Ask asks the keeper; its answer comes to Answered under the tag.
+	Ask func(tag uint64, body []byte)
+	// Swapped is told when the version that this process acts by changes.
+	Swapped func(number uint64, hash Hash)
+
+	tag    uint64
+	out    map[uint64]Time
+	at     Time
+	have   map[Hash]*compiled // the version acted by, and the next one
+	active Hash
+	ready  Hash
+	number uint64 // of the one ready
+	fault  string
+	faulty Hash // the version that can't be used here
+}
+
+// Step asks anew once a sixth of a right's time has passed.
+func (m *Member) Step(now Time) {
+	if now >= m.at+m.Within/6 || m.at == 0 {
+		m.ask(now)
+	}
+}
+
+func (m *Member) ask(now Time) {
+	m.at = now
+	if m.out == nil {
+		m.out, m.have = map[uint64]Time{}, map[Hash]*compiled{}
+	}
+	for t, at := range m.out {
+		if now-at > m.Within {
+			delete(m.out, t)
+		}
+	}
+	m.tag++
+	m.out[m.tag] = now
+	n, _ := m.Gate.Acting()
+	q := keepAsk{Active: n, Ready: m.number, Fault: m.fault}
+	if m.number > 0 {
+		q.ReadyHash = m.ready[:]
+	}
+	if m.fault != "" {
+		q.FaultOf = m.faulty[:]
+	}
+	m.Ask(m.tag, append([]byte{askKeep}, marshal(q)...))
+}
+
+// Answered takes a right, and the versions that came with it. It counts from before it was asked for.
+func (m *Member) Answered(now Time, tag uint64, body []byte) {
+	asked, was := m.out[tag]
+	var a keepAnswer
+	if !was || decoding().Unmarshal(body, &a) != nil {
+		return
+	}
+	delete(m.out, tag)
+	again := m.take(a.Staged)
+	m.take(a.Active)
+	if len(a.Hash) == len(Hash{}) {
+		h := Hash(a.Hash)
+		if c := m.have[h]; c != nil && c.v.Number == a.Right {
+			m.act(asked, h, c)
+		}
+	}
+	if again {
+		m.ask(now) // its being ready is what the others wait for
+	}
+}
+
+func (m *Member) act(asked Time, h Hash, c *compiled) {
+	old := m.Gate.p.Load()
+	if old != nil && (old.v.Number > c.v.Number || old.v.Number == c.v.Number && old.until >= Until(asked, m.Within)) {
+		return // an answer that is late says nothing that holds still
+	}
+	m.Gate.p.Store(&acting{c, Until(asked, m.Within)})
+	if m.active != h {
+		m.active = h
+		for k := range m.have {
+			if k != h && k != m.ready {
+				delete(m.have, k)
+			}
+		}
+		if m.Swapped != nil {
+			m.Swapped(c.v.Number, h)
+		}
+	}
+}
+
+// take makes a version ready; one that can't be used here is told to the keeper, and is active nowhere.
+func (m *Member) take(data []byte) bool {
+	if len(data) == 0 {
+		return false
+	}
+	v, err := Decode(data)
+	if err == nil && m.Most > 0 && len(v.Refuse)+len(v.Out) > m.Most {
+		err = fmt.Errorf("rules: %d entries, this process takes %d", len(v.Refuse)+len(v.Out), m.Most)
+	}
+	if err != nil {
+		m.fault, m.faulty = err.Error(), sha256.Sum256(data)
+		return true
+	}
+	h := v.Hash()
+	if m.have[h] == nil {
+		m.have[h] = compile(v)
+	}
+	if v.Number > m.number || v.Number == m.number && h != m.ready {
+		m.ready, m.number, m.fault = h, v.Number, ""
+		return true
+	}
+	return false
+}
+
+// Told takes the keeper's word that there is something new, and asks for it at once.
+func (m *Member) Told(now Time) { m.ask(now) }
+
+// Effect is the receiver's part of the job.
+func (k *Keeper) Effect(now Time, _ ownership.Mark, _ []byte) {
+	if k.Told != nil {
+		k.Told(now)
+	}
+}
+
+var _ jobs.Job = (*Keeper)(nil)
