All processes killed in the middle of a change of rules: one version at all after it

Need: the hard case of all killed with disks.

Change: TestRulesOutliveAll, on the rig of five processes with votes on disks: version 1 is active, a cut holds version 2 up, all are killed and started anew. Either version is active at 5 of 5, and every process answers by it.

--- a/internal/command/rules_test.go
+++ b/internal/command/rules_test.go
@@ -1,13 +1,7 @@
 package command
 
 import (
-	"bufio"
 	"fmt"
-	"net"
-	"os"
-	"path/filepath"
-	"regexp"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,68 +13,6 @@
 	"croftlock/internal/owners"
 )
 
-// ruled are five processes that agree on rules within a second; three vote.
-func ruled(t *testing.T) *lab.Rig {
-	t.Helper()
-	rigs <- struct{}{}
-	t.Cleanup(func() { <-rigs })
-	r, err := lab.NewRigWith(&lab.Env{Croftlock: os.Args[0], Dir: t.TempDir()}, lab.RigOptions{N: 5, Seed: 3, Key: "0123456789abcdef0123456789abcdef", Level: "debug",
-		Sections: `(owners (on on) (voters "n0 n1 n2") (rules on) (agree_within 1s) (socket "DIR/owners.sock"))`, Env: []string{"CROFTLOCK_TEST_RUN=1"}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(r.Close)
-	return r
-}
-
-// decision is a line of a process's log: the checker knows nothing else of the program.
-type decision struct {
-	at      time.Time
-	version int
-	lapsed  bool
-}
-
-var (
-	ruledAt   = regexp.MustCompile(`(\d{4}/\d\d/\d\d \d\d:\d\d:\d\d\.\d+)`)
-	ruledWhat = regexp.MustCompile(`version=(\d+) lapsed=(true|false)`)
-)
-
-func decisions(t *testing.T, p *lab.Process) (all []decision) {
-	t.Helper()
-	for _, l := range p.Log("event=ruled") {
-		when, what := ruledAt.FindString(l), ruledWhat.FindStringSubmatch(l)
-		at, err := time.Parse("2006/01/02 15:04:05.000000", when)
-		if err != nil || what == nil {
-			t.Fatalf("a line that the checker can't read: %q", l)
-		}
-		n, _ := strconv.Atoi(what[1])
-		all = append(all, decision{at, n, what[2] == "true"})
-	}
-	return all
-}
-
-// overlap is how long after the first act on a newer version, by anyone, somebody acted on an older one.
-func overlap(all [][]decision) (most time.Duration) {
-	first := map[int]time.Time{}
-	for _, ds := range all {
-		for _, d := range ds {
-			if at, seen := first[d.version]; !d.lapsed && (!seen || d.at.Before(at)) {
-				first[d.version] = d.at
-			}
-		}
-	}
-	for _, ds := range all {
-		for _, d := range ds {
-			for v, at := range first {
-				if !d.lapsed && v > d.version && d.at.Sub(at) > most {
-					most = d.at.Sub(at)
-				}
-			}
-		}
-	}
-	return most
-}
-
 // TestTheCheckerFindsAnOverlap: in a log with one it is found, and what was decided without a right does not count.
 func TestTheCheckerFindsAnOverlap(t *testing.T) {
 	at := time.Unix(1000, 0)
@@ -94,33 +26,9 @@
 // on an older one for longer than a second, everyone answers, and all agree again after.
 func TestRulesAmongProcesses(t *testing.T) {
 	t.Parallel()
-	r := ruled(t)
-	say := func(i int, q owners.Request) string {
-		rep, err := r.Owners(i, q)
-		if err != nil {
-			return "unknown: " + err.Error()
-		}
-		return rep.Answer + rep.Error
-	}
-	file := func(text string) string {
-		p := filepath.Join(t.TempDir(), "rules.sexp")
-		if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return p
-	}
-	put := func(i, against int, text string) string {
-		out, code := command(t, "rules", "put", file(text), "--against", fmt.Sprint(against), "--socket", filepath.Join(r.Dir(i), "owners.sock"))
-		return fmt.Sprintf("%d %s", code, out)
-	}
-	active := func(i, version, at int) {
-		t.Helper()
-		want := fmt.Sprintf("active: version %d at %d of 5", version, at)
-		got := ""
-		if _, ok := lab.Until(ownersPatience, func() bool { got = say(i, owners.Request{Do: "rules show"}); return strings.HasPrefix(got, want) }); !ok {
-			t.Fatalf("%q, expected %q", got, want)
-		}
-	}
+	r := ruled(t, "")
+	put := func(i, against int, text string) string { return propose(t, r, i, against, text) }
+	active := func(i, version, at int) { t.Helper(); stands(t, r, i, version, at) }
 	active(0, 0, 5)
 
 	// Requests at every process all the time: each gets an answer.
@@ -218,15 +126,47 @@
 	}
 }
 
-// open asks for a connection and gives the answer; "" where there was none.
-func open(addr, id string) string {
-	c, err := net.DialTimeout("tcp", addr, time.Second)
-	if err != nil {
-		return ""
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(5 * time.Second))
-	fmt.Fprintf(c, "OPEN %s 7f3a9c21e0b4d655 c=lab,d=200\r\n", id)
-	line, _ := bufio.NewReader(c).ReadString('\n')
-	return strings.TrimSpace(line)
+// TestRulesOutliveAll: every process is killed in the middle of a change; with votes on disks what was active is so again, and the change is
+// either done or not, the same everywhere.
+func TestRulesOutliveAll(t *testing.T) {
+	t.Parallel()
+	r := ruled(t, ` (dir "DIR")`)
+	stands(t, r, 0, 0, 5)
+	got := ""
+	if _, ok := lab.Until(ownersPatience, func() bool {
+		got = propose(t, r, 1, 0, `(rules (refuse all (advice 300ms)))`)
+		return strings.Contains(got, "active: version 1 at")
+	}); !ok {
+		t.Fatal(got)
+	}
+	stands(t, r, 3, 1, 5)
+	r.Cut(4, true) // holds the change up
+	done := make(chan string, 1)
+	go func() { done <- propose(t, r, 2, 1, `(rules (out s1))`) }()
+	time.Sleep(150 * time.Millisecond)
+	for _, p := range r.Procs {
+		p.Kill()
+	}
+	r.Cut(4, false)
+	<-done
+	for i := range r.Procs {
+		if err := r.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	version := 0
+	if _, ok := lab.Until(ownersPatience, func() bool {
+		rep, err := r.Owners(3, owners.Request{Do: "rules show"})
+		got = fmt.Sprint(rep.Answer, rep.Error, err)
+		n, _ := fmt.Sscanf(got, "active: version %d at 5 of 5", &version)
+		return n == 1 && !strings.Contains(got, "on its way")
+	}); !ok || version < 1 || version > 2 {
+		t.Fatalf("after all were killed: %q", got)
+	}
+	for i, p := range r.Procs {
+		a := open(p.Addr, fmt.Sprintf("feed%012x", i))
+		if refused := a == "BUSY 300"; refused != (version == 1) {
+			t.Errorf("version %d, and n%d answers %q", version, i, a)
+		}
+	}
 }
--- /dev/null
+++ b/internal/command/rulesrig_test.go
@@ -0,0 +1,116 @@
+package command
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"croftlock/internal/lab"
+	"croftlock/internal/owners"
+)
+
+// ruled are five processes that agree on rules within a second; three vote. more goes into the section.
+func ruled(t *testing.T, more string) *lab.Rig {
+	t.Helper()
+	rigs <- struct{}{}
+	t.Cleanup(func() { <-rigs })
+	r, err := lab.NewRigWith(&lab.Env{Croftlock: os.Args[0], Dir: t.TempDir()}, lab.RigOptions{N: 5, Seed: 3, Key: "0123456789abcdef0123456789abcdef", Level: "debug",
+		Sections: `(owners (on on) (voters "n0 n1 n2") (rules on) (agree_within 1s) (socket "DIR/owners.sock")` + more + `)`, Env: []string{"CROFTLOCK_TEST_RUN=1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+// decision is a line of a process's log: the checker knows nothing else of the program.
+type decision struct {
+	at      time.Time
+	version int
+	lapsed  bool
+}
+
+var (
+	ruledAt   = regexp.MustCompile(`(\d{4}/\d\d/\d\d \d\d:\d\d:\d\d\.\d+)`)
+	ruledWhat = regexp.MustCompile(`version=(\d+) lapsed=(true|false)`)
+)
+
+func decisions(t *testing.T, p *lab.Process) (all []decision) {
+	t.Helper()
+	for _, l := range p.Log("event=ruled") {
+		when, what := ruledAt.FindString(l), ruledWhat.FindStringSubmatch(l)
+		at, err := time.Parse("2006/01/02 15:04:05.000000", when)
+		if err != nil || what == nil {
+			t.Fatalf("a line that the checker can't read: %q", l)
+		}
+		n, _ := strconv.Atoi(what[1])
+		all = append(all, decision{at, n, what[2] == "true"})
+	}
+	return all
+}
+
+// overlap is how long after the first act on a newer version, by anyone, somebody acted on an older one.
+func overlap(all [][]decision) (most time.Duration) {
+	first := map[int]time.Time{}
+	for _, ds := range all {
+		for _, d := range ds {
+			if at, seen := first[d.version]; !d.lapsed && (!seen || d.at.Before(at)) {
+				first[d.version] = d.at
+			}
+		}
+	}
+	for _, ds := range all {
+		for _, d := range ds {
+			for v, at := range first {
+				if !d.lapsed && v > d.version && d.at.Sub(at) > most {
+					most = d.at.Sub(at)
+				}
+			}
+		}
+	}
+	return most
+}
+
+// stands waits until a process says that a version is active at so many.
+func stands(t *testing.T, r *lab.Rig, i, version, at int) {
+	t.Helper()
+	want := fmt.Sprintf("active: version %d at %d of 5", version, at)
+	got := ""
+	if _, ok := lab.Until(ownersPatience, func() bool {
+		rep, err := r.Owners(i, owners.Request{Do: "rules show"})
+		got = fmt.Sprint(rep.Answer, rep.Error, err)
+		return strings.HasPrefix(got, want)
+	}); !ok {
+		t.Fatalf("%q, expected %q", got, want)
+	}
+}
+
+// propose puts a version by way of a process, as an operator does, and gives exit status and answer.
+func propose(t *testing.T, r *lab.Rig, i, against int, text string) string {
+	p := filepath.Join(r.Dir(i), fmt.Sprintf("rules-%d.sexp", against))
+	if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+		t.Error(err)
+	}
+	out, code := command(t, "rules", "put", p, "--against", fmt.Sprint(against), "--socket", filepath.Join(r.Dir(i), "owners.sock"))
+	return fmt.Sprintf("%d %s", code, out)
+}
+
+// open asks for a connection and gives the answer; "" where there was none.
+func open(addr, id string) string {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return ""
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "OPEN %s 7f3a9c21e0b4d655 c=lab,d=200\r\n", id)
+	line, _ := bufio.NewReader(c).ReadString('\n')
+	return strings.TrimSpace(line)
+}
