Read over: one way to ask a job's owner under a tag

Need: the change wrote the noting of tags again that permits had.

Change: Shell.askAs serves both. Behaviour is as it was.

--- a/internal/owners/pace.go
+++ b/internal/owners/pace.go
@@ -15,13 +15,16 @@
 // Paced tells whether moves are bounded.
 func (s *Shell) Paced() bool { return s != nil && s.pace != nil }
 
-func (s *Shell) askPermits(tag uint64, body []byte) {
+func (s *Shell) askPermits(tag uint64, body []byte) { s.askAs("moves", s.paceTags, tag, body) }
+
+// askAs asks a job's owner under a tag of this process's own, and notes for which of the asker's it stands.
+func (s *Shell) askAs(job string, tags map[uint64]uint64, tag uint64, body []byte) {
 	s.tags++
-	s.paceTags[s.tags] = tag
-	for t := range s.paceTags {
+	tags[s.tags] = tag
+	for t := range tags {
 		if t+64 < s.tags {
-			delete(s.paceTags, t)
+			delete(tags, t)
 		}
 	}
-	s.core.Ask(s.now(), "moves", s.tags, body)
+	s.core.Ask(s.now(), job, s.tags, body)
 }
--- a/internal/owners/rules.go
+++ b/internal/owners/rules.go
@@ -33,16 +33,7 @@
 	within := int64(r.Within)
 	s.gate = &rules.Gate{Now: s.now, Keep: r.Cut == "keep", Wait: r.Within}
 	s.ruled = &rules.Member{Within: within, Most: r.Most, Gate: s.gate,
-		Ask: func(tag uint64, body []byte) {
-			s.tags++
-			s.ruleTags[s.tags] = tag
-			for t := range s.ruleTags {
-				if t+64 < s.tags {
-					delete(s.ruleTags, t)
-				}
-			}
-			s.core.Ask(s.now(), "rules", s.tags, body)
-		},
+		Ask:     func(tag uint64, body []byte) { s.askAs("rules", s.ruleTags, tag, body) },
 		Swapped: func(n uint64, h rules.Hash) { slog.Info("rules", "version", n, "hash", hex.EncodeToString(h[:4])) }}
 	s.handles["rules"] = &rules.Keeper{Within: within, Told: s.ruled.Told}
 }
