Namespaces: accounts, pools and routes that no other customer's rules reach

Need: customers share the fleet, and nothing keeps one customer's rules from another's routes.

Nothing uses it yet.

--- /dev/null
+++ b/internal/namespace/namespace_test.go
@@ -0,0 +1,309 @@
+package namespace
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"croftlock/internal/settings"
+
+	"pgregory.net/rapid"
+)
+
+func compiled(t testing.TB, b *Book) *Compiled {
+	t.Helper()
+	c, err := Compile(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+var customers = &Book{
+	Pools: []Pool{{Name: "fast", Kinds: []string{"m2"}}, {Name: "kept", Hosts: []string{"s-1"}, Prefixes: []string{"s-", "s-9"}}},
+	Accounts: []Account{{Name: "acme", Tenants: []string{"t1", "t2"}, Pools: []string{"fast", Main}, Rate: Limit{100, 60}}, {Name: "acme/web", Tenants: []string{"t2"}, Rate: Limit{50, 30}},
+		{Name: "other", Tenants: []string{"t3"}}},
+	Spaces: []Space{
+		{Account: "", Guards: []Route{{Name: "closed", Class: "bulk", Refuse: true, Advice: 2000}}, Defaults: []Route{{Name: "rest", Zone: "z9", Pool: "fast"}}},
+		{Account: "acme", Guards: []Route{{Name: "night", Begin: 22 * 60, End: 6 * 60, Class: "report", Refuse: true}}, Routes: []Route{{Name: "ab", Prefix: "ab", Pool: "fast", Else: []string{Main}}},
+			Defaults: []Route{{Name: "last", Pool: Main}}},
+		{Account: "acme/web", Routes: []Route{{Name: "half", To: 5000, Pool: "fast"}, {Name: "g", Group: "g1", Pool: Main}, {Name: "gab", Group: "g1", Prefix: "ab", Pool: "fast"}}},
+	},
+}
+
+func TestWhereRequestsGo(t *testing.T) {
+	c := compiled(t, customers)
+	for _, x := range []struct {
+		q       Ask
+		account string
+		route   string
+		pool    string // "": refused
+	}{
+		{Ask{Tenant: "t1", Class: "chat", Key: "abc"}, "acme", "ab", "fast"},
+		{Ask{Tenant: "t1", Class: "chat", Key: "xyz"}, "acme", "last", Main},
+		{Ask{Tenant: "t1", Class: "bulk", Key: "abc"}, "acme", "closed", ""},
+		{Ask{Tenant: "t1", Class: "report", Key: "abc", Minute: 23 * 60}, "acme", "night", ""},
+		{Ask{Tenant: "t1", Class: "report", Key: "abc", Minute: 12 * 60}, "acme", "ab", "fast"},
+		{Ask{Tenant: "t2", Class: "report", Minute: 60}, "acme/web", "night", ""},                          // a guard of the parent's
+		{Ask{Tenant: "t2", Group: "g1", Key: "abc"}, "acme/web", "gab", "fast"},                            // the longer list of conditions
+		{Ask{Tenant: "t2", Group: "g1", Key: "abx", Zone: "z9"}, "acme/web", "gab", "fast"},                // before the operators' default
+		{Ask{Tenant: "t2", Group: "g1", Key: "qq"}, "acme/web", "g", Main},                                 //
+		{Ask{Tenant: "t3", Key: "abc"}, "other", "", Main},                                                 // another's routes do not reach it
+		{Ask{Tenant: "t3", Key: "abc", Zone: "z9"}, "other", "rest", "fast"},                               //
+		{Ask{Tenant: "nobody", Class: "chat", Key: "abc"}, "", "", Main},                                   //
+		{Ask{Tenant: "", Class: "bulk"}, "", "closed", ""},                                                 //
+		{Ask{Tenant: "acme", Key: "abc"}, "", "", Main},                                                    // an account's name is no tenant
+		{Ask{Tenant: "t1", Class: "report", Key: "abc", Minute: 6 * 60}, "acme", "ab", "fast"},             // the window's end
+		{Ask{Tenant: "t1", Class: "report", Key: "abc", Minute: 22 * 60, Zone: "z9"}, "acme", "night", ""}, //
+	} {
+		v := c.Judge(x.q)
+		pool := ""
+		if !v.Refused {
+			pool = v.Pools[0]
+		}
+		if v.Account != x.account || v.Route != x.route || pool != x.pool {
+			t.Errorf("%+v: account %q route %q pool %q, expected %q %q %q", x.q, v.Account, v.Route, pool, x.account, x.route, x.pool)
+		}
+	}
+	for _, x := range []struct{ id, kind, zone, pool string }{
+		{"s-1", "m2", "", "kept"}, {"s-95", "m2", "", "kept"}, {"x", "m2", "", "fast"}, {"x", "m1", "a", Main}, {"s", "", "", Main},
+	} {
+		if got := c.Pool(x.id, x.kind, x.zone); got != x.pool {
+			t.Errorf("%s is in %q, expected %q", x.id, got, x.pool)
+		}
+	}
+}
+
+// A share is the same flows in every version, and about as many as it says.
+func TestSharesAreStable(t *testing.T) {
+	c := compiled(t, customers)
+	more := *customers
+	more.Spaces = append(slices.Clone(customers.Spaces), Space{Account: "other", Routes: []Route{{Name: "x", Pool: Main, Prefix: "k"}}})
+	d := compiled(t, &more)
+	n := 0
+	for i := range 10_000 {
+		q := Ask{Tenant: "t2", Key: fmt.Sprintf("%016x", i*7919)}
+		v := c.Judge(q)
+		if w := d.Judge(q); w.Route != v.Route {
+			t.Fatalf("%s: %q and %q", q.Key, v.Route, w.Route)
+		}
+		if v.Route == "half" {
+			n++
+		}
+	}
+	if n < 4800 || n > 5200 {
+		t.Fatalf("half of 10,000 flows are %d", n)
+	}
+}
+
+func TestBooksThatAreRefused(t *testing.T) {
+	routes := func(rs ...Route) *Book {
+		return &Book{Accounts: []Account{{Name: "a"}}, Spaces: []Space{{Account: "a", Routes: rs}}}
+	}
+	to := func(name string, r Route) Route { r.Name, r.Pool = name, Main; return r }
+	for want, b := range map[string]*Book{
+		"is in pool p and in pool q":             {Pools: []Pool{{Name: "p", Kinds: []string{"m"}}, {Name: "q", Kinds: []string{"m"}}}},
+		"its name is none, taken":                {Pools: []Pool{{Name: Main}}},
+		"tenant t belongs to account a":          {Accounts: []Account{{Name: "a", Tenants: []string{"t"}}, {Name: "b", Tenants: []string{"t"}}}},
+		"tenant u does not belong to account a":  {Accounts: []Account{{Name: "a", Tenants: []string{"t"}}, {Name: "a/b", Tenants: []string{"u"}}}},
+		"there is no account a above it":         {Accounts: []Account{{Name: "a/b"}}},
+		"no name of an account":                  {Accounts: []Account{{Name: "a//b"}}},
+		"may not use pool p":                     {Pools: []Pool{{Name: "p"}}, Accounts: []Account{{Name: "a"}, {Name: "a/b", Pools: []string{"p"}}}},
+		"there is no pool p":                     {Accounts: []Account{{Name: "a", Pools: []string{"p"}}}},
+		"may not use class d":                    {Accounts: []Account{{Name: "a", Classes: []string{"c"}}, {Name: "a/b", Classes: []string{"d"}}}},
+		"rate 6 at most, and account a has 5":    {Accounts: []Account{{Name: "a", Rate: Limit{5, 0}}, {Name: "a/b", Rate: Limit{6, 0}}}},
+		"with it 6 are reserved below account a": {Accounts: []Account{{Name: "a", Rate: Limit{9, 5}}, {Name: "a/b", Rate: Limit{0, 3}}, {Name: "a/c", Rate: Limit{0, 3}}}},
+		"9 routes, and account a has 5":          {Accounts: []Account{{Name: "a", Routes: 5}, {Name: "a/b", Routes: 9}}},
+		"no Ed25519 key":                         {Accounts: []Account{{Name: "a", Grants: []Grant{{Label: "g", Key: []byte{1}, Verbs: 1}}}}},
+		"it has a namespace, and does not exist": {Spaces: []Space{{Account: "a"}}},
+		"2 routes, and it may have 1":            {Accounts: []Account{{Name: "a", Routes: 1}}, Spaces: []Space{{Account: "a", Routes: []Route{to("x", Route{Class: "c"}), to("y", Route{Class: "d"})}}}},
+		"neither is more specific":               routes(to("x", Route{Class: "c"}), to("y", Route{Class: "c"})),
+		"as x, and neither":                      routes(to("x", Route{To: 4000}), to("y", Route{From: 3000, To: 5000})),
+		"as v, and neither":                      routes(to("v", Route{Begin: 60, End: 120}), to("w", Route{Begin: 90, End: 180})),
+		"the shares of others are all":           routes(to("x", Route{To: 4000}), to("y", Route{From: 4000, To: Whole}), to("z", Route{})),
+		"its name is taken":                      routes(to("x", Route{Class: "c"}), to("x", Route{})),
+		"in a circle":                            routes(Route{Name: "x", Pool: Main, Else: []string{Main}}),
+		"either a pool or refuse":                routes(Route{Name: "x"}),
+		"no pool nowhere":                        routes(Route{Name: "x", Pool: "nowhere"}),
+		"a share that is none":                   routes(to("x", Route{From: 5, To: 5})),
+		"a time of day that is none":             routes(to("x", Route{Begin: 5, End: 5})),
+		"nothing reaches it: g takes all":        {Accounts: []Account{{Name: "a"}}, Spaces: []Space{{Account: "a", Guards: []Route{{Name: "g", Class: "c", Refuse: true}}, Routes: []Route{to("x", Route{Class: "c", Prefix: "ab"})}}}},
+		"kinds of condition": routes(func() (rs []Route) {
+			for i := range MostShapes + 1 {
+				rs = append(rs, to(fmt.Sprint("r", i), Route{Prefix: strings.Repeat("k", i%9), Zone: []string{"", "z"}[i/9]}))
+			}
+			return rs
+		}()...),
+	} {
+		if _, err := Compile(b); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, expected %q", err, want)
+		}
+	}
+}
+
+// A host and a tenant that change hands get nothing until nobody acts by the version before.
+func TestWhatChangesHandsGetsNothing(t *testing.T) {
+	b := &Book{Pools: []Pool{{Name: "p", Kinds: []string{"m2"}}}, Accounts: []Account{{Name: "a", Tenants: []string{"t", "u"}}, {Name: "b", Tenants: []string{"v"}}},
+		Was: &Frame{Pools: []Pool{{Name: "p", Kinds: []string{"m1", "m2"}}}, Accounts: []Account{{Name: "a", Tenants: []string{"t", "v"}}}}}
+	c := compiled(t, b)
+	if p, q := c.Pool("x", "m1", ""), c.Pool("x", "m2", ""); p != "" || q != "p" {
+		t.Errorf("pools %q and %q", p, q)
+	}
+	for tenant, moving := range map[string]bool{"t": false, "u": true, "v": true, "w": false} {
+		if v := c.Judge(Ask{Tenant: tenant}); v.Moving != moving || v.Refused != moving {
+			t.Errorf("%s: %+v", tenant, v)
+		}
+	}
+}
+
+// slow finds the route by looking at all: what the index has to agree with.
+func slow(b *Book, c *Compiled, q Ask) string {
+	a := c.accounts[c.Account(q.Tenant)]
+	k, share := key{q.Group, q.Key, q.Class, q.Zone}, a.share(q.Key)
+	best := func(rs []Route) (out string) {
+		var most [6]int
+		for i := range rs {
+			r := &rs[i]
+			if len(r.misses(k, share, q.Minute)) > 0 {
+				continue
+			}
+			is := func(b bool) int { return map[bool]int{true: 1}[b] }
+			how := [6]int{1 + is(r.Group != ""), len(r.Prefix), is(r.Class != ""), is(r.Zone != ""), is(r.windowed()), is(r.shared())}
+			if slices.Compare(how[:], most[:]) > 0 {
+				most, out = how, r.Name
+			}
+		}
+		return out
+	}
+	of := func(account string) (s Space) {
+		for _, x := range b.Spaces {
+			if x.Account == account {
+				s = x
+			}
+		}
+		return s
+	}
+	var chain []string
+	for up := a.name; ; up = Parent(up) {
+		chain = append(chain, up)
+		if up == "" {
+			break
+		}
+	}
+	for i := len(chain) - 1; i >= 0; i-- {
+		if r := best(of(chain[i]).Guards); r != "" {
+			return r
+		}
+	}
+	if r := best(of(a.name).Routes); r != "" {
+		return r
+	}
+	for _, up := range chain {
+		if r := best(of(up).Defaults); r != "" {
+			return r
+		}
+	}
+	return ""
+}
+
+func drawSpace(rt *rapid.T, account string) Space {
+	s := Space{Account: account}
+	for i := range rapid.IntRange(0, 6).Draw(rt, "routes") {
+		some := func(of ...string) string { return rapid.SampledFrom(of).Draw(rt, "x") }
+		r := Route{Name: fmt.Sprint("r", i), Group: some("", "", "g", "h"), Prefix: some("", "a", "ab", "b"), Class: some("", "c", "d"), Zone: some("", "", "y"), Pool: Main}
+		switch rapid.IntRange(0, 3).Draw(rt, "extra") {
+		case 0:
+			r.From, r.To = 2500, 7500
+		case 1:
+			r.Begin, r.End = 600, 120
+		}
+		to := rapid.SampledFrom([]*[]Route{&s.Guards, &s.Routes, &s.Defaults}).Draw(rt, "list")
+		*to = append(*to, r)
+	}
+	return s
+}
+
+func drawAsk(rt *rapid.T) Ask {
+	some := func(of ...string) string { return rapid.SampledFrom(of).Draw(rt, "q") }
+	return Ask{Tenant: some("t1", "t2", "t3", "no"), Class: some("c", "d", "e"), Key: some("", "a", "ab", "abc", "b", "bc", "z"), Group: some("", "g", "h", "i"), Zone: some("y", "z"),
+		Minute: rapid.IntRange(0, 1439).Draw(rt, "minute")}
+}
+
+// The index finds what a look at every route finds, and whatever others put into their namespaces an account's answers stay the same.
+func TestOthersChangeNothing(t *testing.T) {
+	drawn, fit := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		b := &Book{Accounts: customers.Accounts, Pools: customers.Pools}
+		for _, a := range []string{"", "acme", "acme/web", "other"} {
+			b.Spaces = append(b.Spaces, drawSpace(rt, a))
+		}
+		drawn++
+		c, err := Compile(b)
+		if err != nil {
+			return
+		}
+		fit++
+		other := *b
+		other.Spaces = slices.Clone(b.Spaces)
+		other.Spaces[3] = drawSpace(rt, "other")
+		d, err := Compile(&other)
+		for range 20 {
+			q := drawAsk(rt)
+			v := c.Judge(q)
+			if want := slow(b, c, q); v.Route != want {
+				rt.Fatalf("%+v: route %q, expected %q", q, v.Route, want)
+			}
+			if !strings.Contains(c.Explain(q), v.Route) {
+				rt.Fatalf("%s does not name %s", c.Explain(q), v.Route)
+			}
+			if err != nil || v.Account == "other" {
+				continue
+			}
+			if w := d.Judge(q); w.Route != v.Route || w.Scope != v.Scope || !slices.Equal(w.Pools, v.Pools) || w.Refused != v.Refused {
+				rt.Fatalf("%+v: %+v, and with another's changes %+v", q, v, w)
+			}
+		}
+	})
+	if fit*5 < drawn {
+		t.Errorf("of %d books drawn only %d can be used", drawn, fit)
+	}
+}
+
+func TestFaultsHaveTheirPlace(t *testing.T) {
+	_, err := settings.Schema{Section()}.Read("acme.sexp", []byte("(namespace\n  (account acme)\n  (route x (class c) (pool main))\n  (route y (class c) (pool main)))"))
+	if err == nil || !strings.Contains(err.Error(), "acme.sexp:4:3") || !strings.Contains(err.Error(), "the same requests as x") {
+		t.Fatalf("%v", err)
+	}
+	f, err := settings.Schema{Section()}.Read("a", []byte(`(namespace (account "acme/web") (guard n (begin 22:00) (end 06:00) (refuse on) (advice 2s)) (default d (share 12.5%) (pool fast) (else "main")))`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := f.Value("namespace").(*Space); s.Guards[0].Begin != 1320 || s.Guards[0].Advice != 2000 || s.Defaults[0].To != 1250 || s.Defaults[0].Else[0] != Main {
+		t.Fatalf("%+v", s)
+	}
+}
+
+func BenchmarkJudge(b *testing.B) {
+	for _, n := range []int{10, 1000, 100_000} {
+		book := &Book{Accounts: []Account{{Name: "big", Tenants: []string{"b"}}, {Name: "small", Tenants: []string{"s"}}}, Spaces: []Space{{Account: "big"}, {Account: "small", Routes: customers.Spaces[1].Routes[:0:0]}}}
+		for i := range n {
+			book.Spaces[0].Routes = append(book.Spaces[0].Routes, Route{Name: fmt.Sprint("r", i), Prefix: fmt.Sprintf("%08x", i), Class: []string{"", "c"}[i%2], Pool: Main})
+		}
+		c := compiled(b, book)
+		for who, tenant := range map[string]string{"own": "b", "beside": "s"} {
+			b.Run(fmt.Sprintf("%s/%d", who, n), func(b *testing.B) {
+				b.ReportAllocs()
+				q := Ask{Tenant: tenant, Class: "c", Key: "0000000500000000"}
+				for range b.N {
+					c.Judge(q)
+				}
+			})
+		}
+		b.Run(fmt.Sprintf("compile/%d", n), func(b *testing.B) {
+			for range b.N {
+				compiled(b, book)
+			}
+		})
+	}
+}
