--- a/internal/command/rules_test.go
+++ b/internal/command/rules_test.go
@@ -11,6 +11,7 @@
 
 	"croftlock/internal/lab"
 	"croftlock/internal/owners"
+	"croftlock/internal/rules"
 )
 
 // TestTheCheckerFindsAnOverlap: in a log with one it is found, and what was decided without a right does not count.
@@ -156,7 +157,7 @@
 	}
 	version := 0
 	if _, ok := lab.Until(ownersPatience, func() bool {
-		rep, err := r.Owners(3, owners.Request{Do: "rules show"})
+		rep, err := r.Owners(3, owners.Request{Do: "rules", Rules: rules.Show()})
 		got = fmt.Sprint(rep.Answer, rep.Error, err)
 		n, _ := fmt.Sscanf(got, "active: version %d at 5 of 5", &version)
 		return n == 1 && !strings.Contains(got, "on its way")
--- a/internal/command/rulesrig_test.go
+++ b/internal/command/rulesrig_test.go
@@ -14,6 +14,7 @@
 
 	"croftlock/internal/lab"
 	"croftlock/internal/owners"
+	"croftlock/internal/rules"
 )
 
 // ruled are five processes that agree on rules within a second; three vote. more goes into the section.
@@ -84,7 +85,7 @@
 	want := fmt.Sprintf("active: version %d at %d of 5", version, at)
 	got := ""
 	if _, ok := lab.Until(ownersPatience, func() bool {
-		rep, err := r.Owners(i, owners.Request{Do: "rules show"})
+		rep, err := r.Owners(i, owners.Request{Do: "rules", Rules: rules.Show()})
 		got = fmt.Sprint(rep.Answer, rep.Error, err)
 		return strings.HasPrefix(got, want)
 	}); !ok {
@@ -92,13 +93,13 @@
 	}
 }
 
-// propose puts a version by way of a process, as an operator does, and gives exit status and answer.
-func propose(t *testing.T, r *lab.Rig, i, against int, text string) string {
-	p := filepath.Join(r.Dir(i), fmt.Sprintf("rules-%d.sexp", against))
+// propose puts a change by way of a process, as an administrator does, and gives exit status and answer.
+func propose(t *testing.T, r *lab.Rig, i, against int, text string, more ...string) string {
+	p := filepath.Join(r.Dir(i), fmt.Sprintf("rules-%d-%d.sexp", against, len(text)))
 	if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
 		t.Error(err)
 	}
-	out, code := command(t, "rules", "put", p, "--against", fmt.Sprint(against), "--socket", filepath.Join(r.Dir(i), "owners.sock"))
+	out, code := command(t, append([]string{"rules", "put", p, "--against", fmt.Sprint(against), "--socket", filepath.Join(r.Dir(i), "owners.sock")}, more...)...)
 	return fmt.Sprintf("%d %s", code, out)
 }
 
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -54,7 +54,9 @@
 	Sections string // more of the operators' file; DIR stands for a folder of each process's own
 	Level    string // of the log; "": info
 	Fleet    *fleet // whose hosts they serve; nil: none that answers
-	Env      []string
+	// Discovery is another way to say which hosts; nil: as Fleet has it.
+	Discovery *standin.Discovery
+	Env       []string
 }
 
 // NewRigWith starts processes that know one another through a mesh.
@@ -65,7 +67,10 @@
 	}
 	setup := Setup{Discovery: "127.0.0.1:1", Known: standin.List{Rev: 1, All: true, Targets: []standin.Entry{{UID: "s0", Endpoint: "127.0.0.1:1", State: "up", Weight: 1}}}}
 	if o.Fleet != nil {
-		setup.Discovery, setup.Known = o.Fleet.discovery.Addr(), o.Fleet.discovery.List()
+		o.Discovery = o.Fleet.discovery
+	}
+	if o.Discovery != nil {
+		setup.Discovery, setup.Known = o.Discovery.Addr(), o.Discovery.List()
 	}
 	dir, err := os.MkdirTemp(e.Dir, "rig")
 	if err != nil {
--- a/internal/namespace/book.go
+++ b/internal/namespace/book.go
@@ -52,14 +52,15 @@
 // Account is a customer or one of its teams: "acme", "acme/web". What a list leaves empty is as the parent has it.
 type Account struct {
 	Name     string   `cbor:"1,keyasint"`
-	Tenants  []string `cbor:"2,keyasint,omitempty"` // a request belongs to the deepest account that names its tenant
-	Pools    []string `cbor:"3,keyasint,omitempty"` // it may use; the first takes what no route sends elsewhere
-	Classes  []string `cbor:"4,keyasint,omitempty"` // it may use
-	Rate     Limit    `cbor:"5,keyasint,omitempty"` // new connections a second, over the whole fleet
-	Standing Limit    `cbor:"6,keyasint,omitempty"` // open connections, over the whole fleet
-	Routes   uint32   `cbor:"7,keyasint,omitempty"` // of its namespace; 0: as the parent has it
-	Changes  uint32   `cbor:"8,keyasint,omitempty"` // of its namespace a minute; 0: as the parent has it
-	Grants   []Grant  `cbor:"9,keyasint,omitempty"` // by label
+	Tenants  []string `cbor:"2,keyasint,omitempty"`  // a request belongs to the deepest account that names its tenant
+	Pools    []string `cbor:"3,keyasint,omitempty"`  // it may use; the first takes what no route sends elsewhere
+	Classes  []string `cbor:"4,keyasint,omitempty"`  // it may use
+	Rate     Limit    `cbor:"5,keyasint,omitempty"`  // new connections a second, over the whole fleet
+	Standing Limit    `cbor:"6,keyasint,omitempty"`  // open connections, over the whole fleet
+	Routes   uint32   `cbor:"7,keyasint,omitempty"`  // of its namespace; 0: as the parent has it
+	Changes  uint32   `cbor:"8,keyasint,omitempty"`  // of its namespace a minute; 0: as the parent has it
+	Grants   []Grant  `cbor:"9,keyasint,omitempty"`  // by label
+	Number   uint64   `cbor:"10,keyasint,omitempty"` // of the version that changed it last
 }
 
 // Limit is what an account may have. What is reserved for children is never more than what is for their parent, and none may have more than it.
--- a/internal/node/joined.go
+++ b/internal/node/joined.go
@@ -31,6 +31,7 @@
 	}
 	if g := r.owners.Gate(); err == nil && g != nil {
 		r.core.SetRules(g)
+		r.owners.OnRules(r.core.Repool)
 	}
 	return err
 }
--- a/internal/owners/door.go
+++ b/internal/owners/door.go
@@ -7,23 +7,23 @@
 	"net"
 	"os"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 
 	"croftlock/internal/group"
 	"croftlock/internal/jobs"
 	"croftlock/internal/members"
+	"croftlock/internal/namespace"
 )
 
 // Request is what operators ask at the socket, one a connection.
 type Request struct {
-	Do string `json:"do"` // owners, move, status, add, promote, remove, suspend, resume
+	Do string `json:"do"` // owners, move, status, add, promote, remove, suspend, resume, list, rules, explain
 	A  string `json:"a,omitempty"`
 	B  string `json:"b,omitempty"`
 
-	Rules   []byte `json:"rules,omitempty"`   // a version in its one form, made against
-	Against uint64 `json:"against,omitempty"` // this one
+	Rules   []byte         `json:"rules,omitempty"`   // a question to the keeper
+	Explain *namespace.Ask `json:"explain,omitempty"` // a request, for the rules to explain
 }
 
 // askWithin bounds a request's time.
@@ -112,7 +112,12 @@
 			return late
 		}
 		return r
-	case "suspend", "resume", "move", "list", "rules put", "rules show":
+	case "explain":
+		if s.gate == nil || q.Explain == nil {
+			return Reply{Error: noRules}
+		}
+		return Reply{Answer: s.gate.Explain(*q.Explain)}
+	case "suspend", "resume", "move", "list", "rules":
 		ch := make(chan string, 1)
 		var tag uint64
 		if !s.on(func() {
@@ -123,7 +128,7 @@
 				s.core.Move(s.now(), q.A, q.B, tag)
 				return
 			}
-			if strings.HasPrefix(q.Do, "rules ") {
+			if q.Do == "rules" {
 				s.askRules(q, tag, ch)
 				return
 			}
--- a/internal/owners/owners.go
+++ b/internal/owners/owners.go
@@ -70,6 +70,7 @@
 	gate     *rules.Gate
 	ruled    *rules.Member
 	ruleTags map[uint64]uint64
+	swapped  func() // called on the loop once this process acts by another version
 	asks     map[uint64]chan string
 	tags     uint64
 	counts   Counts
--- a/internal/owners/rules.go
+++ b/internal/owners/rules.go
@@ -33,9 +33,14 @@
 	within := int64(r.Within)
 	s.gate = &rules.Gate{Now: s.now, Keep: r.Cut == "keep", Wait: r.Within}
 	s.ruled = &rules.Member{Within: within, Most: r.Most, Gate: s.gate,
-		Ask:     func(tag uint64, body []byte) { s.askAs("rules", s.ruleTags, tag, body) },
-		Swapped: func(n uint64, h rules.Hash) { slog.Info("rules", "version", n, "hash", hex.EncodeToString(h[:4])) }}
-	s.handles["rules"] = &rules.Keeper{Within: within, Told: s.ruled.Told}
+		Ask: func(tag uint64, body []byte) { s.askAs("rules", s.ruleTags, tag, body) },
+		Swapped: func(n uint64, h rules.Hash) {
+			slog.Info("rules", "version", n, "hash", hex.EncodeToString(h[:4]))
+			if s.swapped != nil {
+				s.swapped()
+			}
+		}}
+	s.handles["rules"] = &rules.Keeper{Within: within, Told: s.ruled.Told, Wall: func() int64 { return time.Now().UnixMilli() }}
 }
 
 // Gate is what requests are judged by; nil where there are no such rules.
@@ -46,20 +51,25 @@
 	return s.gate
 }
 
-// askRules brings an operator's question to the keeper.
+const noRules = "refused: (owners (rules on)) is not set"
+
+// OnRules has f called on the loop each time that this process begins to act by another version, and once now.
+func (s *Shell) OnRules(f func()) {
+	s.post(func() {
+		s.swapped = func() { s.loop.Post(f) }
+		s.swapped()
+	})
+}
+
+// askRules brings an administrator's question to the keeper.
 func (s *Shell) askRules(q Request, tag uint64, ch chan string) {
 	if s.gate == nil {
-		ch <- "refused: (owners (rules on)) is not set"
+		ch <- noRules
 		return
 	}
-	body := rules.Show()
-	if q.Do == "rules put" {
-		v, err := rules.Decode(q.Rules)
-		if err != nil {
-			ch <- "refused: " + err.Error()
-			return
-		}
-		body = rules.Put(v, q.Against)
+	if !rules.IsQuestion(q.Rules) {
+		ch <- "refused: no question that administrators may ask"
+		return
 	}
-	s.core.Ask(s.now(), "rules", tag, body)
+	s.core.Ask(s.now(), "rules", tag, q.Rules)
 }
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -61,7 +61,7 @@
 		return
 	}
 	c := r.core
-	c.decide(nil, func(now brain.Time) { c.module.Gone(now, r.ask.ID) })
+	c.tell(nil, r.pool, func(now brain.Time, m Decider) { m.Gone(now, r.ask.ID) })
 }
 
 // cancel ends an attempt at the module's wish.
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -9,6 +9,7 @@
 	"croftlock/internal/byhand"
 	"croftlock/internal/expiry"
 	"croftlock/internal/figures"
+	"croftlock/internal/namespace"
 	"croftlock/internal/netio"
 	"croftlock/internal/rules"
 )
@@ -62,7 +63,9 @@
 	peers     Peers       // nil: there are none, or the settings forbid it
 	prober    Prober      // nil: the settings do not permit probes
 	gate      *rules.Gate // nil: no rules that the fleet agrees on
-	module    Decider
+	make      func(fx brain.Effects) (Decider, error)
+	main      *pool // the only one where no rules split the hosts
+	pools     map[string]*pool
 	classes   map[string]int
 	tenants   map[string]int
 
@@ -120,12 +123,14 @@
 	delay    messageDelay
 	loaded   float64 // as it last told when probed: load over what it can do
 	loadedAt int64   // when that was; 0: never
+	pool     *pool   // nil: it changes hands just now
+	known    *brain.ServerMemory
 }
 
 // New makes a core. Module and Discovery are set by Run.
 func New(l *netio.Loop, starter Starter, opt Options) *Core {
 	c := &Core{loop: l, starter: starter, opt: opt, classes: map[string]int{}, tenants: map[string]int{},
-		hosts: map[string]*host{}, requests: map[string]*Request{}}
+		hosts: map[string]*host{}, requests: map[string]*Request{}, pools: map[string]*pool{}}
 	names := make([]string, len(opt.Settings.Classes))
 	for i, k := range opt.Settings.Classes {
 		c.classes[k.Name], names[i] = i, k.Name
@@ -139,11 +144,11 @@
 
 // Run gives the core its decision module, made for it by make with the core's effects, and the list it starts from.
 func (c *Core) Run(make func(fx brain.Effects) (Decider, error), d Discovery, known Change) error {
-	m, err := make((*effects)(c))
-	if err != nil {
+	c.make, c.discovery = make, d
+	var err error
+	if c.main, err = c.newPool(namespace.Main); err != nil {
 		return err
 	}
-	c.module, c.discovery = m, d
 	c.Listed(known)
 	c.loop.After(watchEvery, c.watchSessions)
 	if c.opt.Expiry.Move {
@@ -154,7 +159,7 @@
 }
 
 // Ready tells whether clients may come.
-func (c *Core) Ready() bool { return c.module != nil && !c.leaving }
+func (c *Core) Ready() bool { return c.main != nil && !c.leaving }
 
 // Serves tells whether this process takes what comes: it may be on its way out, or another process of this proxy does.
 func (c *Core) Serves() bool { return c.Ready() && !c.handed }
@@ -234,15 +239,3 @@
 	}()
 	f()
 }
-
-// SetProber gives the core its way to ask hosts how loaded they are.
-func (c *Core) SetProber(p Prober) { c.prober = p }
-
-// SetPeers gives the core its way to the other proxies.
-func (c *Core) SetPeers(p Peers) { c.peers = p }
-
-// PeerTold takes a message from another proxy.
-func (c *Core) PeerTold(from int, data []byte) {
-	c.counts.Heard++
-	c.decide(nil, func(now brain.Time) { c.module.Peer(now, from, data) })
-}
--- a/internal/proxy/effects.go
+++ b/internal/proxy/effects.go
@@ -6,16 +6,20 @@
 
 	"croftlock/brain"
 	"croftlock/internal/figures"
+	"croftlock/internal/namespace"
 )
 
-// effects is the core as the module sees it. Each effect is only noted here, to be carried out once the module has
+// effects is the core as a pool's instance of the module sees it. Each effect is only noted here, to be carried out once the module has
 // returned: the module must never be entered from inside itself.
-type effects Core
+type effects struct {
+	*Core
+	pool *pool
+}
 
 func (e *effects) later(f func()) { e.effects = append(e.effects, f) }
 
 func (e *effects) Send(id, server string, timeout brain.Time) {
-	e.later(func() { (*Core)(e).send(id, server, timeout) })
+	e.later(func() { e.send(e.pool, id, server, timeout) })
 }
 
 func (e *effects) Refuse(id string, after brain.Time) {
@@ -51,22 +55,33 @@
 }
 
 func (e *effects) After(delay brain.Time, token string) {
-	c := (*Core)(e)
+	c := e.Core
 	e.later(func() {
 		c.loop.After(time.Duration(delay), func() {
-			c.decide(nil, func(now brain.Time) { c.module.Timer(now, token) })
+			c.tell(nil, e.pool, func(now brain.Time, m Decider) { m.Timer(now, token) })
 		})
 	})
 }
 
-func (e *effects) Watch(on bool) { e.later(func() { e.discovery.Watch(on) }) }
-func (e *effects) Fetch()        { e.later(func() { e.discovery.Fetch() }) }
-func (e *effects) Log(s string)  { slog.Info("module", "text", s) }
+// Watch and Fetch are for the whole list, which the instance of the pool main asks for.
+func (e *effects) Watch(on bool) {
+	if e.pool.name == namespace.Main {
+		e.later(func() { e.discovery.Watch(on) })
+	}
+}
+
+func (e *effects) Fetch() {
+	if e.pool.name == namespace.Main {
+		e.later(func() { e.discovery.Fetch() })
+	}
+}
+
+func (e *effects) Log(s string) { slog.Info("module", "text", s) }
 
 // Probe asks a host how loaded it is. One that takes nothing new, and one that is not known any more, is left alone.
 func (e *effects) Probe(server string) {
 	e.later(func() {
-		c := (*Core)(e)
+		c := e.Core
 		began := c.loop.Now()
 		done := func(status brain.Status, load []float64) {
 			if h, i := c.hosts[server], c.opt.Settings.ReportLoad; h != nil && i >= 0 && i < len(load) && load[i] >= 0 {
@@ -75,7 +90,7 @@
 			if tracing() {
 				slog.Debug("probed", "host", server, "status", status.String(), "load", load, "ms", (c.loop.Now()-began)/1e6)
 			}
-			c.decide(nil, func(now brain.Time) { c.module.Probed(now, server, status, now-began, load) })
+			c.tell(nil, e.pool, func(now brain.Time, m Decider) { m.Probed(now, server, status, now-began, load) })
 		}
 		h := c.hosts[server]
 		if c.prober == nil || h == nil || h.state != brain.Ready {
@@ -96,3 +111,17 @@
 		}
 	})
 }
+
+// SetProber gives the core its way to ask hosts how loaded they are.
+func (c *Core) SetProber(p Prober) { c.prober = p }
+
+// SetPeers gives the core its way to the other proxies.
+func (c *Core) SetPeers(p Peers) { c.peers = p }
+
+// PeerTold takes a message from another proxy.
+func (c *Core) PeerTold(from int, data []byte) {
+	c.counts.Heard++
+	for _, p := range c.pools {
+		c.tell(nil, p, func(now brain.Time, m Decider) { m.Peer(now, from, data) })
+	}
+}
--- a/internal/proxy/hand.go
+++ b/internal/proxy/hand.go
@@ -76,7 +76,7 @@
 			c.loop.After(time.Duration(byhand.Doubt), func() { c.certain(h, e.Since) })
 		}
 	}
-	c.decide(nil, func(now brain.Time) { c.module.Members(now, brain.ListByHand, 0, []brain.Entry{e}) })
+	c.tell(nil, h.pool, func(now brain.Time, m Decider) { m.Members(now, brain.ListByHand, 0, []brain.Entry{e}) })
 	c.takeBack()
 	if out {
 		for r := range h.up {
@@ -107,7 +107,7 @@
 	away := h.listed
 	away.State = brain.Suspended
 	back := []brain.Entry{away, h.listed}
-	c.decide(nil, func(now brain.Time) { c.module.Members(now, brain.ListByHand, 0, back) })
+	c.tell(nil, h.pool, func(now brain.Time, m Decider) { m.Members(now, brain.ListByHand, 0, back) })
 }
 
 // Figures is the text of all figures.
@@ -120,7 +120,7 @@
 			continue
 		}
 		n.Hosts++
-		if c.hand.Out(id) || c.module.Avoids(now, id) {
+		if c.hand.Out(id) || h.pool != nil && h.pool.module.Avoids(now, id) {
 			n.Avoided++
 		}
 	}
--- a/internal/proxy/kept.go
+++ b/internal/proxy/kept.go
@@ -62,12 +62,17 @@
 
 // Recall has the module take over what the other process's knew. It comes after Run.
 func (c *Core) Recall(m brain.Memory) {
-	c.decide(nil, func(now brain.Time) { c.module.Recall(now, m) })
+	c.tell(nil, c.main, func(now brain.Time, d Decider) { d.Recall(now, m) })
 }
 
 // Keep is what the next process is to know. With yield, this one gives up its cold budgets.
 func (c *Core) Keep(yield bool) *Kept {
-	k := &Kept{Out: c.hand.All(), Known: c.hand.IDs(), Memory: c.module.Remember(yield)}
+	k := &Kept{Out: c.hand.All(), Known: c.hand.IDs(), Memory: c.main.module.Remember(yield)}
+	for _, p := range c.pools {
+		if p != c.main {
+			k.Memory.Servers = append(k.Memory.Servers, p.module.Remember(yield).Servers...)
+		}
+	}
 	for id, h := range c.hosts {
 		if h.listed.State != brain.Departed {
 			k.Hosts = append(k.Hosts, HostEntry{Entry: h.listed, Endpoint: h.endpoint})
--- a/internal/proxy/list.go
+++ b/internal/proxy/list.go
@@ -23,12 +23,19 @@
 // Listed takes news of the cluster. What is on its way to a host that drains or is gone stops at once, in the queue
 // of dials too: nothing new may go there.
 func (c *Core) Listed(ch Change) {
-	entries := make([]brain.Entry, len(ch.Hosts))
+	entries := map[*pool][]brain.Entry{}
 	named := map[string]bool{}
-	for i, e := range ch.Hosts {
+	for _, e := range ch.Hosts {
+		isNew := c.hosts[e.ID] == nil
 		c.update(e)
-		entries[i], named[e.ID] = e.Entry, true
-		entries[i].State = c.hosts[e.ID].state
+		h := c.hosts[e.ID]
+		if to := c.poolOf(h); isNew {
+			h.pool = to
+		} else if to != h.pool {
+			c.transfer(h, to) // its kind or zone is another than it was
+		}
+		e.Entry.State = h.state
+		entries[h.pool], named[e.ID] = append(entries[h.pool], e.Entry), true
 	}
 	if ch.Kind == brain.ListFull || ch.Kind == brain.ListCached {
 		for id, h := range c.hosts {
@@ -37,7 +44,12 @@
 			}
 		}
 	}
-	c.decide(nil, func(now brain.Time) { c.module.Members(now, ch.Kind, ch.Version, entries) })
+	whole := ch.Kind == brain.ListFull || ch.Kind == brain.ListCached
+	for _, p := range c.pools {
+		if p == c.main || whole || len(entries[p]) > 0 {
+			c.tell(nil, p, func(now brain.Time, m Decider) { m.Members(now, ch.Kind, ch.Version, entries[p]) })
+		}
+	}
 	c.takeBack()
 	if c.keeper != nil && ch.Kind != brain.ListFailed {
 		c.keeper.Listed()
@@ -66,7 +78,7 @@
 }
 
 func (c *Core) newHost(id string) *host {
-	h := &host{id: id, up: map[*Request]struct{}{}, trying: map[*upstreamRequest]struct{}{}}
+	h := &host{id: id, pool: c.main, up: map[*Request]struct{}{}, trying: map[*upstreamRequest]struct{}{}}
 	c.hosts[id] = h
 	return h
 }
--- a/internal/proxy/open.go
+++ b/internal/proxy/open.go
@@ -30,11 +30,18 @@
 		d.Refuse(c.ComeBack())
 		return nil
 	}
-	if refused, after := c.ruled(o.Tenant, o.Class, o.ID); refused && o.At == "" {
-		c.counts.Refused++
-		c.figures.Ended(class, figures.Refused)
-		d.Refuse(after)
-		return nil
+	verdict := c.ruled(o.Tenant, o.Class, &q)
+	var in *pool
+	if o.At == "" {
+		if in = c.choose(verdict.Pools); in == nil && !verdict.Refused {
+			verdict.Refused, verdict.Advice = true, c.ComeBack() // no pool that it may use has a host that it may use
+		}
+		if verdict.Refused {
+			c.counts.Refused++
+			c.figures.Ended(class, figures.Refused)
+			d.Refuse(verdict.Advice)
+			return nil
+		}
 	}
 	q.Class = class
 	if shares {
@@ -45,7 +52,7 @@
 		wait = longest // no client waits longer, whatever it writes, and none may be kept for days
 	}
 	now := c.loop.Now()
-	r := &Request{core: c, down: d, first: first, ask: q, tenant: o.Tenant, deadline: now + int64(wait)}
+	r := &Request{core: c, down: d, first: first, ask: q, pool: in, tenant: o.Tenant, deadline: now + int64(wait)}
 	c.requests[o.ID] = r
 	if o.At != "" {
 		r.adopt(o.At)
@@ -57,12 +64,12 @@
 	}
 	// The module answers by the deadline. Should it not, the client gets its answer all the same.
 	r.overdue = c.loop.After(wait+overdueAfter, r.abandon)
-	c.decide(r, func(now brain.Time) {
+	c.tell(r, in, func(now brain.Time, m Decider) {
 		if r.answered {
 			return
 		}
 		q.Left = r.deadline - now
-		c.module.Request(now, q)
+		m.Request(now, q)
 	})
 	return r
 }
--- /dev/null
+++ b/internal/proxy/pools.go
@@ -0,0 +1,187 @@
+package proxy
+
+import (
+	"log/slog"
+
+	"croftlock/brain"
+	"croftlock/internal/figures"
+	"croftlock/internal/namespace"
+	"croftlock/internal/netio"
+)
+
+// pool is a part of the hosts with an instance of the decision module of its own, which knows of these hosts alone. Without rules that split
+// the hosts there is one, main.
+type pool struct {
+	name   string
+	module Decider
+	over   bool // no version names it any more, and nothing is left in it
+}
+
+// newPool makes a pool's instance of the module.
+func (c *Core) newPool(name string) (*pool, error) {
+	p := &pool{name: name}
+	var err error
+	if p.module, err = c.make(&effects{c, p}); err != nil {
+		return nil, err
+	}
+	c.pools[name] = p
+	return p, nil
+}
+
+// pool gives the pool of that name; "" is none: a host that changes hands is in none, and gets nothing new.
+func (c *Core) pool(name string) *pool {
+	if name == "" {
+		return nil
+	}
+	if p := c.pools[name]; p != nil {
+		return p
+	}
+	p, err := c.newPool(name)
+	if err != nil {
+		slog.Error("pool_failed", "pool", name, "reason", err) // the settings have made one before
+		return nil
+	}
+	slog.Info("pool", "pool", name)
+	return p
+}
+
+// tell has a pool's instance of the module take an event; what belongs to no pool is nobody's.
+func (c *Core) tell(about *Request, p *pool, f func(now brain.Time, m Decider)) {
+	if p == nil || p.over {
+		return
+	}
+	c.decide(about, func(now brain.Time) { f(now, p.module) })
+}
+
+// poolOf is the pool that a host is in by the rules that hold here now.
+func (c *Core) poolOf(h *host) *pool {
+	if c.gate == nil {
+		return c.main
+	}
+	return c.pool(c.gate.Pool(h.id, h.listed.Kind, h.zone))
+}
+
+// choose gives the first of some pools that has a host that may be used; nil: none has.
+func (c *Core) choose(names []string) *pool {
+	if names == nil {
+		return c.main
+	}
+	for _, n := range names {
+		for _, h := range c.hosts {
+			if h.state == brain.Ready && h.pool != nil && h.pool.name == n && c.gate.Usable(h.id) {
+				return h.pool
+			}
+		}
+	}
+	return nil
+}
+
+// Repool puts each host into the pool that it is in by the rules that hold now.
+func (c *Core) Repool() {
+	used := map[string]bool{namespace.Main: true}
+	moved := 0
+	for _, h := range c.hosts {
+		to := c.poolOf(h)
+		if to != nil {
+			used[to.name] = true
+		}
+		if h.pool != to {
+			c.transfer(h, to)
+			moved++
+		}
+	}
+	for _, r := range c.requests {
+		if r.pool != nil {
+			used[r.pool.name] = true
+		}
+	}
+	for name, p := range c.pools {
+		if !used[name] {
+			p.over = true
+			delete(c.pools, name)
+			slog.Info("pool_over", "pool", name)
+		}
+	}
+	if moved > 0 {
+		slog.Info("repooled", "hosts", moved, "pools", len(c.pools))
+	}
+}
+
+// transfer takes a host from one pool to another with its standing connections and what is known of it: quarantine and cold budget go along, since
+// the host is as it was. What has not reached it yet goes elsewhere.
+func (c *Core) transfer(h *host, to *pool) {
+	from := h.pool
+	h.pool = to
+	away := h.listed
+	away.State = brain.Departed
+	if from != nil {
+		m := from.module.Remember(false)
+		h.known = nil
+		for _, s := range m.Servers {
+			if s.ID == h.id {
+				h.known = &s
+			}
+		}
+		c.tell(nil, from, func(now brain.Time, m Decider) { m.Members(now, brain.ListByHand, 0, []brain.Entry{away}) })
+	}
+	if to != nil {
+		here := h.listed
+		here.State = h.state
+		known := h.known
+		c.tell(nil, to, func(now brain.Time, m Decider) {
+			m.Members(now, brain.ListByHand, 0, []brain.Entry{here})
+			if known != nil {
+				m.Recall(now, brain.Memory{Servers: []brain.ServerMemory{*known}})
+			}
+		})
+	}
+	for a := range h.trying {
+		if a.connecting() && !a.req.adopted && a.req.pool == from {
+			a.finish(brain.Full, netio.Dropped)
+		}
+	}
+	for r := range h.up {
+		c.follow(r)
+	}
+}
+
+// follow has an open connection counted where its host is now.
+func (c *Core) follow(r *Request) {
+	a, from := r.out, r.pool
+	if a == nil || !a.up || a.host.pool == from {
+		return
+	}
+	to := a.host.pool
+	number, elapsed := a.number, c.loop.Now()-a.sentAt
+	r.pool, r.base, a.number = to, r.attempts-1, 0
+	c.tell(nil, from, func(now brain.Time, m Decider) { m.Outcome(now, r.ask.ID, number, brain.Cancelled, elapsed, true, nil) })
+	c.tell(nil, to, func(now brain.Time, m Decider) {
+		m.Open(now, r.ask, a.host.id)
+		if a.load > 0 {
+			m.Note(now, r.ask.ID, 0, brain.NoteLoad, a.load)
+		}
+	})
+}
+
+// replace has a request placed anew in another pool: the rules have changed since it came. One that may have run already, and must not run twice,
+// fails, since the other instance of the module knows nothing of that.
+func (c *Core) replace(r *Request, number int, to *pool) {
+	from := r.pool
+	c.tell(r, from, func(now brain.Time, m Decider) { m.Outcome(now, r.ask.ID, number, brain.Moot, 0, true, nil) })
+	if to == nil {
+		r.refuse(c.ComeBack())
+		return
+	}
+	if r.mayRun && c.opt.Settings.Classes[r.ask.Class].Effect != brain.Safe {
+		r.fail(figures.Failed)
+		return
+	}
+	r.pool, r.base = to, r.attempts
+	c.tell(r, to, func(now brain.Time, m Decider) {
+		if !r.answered {
+			q := r.ask
+			q.Left = r.deadline - now
+			m.Request(now, q)
+		}
+	})
+}
--- /dev/null
+++ b/internal/proxy/pools_test.go
@@ -0,0 +1,231 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"croftlock/brain"
+	"croftlock/internal/namespace"
+	"croftlock/internal/netio"
+	"croftlock/internal/rules"
+)
+
+// poolWorld is a core with the real module, hosts of two kinds, and rules that a test changes.
+type poolWorld struct {
+	*world
+	t      *rapid.T
+	gate   *rules.Gate
+	hosts  map[string]HostEntry
+	owner  map[string]string // pool by host, as the rules have it now
+	pools  map[string]string // by tenant
+	tenant map[string]string // by request
+	starts map[string]int
+}
+
+// Start is where the checks are: an attempt goes to a host of its tenant's pool alone.
+func (w *poolWorld) Start(to Target, first First, until int64, within time.Duration, ev UpstreamEvents) Upstream {
+	id := ev.(*upstreamRequest).req.ask.ID
+	w.starts[id]++
+	if got, want := w.owner[to.ID], w.pools[w.tenant[id]]; got != want {
+		w.t.Fatalf("%s of tenant %s goes to %s of pool %q, expected one of %q", id, w.tenant[id], to.ID, got, want)
+	}
+	return w.world.Start(to, first, until, within, ev)
+}
+
+// rule has the core act by a book. kind is which kind of host pool p has; t1 is the tenant of p, t2 has the rest.
+func (w *poolWorld) rule(number uint64, kind string, moving map[string]bool) {
+	b := &namespace.Book{Accounts: []namespace.Account{{Name: "a", Tenants: []string{"t1"}, Pools: []string{"p"}}}, Pools: []namespace.Pool{{Name: "p", Kinds: []string{kind}}}}
+	if moving != nil {
+		b.Was = &namespace.Frame{Accounts: []namespace.Account{{Name: "a", Tenants: []string{"t1"}}}, Pools: []namespace.Pool{{Name: "p", Kinds: []string{map[string]string{"m1": "m2", "m2": "m1"}[kind]}}}}
+	}
+	rules.ActBy(w.gate, &rules.Version{Number: number, Book: b}, w.now+1e12)
+	w.pools = map[string]string{"t1": "p", "t2": namespace.Main}
+	for id, h := range w.hosts {
+		w.owner[id] = namespace.Main
+		if h.Kind == kind {
+			w.owner[id] = "p"
+		}
+		if moving != nil {
+			w.owner[id] = ""
+		}
+	}
+}
+
+// However versions, lists, outcomes and time come together, each request goes to its own pool's hosts alone, gets one answer, and an open
+// connection is known to the instance of the pool that its host is in.
+func TestEachPoolHasItsOwn(t *testing.T) {
+	stood, moved := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := &poolWorld{world: &world{now: 1e18}, t: t, hosts: map[string]HostEntry{}, owner: map[string]string{}, tenant: map[string]string{}, starts: map[string]int{}}
+		w.loop = netio.NewLoopAt(func() int64 { return w.now })
+		w.gate = &rules.Gate{Now: func() int64 { return w.now }, Keep: true}
+		for i, id := range []string{"A", "B", "C", "D"} {
+			w.hosts[id] = HostEntry{Endpoint: "at-" + id, Entry: brain.Entry{ID: id, Weight: 1, Kind: []string{"m1", "m2"}[i%2]}}
+		}
+		cfg := brain.Config{Peers: 1, Tick: 2e6, MaxAttempts: 5, RetryAfter: true, MaxRetryAfter: 2e9, ConnectTimeout: 250e6, ColdFrom: 0.2, WarmUp: 10e9, FallMultiple: 4, Fall: 2e9,
+			QuarantineInit: -1, QuarantineMax: -1, Classes: []brain.Class{{Name: "c", Aim: 800e6, Deadline: 4800e6, MessageAim: 150e6, Effect: brain.Unsafe}}, Tenants: []brain.Tenant{{Name: "t1"}, {Name: "t2"}}}
+		w.core = New(w.loop, w, Options{Sessions: 1000, Settings: cfg})
+		ch := Change{Kind: brain.ListFull}
+		for _, id := range []string{"A", "B", "C", "D"} {
+			ch.Hosts = append(ch.Hosts, w.hosts[id])
+		}
+		if err := w.core.Run(func(fx brain.Effects) (Decider, error) { return brain.New(cfg, 1, fx) }, noDiscovery{}, ch); err != nil {
+			t.Fatal(err)
+		}
+		w.rule(1, "m1", nil)
+		w.core.SetRules(w.gate)
+		kind, number := "m1", uint64(1)
+		for n := range rapid.IntRange(5, 50).Draw(t, "steps") {
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			case 0:
+				kind = map[string]string{"m1": "m2", "m2": "m1"}[kind]
+				number += 2
+				w.rule(number-1, kind, map[string]bool{"p": true})
+				if rapid.Bool().Draw(t, "between") {
+					w.core.Repool()
+				}
+				w.pass(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+				w.rule(number, kind, nil)
+				if rapid.Bool().Draw(t, "at once") { // else requests come before the hosts are put into their pools
+					w.core.Repool()
+				}
+				moved++
+			case 1, 2, 3:
+				id := fmt.Sprint(n)
+				w.tenant[id] = rapid.SampledFrom([]string{"t1", "t2"}).Draw(t, "tenant")
+				w.core.Open(&fakeDown{w.world, id}, &Opening{ID: id, Class: "c", Tenant: w.tenant[id], Wait: time.Second, HasWait: true}, nil)
+			case 4:
+				w.core.Listed(ch)
+			case 7, 8: // its first line is with the host, which is yet to answer
+				if n := len(w.ups); n > 0 {
+					w.ups[n-1].stage = netio.Sent
+				}
+			case 5, 6:
+				if len(w.ups) == 0 {
+					break
+				}
+				u := w.ups[rapid.IntRange(max(0, len(w.ups)-2), len(w.ups)-1).Draw(t, "attempt")]
+				a := u.ev.(*upstreamRequest)
+				before := w.starts[a.req.ask.ID]
+				u.stage = netio.Sent
+				switch rapid.IntRange(0, 2).Draw(t, "end") {
+				case 0:
+					u.ev.FromUpstream(Message{Kind: Busy})
+				case 1:
+					u.ev.FromUpstream(Message{Kind: Receipt})
+				case 2:
+					u.ev.UpstreamEnded(&netio.Error{Stage: netio.Sent}) // it may have run, and must not run twice
+					if !a.up && w.starts[a.req.ask.ID] > before {
+						t.Fatalf("%s may have run and is tried again", a.req.ask.ID)
+					}
+				}
+			}
+			w.pass(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+		}
+		w.core.Repool()
+		for id, r := range w.core.requests {
+			if a := r.out; a != nil && a.up {
+				stood++
+				if r.pool != a.host.pool || a.host.pool.name != w.owner[a.host.id] {
+					t.Fatalf("%s stands at %s of %q and is known to %v", id, a.host.id, w.owner[a.host.id], r.pool)
+				}
+			}
+		}
+		w.pass(6 * time.Second)
+		answers := map[string]int{}
+		for _, s := range w.seen {
+			var id string
+			for _, f := range []string{"serve %s", "refuse %s", "fail %s"} {
+				if n, _ := fmt.Sscanf(s, f, &id); n == 1 {
+					answers[id]++
+				}
+			}
+		}
+		for id := range w.tenant {
+			if answers[id] != 1 {
+				t.Fatalf("%s has %d answers: %v", id, answers[id], w.seen)
+			}
+		}
+	})
+	if stood < 20 || moved < 20 {
+		t.Errorf("%d connections stood and hosts changed pools %d times: too little to show anything", stood, moved)
+	}
+}
+
+// A request that may have run, and must not run twice, is not placed anew in another pool, whose instance of the module knows nothing of that.
+func TestWhatMayHaveRunIsNotPlacedAnew(t *testing.T) {
+	for effect, want := range map[brain.Effect]string{brain.Keyed: "fail r", brain.Safe: "start at-B"} {
+		w := &world{t: t, now: 1e18}
+		w.loop = netio.NewLoopAt(func() int64 { return w.now })
+		gate := &rules.Gate{Now: func() int64 { return w.now }}
+		cfg := brain.Config{Peers: 1, Tick: 2e6, MaxAttempts: 5, ConnectTimeout: 250e6, WarmUp: 10e9, FallMultiple: 4, Fall: 2e9, QuarantineInit: -1, QuarantineMax: -1,
+			Classes: []brain.Class{{Name: "c", Aim: 800e6, Deadline: 4800e6, Effect: effect, Window: 9e9}}, Tenants: []brain.Tenant{{Name: "t"}}}
+		w.core = New(w.loop, w, Options{Sessions: 10, Settings: cfg})
+		host := func(id, kind string) HostEntry {
+			return HostEntry{Endpoint: "at-" + id, Entry: brain.Entry{ID: id, Weight: 1, Kind: kind}}
+		}
+		if err := w.core.Run(func(fx brain.Effects) (Decider, error) { return brain.New(cfg, 1, fx) }, noDiscovery{}, Change{Kind: brain.ListFull, Hosts: []HostEntry{host("A", "m1"), host("C", "m1")}}); err != nil {
+			t.Fatal(err)
+		}
+		rules.ActBy(gate, &rules.Version{Number: 1}, w.now+1e12)
+		w.core.SetRules(gate)
+		w.open("r")
+		w.ups[0].stage = netio.Sent
+		rules.ActBy(gate, &rules.Version{Number: 2, Book: &namespace.Book{Pools: []namespace.Pool{{Name: "p", Kinds: []string{"m2"}}}, Accounts: []namespace.Account{{Name: "a", Tenants: []string{"t"}, Pools: []string{"p"}}}}}, w.now+1e12)
+		w.core.Repool()
+		w.core.Listed(Change{Kind: brain.ListDelta, Hosts: []HostEntry{host("B", "m2")}})
+		w.seen = nil
+		w.ups[0].ev.UpstreamEnded(&netio.Error{Stage: netio.Sent})
+		if got := strings.Join(w.seen, "; "); !strings.Contains(got, want) {
+			t.Errorf("effect %d: %s, expected %q", effect, got, want)
+		}
+	}
+}
+
+// A connection that comes up at a host that has changed pools meanwhile is known to the instance of its new pool, and to no other.
+func TestAConnectionFollowsItsHost(t *testing.T) {
+	w := &poolWorld{world: &world{t: t, now: 1e18}, hosts: map[string]HostEntry{"A": {Entry: brain.Entry{ID: "A", Kind: "m1", Weight: 1}, Endpoint: "at-A"}}, owner: map[string]string{}, tenant: map[string]string{"r": "t1"}, starts: map[string]int{}}
+	w.loop = netio.NewLoopAt(func() int64 { return w.now })
+	w.gate = &rules.Gate{Now: func() int64 { return w.now }}
+	modules := 0
+	w.core = New(w.loop, w, Options{Sessions: 10, Settings: brain.Config{MaxAttempts: 5, ConnectTimeout: 250e6, Classes: []brain.Class{{Name: "c", Deadline: 4800e6}}, Tenants: []brain.Tenant{{Name: "t1"}}}})
+	w.on = func(e string) {
+		if e == "request r" {
+			w.fx.Send("r", "A", 0)
+		}
+	}
+	err := w.core.Run(func(fx brain.Effects) (Decider, error) {
+		modules++
+		w.fx = fx
+		return &namedModule{(*fakeModule)(w.world), fmt.Sprint("module ", modules)}, nil
+	}, noDiscovery{}, Change{Kind: brain.ListFull, Hosts: []HostEntry{w.hosts["A"]}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.rule(1, "m1", nil)
+	w.core.SetRules(w.gate) // A is in p, whose instance is the second
+	r := w.core.Open(&fakeDown{w.world, "r"}, &Opening{ID: "r", Class: "c", Tenant: "t1", Wait: time.Second, HasWait: true}, nil)
+	w.ups[0].stage = netio.Sent
+	w.rule(3, "m2", nil)
+	w.core.Repool()
+	w.seen = nil
+	w.ups[0].ev.FromUpstream(Message{Kind: Receipt})
+	w.expect("serve r", "first r 0", "outcome r 0 6 true", "module 1 opens r")
+	if r.pool != w.core.main {
+		t.Errorf("%+v", r.pool)
+	}
+}
+
+// namedModule is one of several, and says which.
+type namedModule struct {
+	*fakeModule
+	name string
+}
+
+func (m *namedModule) Open(_ brain.Time, q brain.Request, _ string) {
+	m.event("%s opens %s", m.name, q.ID)
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -27,6 +27,9 @@
 	first    First
 	ask      brain.Request
 	tenant   string // as its client named it
+	pool     *pool  // whose instance of the module places it, and after UP the one of its host; nil: its host changes hands
+	base     int    // attempts that were made before that instance was asked
+	mayRun   bool   // an attempt that ended may have run
 	deadline int64
 	overdue  *netio.Timer
 
@@ -59,12 +62,12 @@
 func tracing() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
 
 // send begins an attempt.
-func (c *Core) send(id, server string, timeout brain.Time) {
+func (c *Core) send(p *pool, id, server string, timeout brain.Time) {
 	r := c.requests[id]
-	if r == nil {
+	if r == nil || r.pool != p {
 		return
 	}
-	number := r.attempts
+	number := r.attempts - r.base
 	r.attempts++
 	now := c.loop.Now()
 	until := r.deadline
@@ -73,30 +76,24 @@
 	}
 	h := c.hosts[server]
 	switch {
-	case r.answered, r.out != nil, h == nil, number >= c.opt.Settings.MaxAttempts, now >= r.deadline:
-		c.decide(r, func(now brain.Time) {
-			c.module.Outcome(now, id, number, brain.Moot, 0, r.answered, nil)
-		})
+	case r.answered, r.out != nil, h == nil, r.attempts > c.opt.Settings.MaxAttempts, now >= r.deadline:
+		c.tell(r, p, func(now brain.Time, m Decider) { m.Outcome(now, id, number, brain.Moot, 0, r.answered, nil) })
 		return
 	case h.state != brain.Ready:
 		// The module knows as much; this holds should it ever not.
-		c.decide(r, func(now brain.Time) {
-			c.module.Outcome(now, id, number, brain.Full, 0, false, nil)
-		})
+		c.tell(r, p, func(now brain.Time, m Decider) { m.Outcome(now, id, number, brain.Full, 0, false, nil) })
 		return
 	}
-	refused, passed, after := c.again(r, server)
-	switch {
-	case refused:
-		r.refuse(after)
-		c.decide(r, func(now brain.Time) {
-			c.module.Outcome(now, id, number, brain.Moot, 0, true, nil)
-		})
+	switch v, how := c.again(r, h); how {
+	case refusedNow:
+		r.refuse(v.Advice)
+		c.tell(r, p, func(now brain.Time, m Decider) { m.Outcome(now, id, number, brain.Moot, 0, true, nil) })
+		return
+	case elsewhere:
+		c.replace(r, number, c.choose(v.Pools))
 		return
 	case passed:
-		c.decide(r, func(now brain.Time) {
-			c.module.Outcome(now, id, number, brain.Full, 0, false, nil)
-		})
+		c.tell(r, p, func(now brain.Time, m Decider) { m.Outcome(now, id, number, brain.Full, 0, false, nil) })
 		return
 	}
 	r.start(h, number, until)
@@ -133,7 +130,7 @@
 		r.fail(figures.Failed)
 		return
 	}
-	r.adopted = true
+	r.adopted, r.pool = true, h.pool
 	if c.loop.Now() >= r.deadline {
 		r.fail(figures.Failed)
 		return
@@ -188,9 +185,8 @@
 		return
 	}
 	closed := r.answered || a.up
-	c.decide(r, func(now brain.Time) {
-		c.module.Outcome(now, r.ask.ID, a.number, status, elapsed, closed, a.report)
-	})
+	r.mayRun = r.mayRun || !status.ProvesNotRun()
+	c.tell(r, r.pool, func(now brain.Time, m Decider) { m.Outcome(now, r.ask.ID, a.number, status, elapsed, closed, a.report) })
 	if closed {
 		r.forget()
 	}
--- a/internal/proxy/rules.go
+++ b/internal/proxy/rules.go
@@ -2,34 +2,62 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
+	"croftlock/brain"
+	"croftlock/internal/namespace"
 	"croftlock/internal/rules"
 )
 
 // SetRules gives the core the rules on which the fleet agrees. It is called before clients come.
-func (c *Core) SetRules(g *rules.Gate) { c.gate = g }
+func (c *Core) SetRules(g *rules.Gate) {
+	c.gate = g
+	c.Repool()
+}
 
-// ruled says whether the fleet's rules refuse a request, and logs by which version it was decided.
-func (c *Core) ruled(tenant, class, id string) (refused bool, after time.Duration) {
+// ruled says what the fleet's rules make of a request, and logs by which version it was decided.
+func (c *Core) ruled(tenant, class string, q *brain.Request) (v rules.Verdict) {
 	if c.gate == nil {
-		return false, 0
+		return v
 	}
-	v := c.gate.Judge(tenant, class)
+	v = c.gate.Judge(namespace.Ask{Tenant: tenant, Class: class, Key: q.Key, Group: q.Group, Zone: c.opt.Settings.Zone})
 	if tracing() {
-		slog.Debug("ruled", "request", id, "tenant", tenant, "class", class, "refused", v.Refused, "version", v.Version, "lapsed", v.Lapsed)
+		pool := ""
+		if len(v.Pools) > 0 {
+			pool = v.Pools[0]
+		}
+		slog.Debug("ruled", "request", q.ID, "tenant", tenant, "class", class, "account", v.Account, "route", v.Route, "pool", pool, "refused", v.Refused,
+			"version", v.Version, "lapsed", v.Lapsed)
 	}
 	if !c.opt.Settings.RetryAfter {
 		v.Advice = 0
 	}
-	return v.Refused, min(v.Advice, max(0, time.Duration(c.opt.Settings.MaxRetryAfter)))
+	v.Advice = min(v.Advice, max(0, time.Duration(c.opt.Settings.MaxRetryAfter)))
+	return v
 }
 
+// What the second look at the rules finds.
+const (
+	stillRight = iota
+	refusedNow // the request gets no placement any more
+	elsewhere  // it is another pool's
+	passed     // this host gets nothing new, or is another pool's
+)
+
 // again is the second look, right before an attempt: the process may have slept since the first one, and rules may have changed.
-func (c *Core) again(r *Request, host string) (refused, passed bool, after time.Duration) {
+func (c *Core) again(r *Request, h *host) (v rules.Verdict, how int) {
 	if c.gate == nil || r.adopted {
-		return false, false, 0
+		return v, stillRight
+	}
+	v = c.ruled(r.tenant, c.opt.Settings.Classes[r.ask.Class].Name, &r.ask)
+	switch {
+	case v.Refused:
+		return v, refusedNow
+	case v.Pools != nil && !slices.Contains(v.Pools, r.pool.name), v.Pools == nil && r.pool != c.main:
+		return v, elsewhere
+	case !c.gate.Usable(h.id), c.gate.Pool(h.id, h.listed.Kind, h.zone) != r.pool.name:
+		return v, passed
 	}
-	refused, after = c.ruled(r.tenant, c.opt.Settings.Classes[r.ask.Class].Name, r.ask.ID)
-	return refused, !refused && !c.gate.Usable(host), after
+	return v, stillRight
 }
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -126,7 +126,7 @@
 		if wrong && a.before > 0 {
 			// What was taken for this connection's load was the first delay.
 			a.load = a.before
-			c.decide(nil, func(now brain.Time) { c.module.Note(now, a.req.ask.ID, a.number, brain.NoteLoad, a.before) })
+			c.tell(nil, a.req.pool, func(now brain.Time, m Decider) { m.Note(now, a.req.ask.ID, a.number, brain.NoteLoad, a.before) })
 		} else if a.load < mostDelay {
 			a.load = 0 // it may have been a delay itself
 		}
@@ -136,7 +136,7 @@
 	if tracing() {
 		slog.Debug("told", "request", a.req.ask.ID, "host", a.host.id, "delay", kind == brain.NoteDelay, "value", x)
 	}
-	c.decide(nil, func(now brain.Time) { c.module.Note(now, a.req.ask.ID, a.number, kind, x) })
+	c.tell(nil, a.req.pool, func(now brain.Time, m Decider) { m.Note(now, a.req.ask.ID, a.number, kind, x) })
 }
 
 // watchSessions looks for hosts that have fallen silent and tells the module of slow ones.
@@ -214,8 +214,8 @@
 	d.slow, d.noted = slow, now
 	for r := range h.up {
 		a := r.out
-		c.decide(nil, func(now brain.Time) {
-			c.module.Note(now, r.ask.ID, a.number, brain.NoteDelay, float64(took)/1e6)
+		c.tell(nil, r.pool, func(now brain.Time, m Decider) {
+			m.Note(now, r.ask.ID, a.number, brain.NoteDelay, float64(took)/1e6)
 		})
 		return
 	}
--- a/internal/proxy/standing.go
+++ b/internal/proxy/standing.go
@@ -84,7 +84,7 @@
 		slog.Warn("resumed_odd", "class", s.Class)
 	}
 	q.Class = class
-	r := &Request{core: c, down: down, ask: q, answered: true, attempts: 1}
+	r := &Request{core: c, down: down, ask: q, pool: h.pool, answered: true, attempts: 1}
 	a := &upstreamRequest{req: r, host: h, conn: up, sentAt: c.loop.Now(), up: true, last: s.Last}
 	if s.Load > 0 && !math.IsInf(s.Load, 0) {
 		a.load = s.Load
@@ -97,10 +97,10 @@
 	c.requests[q.ID] = r
 	c.sessions++
 	c.counts.Resumed++
-	c.decide(nil, func(now brain.Time) {
-		c.module.Open(now, q, s.Host)
+	c.tell(nil, r.pool, func(now brain.Time, m Decider) {
+		m.Open(now, q, s.Host)
 		if a.load > 0 {
-			c.module.Note(now, q.ID, 0, brain.NoteLoad, a.load)
+			m.Note(now, q.ID, 0, brain.NoteLoad, a.load)
 		}
 	})
 	if c.hand.Out(h.id) {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -58,13 +58,14 @@
 		slog.Debug("stands", "request", r.ask.ID, "number", a.number, "host", a.host.id, "adopted", r.adopted,
 			"ms", elapsed/1e6)
 	}
-	c.decide(nil, func(now brain.Time) {
+	c.tell(nil, r.pool, func(now brain.Time, m Decider) {
 		if r.adopted {
-			c.module.Open(now, r.ask, a.host.id)
+			m.Open(now, r.ask, a.host.id)
 			return
 		}
-		c.module.First(now, r.ask.ID, a.number, elapsed)
+		m.First(now, r.ask.ID, a.number, elapsed)
 	})
+	c.follow(r) // its host may have changed pools while it was on its way
 }
 
 // pass hands a line of an open connection on and takes note of what it tells.
--- /dev/null
+++ b/internal/rules/allowance.go
@@ -0,0 +1,41 @@
+package rules
+
+import "croftlock/internal/namespace"
+
+// usualChanges is how many changes a minute an account may ask for where nothing else is said. Those that are refused count: whoever
+// sends bad ones without end must not take the keeper's time from others.
+const usualChanges = 600
+
+// allowance is how many changes an account may still ask for.
+type allowance struct {
+	left float64
+	at   Time
+}
+
+// afford takes one from what a key, or the operators, may ask for in an account: nobody spends another's.
+func (k *Keeper) afford(now Time, c *Change) bool {
+	most := float64(usualChanges)
+	if b := k.active.Book; b != nil {
+		for _, a := range b.Accounts {
+			if a.Changes > 0 && namespace.Under(c.Part, a.Name) {
+				most = min(most, float64(a.Changes))
+			}
+		}
+	}
+	whose := string(c.Key) + c.Part
+	a := k.spent[whose]
+	if a == nil {
+		if len(k.spent) >= 4*MostEntries {
+			clear(k.spent)
+		}
+		a = &allowance{left: max(1, most/6), at: now}
+		k.spent[whose] = a
+	}
+	a.left = min(max(1, most/6), a.left+float64(now-a.at)/6e10*most)
+	a.at = now
+	if a.left < 1 {
+		return false
+	}
+	a.left--
+	return true
+}
--- a/internal/rules/ask.go
+++ b/internal/rules/ask.go
@@ -1,29 +1,55 @@
 package rules
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"sort"
 	"strings"
+
+	"croftlock/internal/namespace"
 )
 
 // Kinds of questions to the keeper.
 const (
-	askKeep = 'k'
-	askPut  = 'p'
-	askShow = 's'
+	askKeep    = 'k'
+	askPut     = 'p'
+	askShow    = 's'
+	askHistory = 'h'
+	askRead    = 'r'
 )
 
-// kept is what the group keeps of the rules: what one keeper leaves to the next.
-type kept struct {
-	_              struct{} `cbor:",toarray"`
-	Active, Staged []byte
-}
-
-// proposal is an operator's change, made against a version.
-type proposal struct {
-	_       struct{} `cbor:",toarray"`
-	Against uint64
-	Version []byte // its number counts as Against + 1
+// Asked takes a question.
+func (k *Keeper) Asked(now Time, from uint32, tag uint64, body []byte) {
+	if k.owner == nil || len(body) == 0 {
+		return
+	}
+	answer := func(text string) { k.owner.Answer(from, tag, []byte(text)) }
+	switch body[0] {
+	case askKeep:
+		k.keep(now, from, tag, body[1:])
+	case askPut:
+		k.put(now, answer, body[1:])
+	case askShow:
+		answer(k.show(now))
+	case askHistory:
+		answer(k.history(string(body[1:])))
+	case askRead:
+		var number uint64
+		if decoding().Unmarshal(body[1:], &number) != nil {
+			answer("refused: a number that can't be read")
+			return
+		}
+		if number == 0 {
+			number = k.active.Number
+		}
+		if v := k.read(number); v != nil {
+			answer(v.String())
+		} else {
+			answer(fmt.Sprintf("refused: version %d is not kept any more", number))
+		}
+	default:
+		answer("refused: a question that is not known here")
+	}
 }
 
 // stands says how many may act by the active version, and who can't.
@@ -51,6 +77,9 @@
 	if k.staged != nil {
 		s += fmt.Sprintf("; version %d is on its way", k.staged.Number)
 	}
+	if n := len(k.waiting); n > 0 {
+		s += fmt.Sprintf("; %d changes wait", n)
+	}
 	return s
 }
 
@@ -63,12 +92,53 @@
 	return fmt.Sprintf("%08x", peer)
 }
 
-// Put is the question that proposes a version against the active one.
-func Put(v *Version, against uint64) []byte {
+// IsQuestion tells whether administrators may ask that; what members ask of the keeper is their own.
+func IsQuestion(body []byte) bool {
+	return len(body) > 0 && (body[0] == askPut || body[0] == askShow || body[0] == askHistory || body[0] == askRead)
+}
+
+// Propose is the question that asks for a change. One without an id gets one of what it says, so that the same once more is as once.
+func Propose(c *Change) []byte {
+	c.Name()
+	return append([]byte{askPut}, marshal(c)...)
+}
+
+// Name gives a change that has none an id of what it says.
+func (c *Change) Name() {
+	if len(c.ID) == 0 {
+		h := sha256.Sum256(marshal(c))
+		c.ID = h[:16]
+	}
+}
+
+// Put is the change that puts the operators' part, made against a version.
+func Put(v *Version, against uint64, id []byte) *Change {
 	c := *v
 	c.Number = against + 1
-	return append([]byte{askPut}, marshal(proposal{Against: against, Version: c.Encode()})...)
+	return &Change{ID: id, Kind: ChangeRules, Against: against, Body: c.Encode()}
+}
+
+// PutSpace is the change that puts an account's namespace.
+func PutSpace(s *namespace.Space, against uint64, id []byte) *Change {
+	return &Change{ID: id, Kind: ChangeSpace, Part: s.Account, Against: against, Body: marshal(s)}
+}
+
+// PutAccount is the change that puts an account below another.
+func PutAccount(a *namespace.Account, against uint64, id []byte) *Change {
+	return &Change{ID: id, Kind: ChangeAccount, Part: a.Name, Against: against, Body: marshal(a)}
+}
+
+// Drop is the change that ends an account and all below it.
+func Drop(account string, against uint64, id []byte) *Change {
+	return &Change{ID: id, Kind: DropAccount, Part: account, Against: against}
+}
+
+// Back is the change that puts everything as an earlier version had it.
+func Back(to, against uint64, id []byte) *Change {
+	return &Change{ID: id, Kind: Rollback, Against: against, Body: marshal(to)}
 }
 
-// Show is the question what is active.
-func Show() []byte { return []byte{askShow} }
+// Show is the question what is active, History which changes were made, Read what a version says (0: the active one).
+func Show() []byte                { return []byte{askShow} }
+func History(about string) []byte { return append([]byte{askHistory}, about...) }
+func Read(number uint64) []byte   { return append([]byte{askRead}, marshal(number)...) }
--- /dev/null
+++ b/internal/rules/hands.go
@@ -0,0 +1,46 @@
+package rules
+
+import (
+	"bytes"
+
+	"croftlock/internal/namespace"
+)
+
+// moves tells whether a host or a tenant changes hands between two versions.
+func moves(old, next *Version) bool {
+	frame := func(v *Version) (namespace.Frame, map[string]string) {
+		f, of := namespace.Frame{}, map[string]string{}
+		if v.Book != nil {
+			f = namespace.Frame{Pools: v.Book.Pools, Accounts: v.Book.Accounts}
+		}
+		for _, a := range f.Accounts { // the deepest stands last
+			for _, t := range a.Tenants {
+				of[t] = a.Name
+			}
+		}
+		return f, of
+	}
+	a, had := frame(old)
+	b, has := frame(next)
+	if len(had) != len(has) || !bytes.Equal(marshal(a.Pools), marshal(b.Pools)) {
+		return true
+	}
+	for t, account := range has {
+		if had[t] != account {
+			return true
+		}
+	}
+	return false
+}
+
+// bare is what a frame needs to say whose something was.
+func bare(v *Version) *namespace.Frame {
+	f := &namespace.Frame{}
+	if v.Book != nil {
+		f.Pools = v.Book.Pools
+		for _, a := range v.Book.Accounts {
+			f.Accounts = append(f.Accounts, namespace.Account{Name: a.Name, Tenants: a.Tenants})
+		}
+	}
+	return f
+}
--- a/internal/rules/keeper.go
+++ b/internal/rules/keeper.go
@@ -18,6 +18,7 @@
 type Keeper struct {
 	Within Time
 	Told   func(now Time) // the receiver's part
+	Wall   func() int64   // Unix milliseconds; nil: 0
 
 	owner          jobs.Owner
 	number         uint64
@@ -25,19 +26,24 @@
 	active, staged *Version
 	hash           Hash // of the one staged
 	since          Time // when staged came
+	trail, next    []Entry
+	past           [][]byte
 	noting         func(ok bool)
 	notedAt        Time // when the group was asked to keep it
 	rights         map[uint32]right
 	ready          map[uint32]Hash
 	faults         map[uint32]string
-	asker          func(answer string)
+	waiting        []*pending // changes that no version holds yet
+	made           []*pending // those that staged holds
+	spent          map[string]*allowance
+	turned         []string
 }
 
 // Start goes on from what the keeper before has left.
 func (k *Keeper) Start(now Time, o jobs.Owner, _, number uint64, left []byte) error {
 	k.owner, k.number, k.blind, k.since = o, number, Lapsed(now, k.Within), now
-	k.active, k.staged, k.noting, k.asker = &Version{}, nil, nil, nil
-	k.rights, k.ready, k.faults = map[uint32]right{}, map[uint32]Hash{}, map[uint32]string{}
+	k.active, k.staged, k.noting, k.waiting, k.made, k.trail, k.next, k.past, k.turned = &Version{}, nil, nil, nil, nil, nil, nil, nil, nil
+	k.rights, k.ready, k.faults, k.spent = map[uint32]right{}, map[uint32]Hash{}, map[uint32]string{}, map[string]*allowance{}
 	if len(left) == 0 {
 		return nil
 	}
@@ -54,30 +60,30 @@
 	if err != nil {
 		return fmt.Errorf("rules: what the keeper before left: %w", err)
 	}
+	if err := Sound(s.Trail); err != nil {
+		k.turned, s.Trail = append(k.turned, err.Error()), nil // rules go on without it, and say so
+	}
+	// The staged version's changes are in the trail that was kept with it.
+	k.past, k.next = s.History, s.Trail
+	for k.trail = s.Trail; len(k.trail) > 0 && k.trail[len(k.trail)-1].Number > k.active.Number; {
+		k.trail = k.trail[:len(k.trail)-1]
+	}
 	return nil
 }
 
 // Stop ends the keeper's part. Whoever waits for an answer gets none: it is not known.
 func (k *Keeper) Stop() (uint64, []byte) {
-	left := k.left(k.active, k.staged)
+	left := k.left(k.active, k.staged, k.next, k.past)
 	k.owner = nil
 	k.number++
 	return k.number, left
 }
 
-func (k *Keeper) left(active, staged *Version) []byte {
-	s := kept{Active: active.Encode()}
-	if staged != nil {
-		s.Staged = staged.Encode()
-	}
-	return marshal(s)
-}
-
 // note has a state kept by the group before anybody acts by it.
-func (k *Keeper) note(now Time, active, staged *Version, then func(ok bool)) {
+func (k *Keeper) note(now Time, left []byte, then func(ok bool)) {
 	k.number++
 	k.noting, k.notedAt = then, now
-	if err := k.owner.Note(k.number, k.left(active, staged)); err != nil {
+	if err := k.owner.Note(k.number, left); err != nil {
 		k.noting = nil
 		then(false)
 	}
@@ -92,24 +98,7 @@
 	k.Step(now)
 }
 
-// Asked takes a question.
-func (k *Keeper) Asked(now Time, from uint32, tag uint64, body []byte) {
-	if k.owner == nil || len(body) == 0 {
-		return
-	}
-	answer := func(text string) { k.owner.Answer(from, tag, []byte(text)) }
-	switch body[0] {
-	case askKeep:
-		k.keep(now, from, tag, body[1:])
-	case askPut:
-		k.put(now, answer, body[1:])
-	case askShow:
-		answer(k.show(now))
-	default:
-		answer("refused: a question that is not known here")
-	}
-}
-
+// keep takes a member's question for its right.
 func (k *Keeper) keep(now Time, from uint32, tag uint64, body []byte) {
 	var q keepAsk
 	if decoding().Unmarshal(body, &q) != nil {
@@ -136,43 +125,6 @@
 	k.Step(now)
 }
 
-func (k *Keeper) put(now Time, answer func(string), body []byte) {
-	var p proposal
-	if decoding().Unmarshal(body, &p) != nil {
-		answer("refused: a change that can't be read")
-		return
-	}
-	v, err := Decode(p.Version)
-	if err != nil {
-		answer("refused: " + err.Error())
-		return
-	}
-	switch h := v.Hash(); {
-	case v.Number != p.Against+1:
-		answer(fmt.Sprintf("refused: version %d was made against %d", v.Number, p.Against))
-	case h == k.active.Hash():
-		answer(k.stands(now)) // asked twice is as once
-	case k.staged != nil && h == k.hash:
-		k.asker = answer
-	case k.staged != nil:
-		answer(fmt.Sprintf("refused: version %d is on its way, ask again", k.staged.Number))
-	case p.Against != k.active.Number:
-		answer(fmt.Sprintf("refused: it was made against version %d, and %d is active", p.Against, k.active.Number))
-	case k.noting != nil:
-		answer("refused: another change is being kept, ask again")
-	default:
-		k.note(now, k.active, v, func(ok bool) {
-			if !ok {
-				answer("unknown: the group has not said whether it keeps it; show tells")
-				return
-			}
-			k.staged, k.hash, k.since, k.asker = v, h, now, answer
-			clear(k.faults)
-			k.call()
-		})
-	}
-}
-
 // call has everybody ask at once.
 func (k *Keeper) call() {
 	for _, m := range k.owner.Members() {
@@ -188,7 +140,11 @@
 		k.noting = nil // the word that it is kept may have been lost
 		then(false)
 	}
-	if k.owner == nil || k.staged == nil || k.noting != nil {
+	if k.owner == nil || k.noting != nil {
+		return
+	}
+	if k.staged == nil {
+		k.stage(now)
 		return
 	}
 	late := false
@@ -207,33 +163,8 @@
 		k.drop(now, "refused: not everyone that holds a right has it ready")
 		return
 	}
-	if late || now < k.blind {
-		return
-	}
-	next := k.staged
-	k.note(now, next, nil, func(ok bool) {
-		if !ok {
-			return // the same state is kept at a later step
-		}
-		k.active, k.staged = next, nil
-		k.call()
-		k.tell(k.stands(now))
-	})
-}
-
-func (k *Keeper) drop(now Time, why string) {
-	k.note(now, k.active, nil, func(ok bool) {
-		if ok {
-			k.staged = nil
-			k.tell(why)
-		}
-	})
-}
-
-func (k *Keeper) tell(answer string) {
-	if k.asker != nil {
-		k.asker(answer)
-		k.asker = nil
+	if !late && now >= k.blind {
+		k.activate(now)
 	}
 }
 
--- a/internal/rules/member.go
+++ b/internal/rules/member.go
@@ -123,8 +123,8 @@
 		return false
 	}
 	v, err := Decode(data)
-	if err == nil && m.Most > 0 && len(v.Refuse)+len(v.Out) > m.Most {
-		err = fmt.Errorf("rules: %d entries, this process takes %d", len(v.Refuse)+len(v.Out), m.Most)
+	if err == nil && m.Most > 0 && v.Entries() > m.Most {
+		err = fmt.Errorf("rules: %d entries, this process takes %d", v.Entries(), m.Most)
 	}
 	if err != nil {
 		m.fault, m.faulty = err.Error(), sha256.Sum256(data)
--- a/internal/rules/right.go
+++ b/internal/rules/right.go
@@ -1,8 +1,11 @@
 package rules
 
 import (
+	"fmt"
 	"sync/atomic"
 	"time"
+
+	"croftlock/internal/namespace"
 )
 
 // A right is counted from before it was asked for, on the asker's monotonic clock, less a part for clocks that run apart: one in a hundred
@@ -20,8 +23,10 @@
 	v      *Version
 	refuse map[[2]string]uint32
 	out    map[string]struct{}
+	book   *namespace.Compiled // nil: one pool, and nobody's routes
 }
 
+// compile makes a version ready that Check has let pass.
 func compile(v *Version) *compiled {
 	c := &compiled{v: v, refuse: make(map[[2]string]uint32, len(v.Refuse)), out: make(map[string]struct{}, len(v.Out))}
 	for _, r := range v.Refuse {
@@ -30,6 +35,12 @@
 	for _, h := range v.Out {
 		c.out[h] = struct{}{}
 	}
+	if v.Book != nil {
+		var err error
+		if c.book, err = namespace.Compile(v.Book); err != nil {
+			panic(err) // it was compiled when it was checked
+		}
+	}
 	return c
 }
 
@@ -54,6 +65,8 @@
 	Now  func() Time
 	Keep bool          // a process whose right has lapsed goes by its last version, outside the promise; else it refuses
 	Wait time.Duration // advice to those whom a lapsed right refuses
+	// Clock is the time of day for routes that hold for a part of it; nil: time.Now.
+	Clock func() time.Time
 
 	p atomic.Pointer[acting]
 }
@@ -64,18 +77,66 @@
 	Advice  time.Duration
 	Version uint64 // by which it was given; 0: by none
 	Lapsed  bool   // the right to act by it had ended
+
+	Account, Route string   // whose it is, and the route that decided, with its scope; "": none
+	Pools          []string // in the order in which they are to be tried; nil: there are no pools
 }
 
-// Judge says whether a request may be placed.
-func (g *Gate) Judge(tenant, class string) (v Verdict) {
+// Judge says whether a request may be placed, and where.
+func (g *Gate) Judge(q namespace.Ask) (v Verdict) {
 	a, v := g.look()
 	if a == nil || v.Refused {
 		return v
 	}
-	v.Refused, v.Advice = a.refuses(tenant, class)
+	if v.Refused, v.Advice = a.refuses(q.Tenant, q.Class); v.Refused || a.book == nil {
+		return v
+	}
+	now := time.Now
+	if g.Clock != nil {
+		now = g.Clock
+	}
+	t := now().UTC()
+	q.Minute = 60*t.Hour() + t.Minute()
+	w := a.book.Judge(q)
+	v.Refused, v.Advice, v.Account, v.Pools = w.Refused, w.Advice, w.Account, w.Pools
+	if w.Route != "" {
+		v.Route = namespace.Scoped(w.Scope, w.Route)
+	}
 	return v
 }
 
+// Pool is the pool that a host is in, and whether this process may know: a host that changes hands is in none, "", and without pools all are in one.
+func (g *Gate) Pool(host, kind, zone string) string {
+	if a := g.p.Load(); a != nil && a.book != nil {
+		return a.book.Pool(host, kind, zone)
+	}
+	return namespace.Main
+}
+
+// Explain says what becomes of a request by the version that this process acts by, and why.
+func (g *Gate) Explain(q namespace.Ask) string {
+	a, v := g.look()
+	switch {
+	case a == nil:
+		return "this process acts by no version yet"
+	case v.Lapsed && !g.Keep:
+		return fmt.Sprintf("its right to act by version %d has lapsed: refused", v.Version)
+	}
+	s := fmt.Sprintf("version %d", v.Version)
+	if v.Lapsed {
+		s += ", the last one known"
+	}
+	if refused, _ := a.refuses(q.Tenant, q.Class); refused {
+		return s + "\nrefused by the operators, for its tenant and class"
+	}
+	if a.book == nil {
+		return s + "\nthere are no accounts and no pools: it may go to any host"
+	}
+	t := time.Now().UTC()
+	q.Minute = 60*t.Hour() + t.Minute()
+	return s + "\n" + a.book.Explain(q)
+}
+
 // Usable says whether a host may get something new.
 func (g *Gate) Usable(host string) bool {
 	a, v := g.look()
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"croftlock/internal/jobs"
+	"croftlock/internal/namespace"
 	"croftlock/internal/settings"
 )
 
@@ -114,13 +115,15 @@
 		g.k.Step(g.now)
 		for i := uint32(1); i <= uint32(len(g.m)); i++ {
 			g.m[i].Step(g.clock(i))
-			v := g.m[i].Gate.Judge("t", "c")
+			v := g.m[i].Gate.Judge(anyAsk)
 			g.acts = append(g.acts, act{g.now, i, v.Version, v.Lapsed})
 		}
 	}
 }
 
-func (g *group) put(v *Version, against uint64) { g.k.Asked(g.now, 0, 1, Put(v, against)) }
+func (g *group) put(v *Version, against uint64) {
+	g.k.Asked(g.now, 0, 1, Propose(Put(v, against, nil)))
+}
 
 func (g *group) last() string {
 	if len(g.answers) == 0 {
@@ -150,6 +153,8 @@
 	return most
 }
 
+var anyAsk = namespace.Ask{Tenant: "t", Class: "c"}
+
 var refuseAll = &Version{Refuse: []Refusal{{Advice: 500}}}
 
 func TestAVersionBecomesActiveEverywhere(t *testing.T) {
@@ -160,7 +165,7 @@
 		t.Fatalf("answered %q", g.last())
 	}
 	for i, m := range g.m {
-		if v := m.Gate.Judge("t", "c"); !v.Refused || v.Version != 1 || v.Advice != 500*time.Millisecond || v.Lapsed {
+		if v := m.Gate.Judge(anyAsk); !v.Refused || v.Version != 1 || v.Advice != 500*time.Millisecond || v.Lapsed {
 			t.Errorf("%d: %+v", i, v)
 		}
 	}
@@ -193,7 +198,7 @@
 		if o := g.overlap(); o > within {
 			t.Errorf("%s: two versions side by side for %d ms", name, o/ms)
 		}
-		if v := g.m[3].Gate.Judge("t", "c"); !v.Lapsed || !v.Refused {
+		if v := g.m[3].Gate.Judge(anyAsk); !v.Lapsed || !v.Refused {
 			t.Errorf("%s: it goes on: %+v", name, v)
 		}
 		fault(g, false)
@@ -202,7 +207,7 @@
 			t.Errorf("%s: answered %q", name, g.last())
 		}
 		if name == "both ways" {
-			if v := g.m[3].Gate.Judge("t", "c"); v.Lapsed || v.Version != 1 {
+			if v := g.m[3].Gate.Judge(anyAsk); v.Lapsed || v.Version != 1 {
 				t.Errorf("%s: not healed: %+v", name, v)
 			}
 		}
@@ -217,7 +222,7 @@
 	g.run(200 * ms)
 	g.cut[2] = true
 	g.run(2 * within)
-	if v := g.m[2].Gate.Judge("t", "c"); v.Refused || !v.Lapsed || v.Version != 1 {
+	if v := g.m[2].Gate.Judge(anyAsk); v.Refused || !v.Lapsed || v.Version != 1 {
 		t.Fatalf("%+v", v)
 	}
 	if g.m[2].Gate.Usable("h") || !g.m[2].Gate.Usable("i") {
@@ -280,7 +285,7 @@
 	for _, f := range g.held {
 		f()
 	}
-	if v := g.m[1].Gate.Judge("t", "c"); !v.Lapsed {
+	if v := g.m[1].Gate.Judge(anyAsk); !v.Lapsed {
 		t.Fatalf("a right from an answer %d ms late", 3*within/ms)
 	}
 }
@@ -325,7 +330,7 @@
 	if !strings.HasPrefix(g.last(), "unknown") {
 		t.Fatalf("answered %q", g.last())
 	}
-	if v := g.m[1].Gate.Judge("t", "c"); v.Lapsed || v.Version != 0 || v.Refused {
+	if v := g.m[1].Gate.Judge(anyAsk); v.Lapsed || v.Version != 0 || v.Refused {
 		t.Fatalf("%+v", v)
 	}
 }
--- /dev/null
+++ b/internal/rules/trail.go
@@ -0,0 +1,117 @@
+package rules
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// What the group keeps of the past, within what a job may leave.
+const (
+	mostTrail   = 32       // changes
+	mostHistory = 16       // versions
+	mostKept    = 31 << 10 // bytes of everything
+)
+
+// kept is what the group keeps of the rules: what one keeper leaves to the next.
+type kept struct {
+	_              struct{} `cbor:",toarray"`
+	Active, Staged []byte
+	Trail          []Entry  // the changes that were made, the newest last
+	History        [][]byte // versions that were active, the newest last
+}
+
+// Entry is one change that was made. It is never rewritten: its hash is over the one before, so that one that is missing or altered shows.
+type Entry struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64   // of the version that it made
+	ID     []byte
+	Who    string // "operators", or the account and label of the grant
+	What   string
+	Wall   int64 // Unix milliseconds, at the keeper
+	Hash   []byte
+}
+
+func (e Entry) over(before []byte) []byte {
+	e.Hash = before
+	h := sha256.Sum256(marshal(e))
+	return h[:16]
+}
+
+// follow adds a change to a trail.
+func follow(trail []Entry, e Entry) []Entry {
+	var before []byte
+	if n := len(trail); n > 0 {
+		before = trail[n-1].Hash
+	}
+	e.Hash = e.over(before)
+	out := append(trail[:len(trail):len(trail)], e)
+	return out[max(0, len(out)-mostTrail):]
+}
+
+// Sound tells whether a trail's hashes follow one another; the first one's own past may be gone.
+func Sound(trail []Entry) error {
+	for i := 1; i < len(trail); i++ {
+		if string(trail[i].over(trail[i-1].Hash)) != string(trail[i].Hash) {
+			return fmt.Errorf("rules: the trail is torn at version %d", trail[i].Number)
+		}
+	}
+	return nil
+}
+
+// history writes the trail for people; about narrows it to what begins so, "" to all.
+func (k *Keeper) history(about string) string {
+	var b strings.Builder
+	for _, e := range k.trail {
+		if about != "" && !strings.Contains(e.What+" ", about+" ") && !strings.Contains(e.What, about+"/") {
+			continue
+		}
+		fmt.Fprintf(&b, "version %d  %s  %s  %s  id=%x hash=%s\n", e.Number, time.UnixMilli(e.Wall).UTC().Format(time.RFC3339), e.Who, e.What, e.ID,
+			hex.EncodeToString(e.Hash[:min(4, len(e.Hash))]))
+	}
+	for _, r := range k.turned {
+		if about == "" || strings.Contains(r, about) {
+			b.WriteString(r + "\n")
+		}
+	}
+	if b.Len() == 0 {
+		return "no change is kept"
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+// turn notes a change that was refused: in memory alone, so that refusals push no change out of the trail.
+func (k *Keeper) turn(c *Change, who, why string) {
+	k.turned = append(k.turned, fmt.Sprintf("refused  %s  %s: %s", who, c.about(), why))
+	k.turned = k.turned[max(0, len(k.turned)-mostTrail):]
+}
+
+// read gives an earlier version, or the active one; nil: it is not kept any more.
+func (k *Keeper) read(number uint64) *Version {
+	if number == k.active.Number {
+		return k.active
+	}
+	for _, data := range k.past {
+		if v, err := Decode(data); err == nil && v.Number == number {
+			return v
+		}
+	}
+	return nil
+}
+
+// left is what the group is to keep: as much of the past as there is room for.
+func (k *Keeper) left(active, staged *Version, trail []Entry, past [][]byte) []byte {
+	s := kept{Active: active.Encode(), Trail: trail}
+	if staged != nil {
+		s.Staged = staged.Encode()
+	}
+	for {
+		s.History = past
+		if data := marshal(s); len(data) <= mostKept || len(past) == 0 {
+			return data
+		}
+		past = past[1:]
+	}
+}
--- a/internal/rules/version.go
+++ b/internal/rules/version.go
@@ -8,11 +8,10 @@
 	"fmt"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
-	"croftlock/internal/settings"
+	"croftlock/internal/namespace"
 )
 
 // Time is nanoseconds on the caller's monotonic clock.
@@ -38,6 +37,9 @@
 	Number uint64    `cbor:"1,keyasint"`
 	Refuse []Refusal `cbor:"2,keyasint,omitempty"`
 	Out    []string  `cbor:"3,keyasint,omitempty"` // hosts that get nothing new
+	// Root is the number of the version that changed the operators' own part last; each namespace and account has its own such number.
+	Root uint64          `cbor:"4,keyasint,omitempty"`
+	Book *namespace.Book `cbor:"5,keyasint,omitempty"` // pools, accounts, namespaces; nil: there are none
 }
 
 // Hash tells versions apart.
@@ -53,7 +55,7 @@
 })
 
 var decoding = sync.OnceValue(func() cbor.DecMode {
-	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8, MaxArrayElements: 1024, MaxMapPairs: 16,
+	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 12, MaxArrayElements: 1024, MaxMapPairs: 16,
 		IndefLength: cbor.IndefLengthForbidden, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
 	if err != nil {
 		panic(err)
@@ -93,7 +95,7 @@
 
 // Check says what is wrong with a version.
 func (v *Version) Check() error {
-	if n := len(v.Refuse) + len(v.Out); n > MostEntries {
+	if n := v.Entries(); n > MostEntries {
 		return fmt.Errorf("rules: %d entries, %d are possible", n, MostEntries)
 	}
 	for i, r := range v.Refuse {
@@ -112,7 +114,24 @@
 	if n := len(v.Encode()); n > mostBytes {
 		return fmt.Errorf("rules: %d bytes, %d are possible", n, mostBytes)
 	}
-	return nil
+	if v.Book == nil {
+		return nil
+	}
+	_, err := namespace.Compile(v.Book)
+	return err
+}
+
+// Entries counts what a version holds: refusals, hosts, pools, accounts and routes.
+func (v *Version) Entries() int {
+	n := len(v.Refuse) + len(v.Out)
+	if v.Book != nil {
+		n += len(v.Book.Pools) + len(v.Book.Accounts)
+		for i := range v.Book.Spaces {
+			s := &v.Book.Spaces[i]
+			n += len(s.Guards) + len(s.Routes) + len(s.Defaults)
+		}
+	}
+	return n
 }
 
 func compare(a, b Refusal) int {
@@ -121,27 +140,3 @@
 	}
 	return 0
 }
-
-// Section is what operators write: (refuse LABEL (tenant T) (class C) (advice 2s)) and (out HOST), each as often as wanted.
-func Section() settings.Section {
-	return settings.Section{Name: "rules", Doc: "rules on which all proxies agree", Bind: func(f *settings.Form) any {
-		v := &Version{}
-		f.Each("refuse", "requests that get no placement, under a label that is the operators' own", func(_ string, f *settings.Form) {
-			var r Refusal
-			var advice time.Duration
-			any := func(string) bool { return true }
-			f.Text("tenant", "whose; all where it is left out", "a name", &r.Tenant, any)
-			f.Text("class", "of which class; all where it is left out", "a name", &r.Class, any)
-			f.Duration("advice", "after which its client may come again", &advice, 0, time.Minute)
-			r.Advice = uint32(advice.Milliseconds())
-			v.Refuse = append(v.Refuse, r)
-		})
-		f.Each("out", "a host that gets nothing new", func(host string, _ *settings.Form) { v.Out = append(v.Out, host) })
-		slices.SortFunc(v.Refuse, compare)
-		slices.Sort(v.Out)
-		if err := v.Check(); err != nil {
-			f.Fault("", "%v", err)
-		}
-		return v
-	}}
-}
