One proxy keeps a book of what all hold, and is asked for a host where each sees little

Warm hosts hold 2 to 46 connections, a quarter next to nothing: groups of 50 to 97 go to the first hosts of their order, whoever places them, and each 2 s 100 to 335 connections are shed and come again. Ruled out by builds of their own: slack, places, price of a group, cold hosts a group takes, more lots. Lines at fault: brain/groups.go strange, which knows a balancer's own connections alone.

Change: internal/ledger (book, messages, whom to ask) and brain/ledger.go: the first of four proxies that answers is asked for a host (8 bytes and 8), told of each end (9), and told all again when it begins and every 4 to 12 s. Its instance of the module chooses by the book; the asker takes it if its own list allows, waits 150 ms at most, and is on its own else. Cold budgets are given out in sum.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,6 +49,17 @@
 	movesTo       = 0.8   // and to which
 	movesUnder    = 0.8   // unless the fleet's is more than this: others have no room either
 	mostMoved     = 0.1   // part of a balancer's own that one report moves at most
+	bookWait      = 150e6 // a keeper's answer is waited for so long
+	bookSpread    = 1e9   // over which all tell a keeper that begins what they hold
+	bookAgain     = 8e9   // and how often each does again
+	bookSlack     = 1.15  // load over the mean, and
+	bookCold      = 0.75  // part of what a cold server may get by chance that the keeper gives out
+	freshOver     = 1e10  // time over which the keeper counts fresh requests
+	newPlace      = 1.0   // a group's price where it is new, beyond what it costs the server
+	overFrom      = 4.0   // loads more, from which a server counts as overfull
+	overPays      = 10.0  // and each load over that, beyond itself
+	farPays       = 2.0   // loads that a server in another zone counts as fuller
+	slowPays      = 10.0  // and one that makes messages wait for the shortest aim
 	movePart      = 0.15  // chance that a mean connection is moved off a stalled server, each note
 )
 
--- a/brain/cold.go
+++ b/brain/cold.go
@@ -38,6 +38,9 @@
 	if b.warmth(s) >= 1 {
 		return true
 	}
+	if r.booked {
+		return false // whoever keeps the book has counted what is left
+	}
 	rate := b.coldRate(s) / 1e9
 	s.tokens += rate * float64(b.now-s.tokensAt)
 	s.tokensAt = b.now
--- /dev/null
+++ b/brain/keepers.go
@@ -0,0 +1,160 @@
+package brain
+
+import "croftlock/internal/ledger"
+
+// What is told between a balancer and the one that keeps the book, and what comes of it. Nothing is decided here.
+
+// keepsBook tells whether there is a book to go by: the others can be reached, and each balancer sees little.
+func (b *Brain) keepsBook() bool { return b.cfg.MayTell && b.cfg.Peers > 1 && b.thin() }
+
+// units is a connection's load as messages carry it: the same when it is told and when it is taken back.
+func (b *Brain) units(r *request) int {
+	if r.units == 0 {
+		r.units = max(1, min(127, int(b.turns(r)*ledger.Units+0.5)))
+	}
+	return r.units
+}
+
+// lookForBook says once that a book is kept here, where it is; asks a keeper that may be back whether it is; and tells the one that is asked all that is held
+// here when that is due: what was lost on the way is put right so. Where there is no book to go by nothing is said and nothing drawn.
+func (b *Brain) lookForBook() {
+	if !b.keepsBook() {
+		return
+	}
+	if !b.bookOpen {
+		b.bookOpen, b.epoch = true, byte(b.now/1e8)
+		if b.desk.Keeps(b.cfg.Me) {
+			b.fx.Tell(-1, ledger.Here(b.epoch))
+		}
+	}
+	if b.now >= b.bookDue && b.desk.Told(b.now) {
+		b.tellBook()
+	}
+	if k := b.desk.Look(b.now); k == b.cfg.Me {
+		b.heardBook(k, b.epoch)
+	} else if k >= 0 {
+		b.fx.Tell(k, ledger.Look())
+	}
+}
+
+// bookTold takes a message about the book; false: it is none.
+func (b *Brain) bookTold(from int, data []byte) bool {
+	m, ok := ledger.Read(data)
+	switch {
+	case !ok:
+		return false
+	case m.Ask != nil:
+		id := uint32(0)
+		if s := b.grant(from, *m.Ask); s != nil {
+			id = uint32(s.hash)
+		}
+		b.fx.Tell(from, ledger.Answer(m.Ask.Seq, b.epoch, id))
+	case m.Answer:
+		b.heardBook(from, m.Epoch)
+		b.answered(from, m)
+	case m.Here:
+		b.heardBook(from, m.Epoch)
+	case m.Look:
+		b.fx.Tell(from, ledger.Here(b.epoch))
+	default:
+		if m.All {
+			b.book.Forget(from)
+		}
+		for _, e := range m.Entries {
+			b.book.Count(from, e.Server, e.Group, e.Units)
+		}
+	}
+	return true
+}
+
+// heardBook has all that is held here told to a keeper that does not know it, in a while: all balancers hear of it together.
+func (b *Brain) heardBook(from int, epoch byte) {
+	if b.keepsBook() && b.desk.Heard(from, epoch) {
+		b.bookDue = b.now + Time(bookSpread*b.rng.Float64())
+	}
+}
+
+// answered goes on with the request that the keeper's word is for; what it has granted and is not used is given back.
+func (b *Brain) answered(from int, m ledger.Message) {
+	o := b.desk.Answered(m.Seq)
+	if o == nil {
+		return
+	}
+	r, s := b.requests[o.Request], b.byHash(m.Server)
+	if r == nil || r.closed || !r.waits || o.Late {
+		if m.Server != 0 {
+			b.fx.Tell(from, ledger.Entry{Server: m.Server, Group: o.Group, Units: -o.Units}.Append(nil))
+		}
+		return
+	}
+	r.granted, r.booked, r.waits, r.held, r.waitTo = s, true, false, false, 0
+	b.place(r)
+}
+
+// unanswered notes that a request has waited long enough.
+func (b *Brain) unanswered(r *request) {
+	r.waits, r.waitTo = false, 0
+	b.desk.Missed(b.now, r.ID)
+}
+
+func (b *Brain) byHash(id uint32) *server {
+	for _, s := range b.servers {
+		if uint32(s.hash) == id && id != 0 {
+			return s
+		}
+	}
+	return nil
+}
+
+// tellBook tells the keeper all that is held here.
+func (b *Brain) tellBook() {
+	k := b.desk.Keeper(b.now)
+	b.bookDue = b.now + Time(bookAgain*(0.5+b.rng.Float64()))
+	if k < 0 {
+		return
+	}
+	data, n := ledger.All(), 0
+	for _, s := range b.servers {
+		for _, r := range s.conns {
+			if r.Group == "" || n == ledger.MostEntries {
+				continue
+			}
+			n++
+			data = ledger.Entry{Server: uint32(s.hash), Group: ledger.Group(hash(r.Group)), Units: b.units(r)}.Append(data)
+		}
+	}
+	if k != b.cfg.Me {
+		b.fx.Tell(k, data)
+		return
+	}
+	b.bookTold(k, data)
+}
+
+// holds tells the keeper that a server holds a connection more (1), or less (-1).
+func (b *Brain) holds(s *server, r *request, sign int) {
+	k := b.desk.Keeper(b.now)
+	if r.Group == "" || k < 0 || !b.keepsBook() {
+		return
+	}
+	e := ledger.Entry{Server: uint32(s.hash), Group: ledger.Group(hash(r.Group)), Units: sign * b.units(r)}
+	if k == b.cfg.Me {
+		b.book.Count(k, e.Server, e.Group, e.Units)
+		return
+	}
+	b.fx.Tell(k, e.Append(nil))
+}
+
+// settle puts right what was granted and is not where the connection stands; s is nil where it stands nowhere.
+func (b *Brain) settle(r *request, s *server) {
+	if r.granted == s {
+		r.granted = nil
+		return
+	}
+	if s != nil {
+		b.holds(s, r, 1)
+	}
+	if r.granted != nil {
+		b.holds(r.granted, r, -1)
+	}
+	r.granted = nil
+}
--- /dev/null
+++ b/brain/ledger_test.go
@@ -0,0 +1,206 @@
+package brain
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+)
+
+// tier is balancers that reach one another, late or not at all.
+type tier struct {
+	all    []*fake
+	rng    *rand.Rand
+	now    Time
+	mail   []letter
+	loss   float64
+	dead   map[int]bool // neither sends nor hears
+	bytes  int
+	open   map[string]*fake
+	stood  []string
+	asked  map[string]Time
+	grants map[string][]Time // sends by server
+}
+
+type letter struct {
+	at       Time
+	from, to int
+	data     []byte
+}
+
+// talker is a balancer's effects with messages that arrive.
+type talker struct {
+	*fake
+	t  *tier
+	me int
+}
+
+func (k *talker) Tell(peer int, data []byte) {
+	for to := range k.t.all {
+		if to == k.me || peer >= 0 && to != peer || k.t.dead[k.me] || k.t.dead[to] || k.t.rng.Float64() < k.t.loss {
+			continue
+		}
+		k.t.bytes += len(data)
+		k.t.mail = append(k.t.mail, letter{k.t.now + ms + Time(k.t.rng.Intn(20))*ms, k.me, to, append([]byte(nil), data...)})
+	}
+}
+
+func newTier(t *testing.T, n, servers int, tells bool) *tier {
+	x := &tier{rng: rand.New(rand.NewSource(5)), now: 100 * sec, dead: map[int]bool{}, open: map[string]*fake{}, asked: map[string]Time{}, grants: map[string][]Time{}}
+	for me := range n {
+		x.all = append(x.all, x.begin(t, me, n, servers, tells))
+	}
+	return x
+}
+
+func (x *tier) begin(t *testing.T, me, n, servers int, tells bool) *fake {
+	cfg := settings()
+	cfg.Me, cfg.Peers, cfg.Zones, cfg.MayTell = me, n, []string{"a"}, tells
+	cfg.ColdFrom, cfg.WarmUp, cfg.FallMultiple, cfg.Fall = 0.2, 20*sec, 3, 2*sec
+	cfg.Classes = []Class{{Name: "x", Aim: 800 * ms, Deadline: 4800 * ms, MessageAim: 150 * ms}}
+	cfg.Tenants = []Tenant{{Name: "t", QuotaPerS: 20, Share: 1, QuotaConnections: float64(n)}}
+	f := start(t, cfg, fleet(servers)...)
+	f.b.fx, f.now = &talker{f, x, me}, x.now
+	f.b.rng.Seed(int64(me) + 77)
+	return f
+}
+
+// run lets time go on, in steps, with what arrives in each.
+func (x *tier) run(d Time) {
+	for end := x.now + d; x.now < end; x.now += 5 * ms {
+		mail := x.mail
+		x.mail = nil
+		for _, l := range mail {
+			if l.at > x.now {
+				x.mail = append(x.mail, l)
+			} else if f := x.all[l.to]; !x.dead[l.to] {
+				f.b.Peer(f.now, l.from, l.data)
+			}
+		}
+		for me, f := range x.all {
+			if x.dead[me] {
+				f.now = x.now
+				continue
+			}
+			f.run(x.now - f.now)
+			for _, s := range f.sends {
+				x.grants[s.server] = append(x.grants[s.server], x.now)
+				f.stands(s.req)
+				x.open[s.req], x.stood = f, append(x.stood, s.req)
+				delete(x.asked, s.req)
+			}
+			f.sends = nil
+		}
+	}
+}
+
+// group draws one of 20, of which the first brings a sixth.
+func (x *tier) group() string {
+	return fmt.Sprint("g", int(20*math.Pow(x.rng.Float64(), 2)))
+}
+
+// flow is so many connections a second, each with a life in the mean.
+func (x *tier) flow(d Time, rate, life float64, returned bool) {
+	step := 20 * ms
+	for end := x.now + d; x.now < end; {
+		for n := rate * float64(step) / 1e9; n > 0; n-- {
+			if x.rng.Float64() < n {
+				me := x.rng.Intn(len(x.all))
+				if f := x.all[me]; !x.dead[me] {
+					id := fmt.Sprintf("%x", x.rng.Int63())
+					x.asked[id] = x.now
+					f.b.Request(f.now, Request{ID: id, Tenant: 0, Group: x.group(), Returned: returned, Left: 4800 * ms})
+				}
+			}
+		}
+		for _, id := range x.stood { // in their order: a map's would be another each time
+			if f := x.open[id]; f != nil && x.rng.Float64() < float64(step)/1e9/life {
+				f.ends(id, OK)
+				delete(x.open, id)
+			}
+		}
+		x.stood = slices.DeleteFunc(x.stood, func(id string) bool { return x.open[id] == nil })
+		x.run(step)
+	}
+}
+
+// balance gives the fullest server's connections over the mean, and places of groups at servers.
+func (x *tier) balance() (most float64, places int) {
+	n, held := map[string]int{}, map[string]bool{}
+	for id, f := range x.open {
+		r := f.b.requests[id]
+		n[r.server.id]++
+		held[r.server.id+r.Group] = true
+	}
+	for _, c := range n {
+		most = max(most, float64(c)*float64(len(x.all[0].b.servers))/float64(len(x.open)))
+	}
+	return most, len(held)
+}
+
+// TestTheBookBalancesWhatNobodySees: with a connection or two at each balancer those of a large group all go to the first server of its order; who is asked
+// sees all of them.
+func TestTheBookBalancesWhatNobodySees(t *testing.T) {
+	var most [2]float64
+	var places [2]int
+	for i, tells := range []bool{false, true} {
+		x := newTier(t, 60, 30, tells)
+		x.flow(25*sec, 12, 15, false)
+		most[i], places[i] = x.balance()
+		if len(x.asked) > 3 {
+			t.Errorf("%d requests wait", len(x.asked))
+		}
+	}
+	t.Logf("alone: fullest server %.1f times the mean, %d places; with a book %.1f, %d", most[0], places[0], most[1], places[1])
+	if most[1] > 0.6*most[0] || places[1] > 2*places[0] {
+		t.Errorf("with a book the fullest server has %.1f times the mean and groups %d places, alone %.1f and %d", most[1], places[1], most[0], places[0])
+	}
+}
+
+// TestWithoutTheKeeper: its keeper is gone, and a fifth of all messages is lost. Nobody waits for long, the next one is asked, and what the first one knew
+// comes back to it once it is there again.
+func TestWithoutTheKeeper(t *testing.T) {
+	x := newTier(t, 40, 20, true)
+	x.loss = 0.2
+	x.flow(10*sec, 8, 15, false)
+	x.dead[0] = true
+	x.flow(8*sec, 8, 15, false)
+	moved := 0
+	for me, f := range x.all {
+		if !x.dead[me] && f.b.desk.Keeper(x.now) != 0 {
+			moved++
+		}
+	}
+	if moved < 10 {
+		t.Errorf("%d of 39 balancers ask another keeper", moved)
+	}
+	for id, at := range x.asked {
+		if x.now-at > 3*bookWait {
+			t.Errorf("%s waits for %d ms", id, (x.now-at)/ms)
+		}
+	}
+	x.dead[0] = false
+	x.all[0] = x.begin(t, 0, 40, 20, true)
+	for id, f := range x.open {
+		if f.b.cfg.Me == 0 {
+			delete(x.open, id) // its connections died with it
+		}
+	}
+	x.flow(12*sec, 8, 15, false)
+	back := 0
+	for _, f := range x.all {
+		if f.b.desk.Keeper(x.now) == 0 {
+			back++
+		}
+	}
+	known := 0.0
+	for _, s := range x.all[0].b.servers {
+		n, _, _ := x.all[0].b.book.Load(uint32(s.hash), 0)
+		known += n
+	}
+	t.Logf("%d went on to another keeper, %d came back; the book has %.0f of %d connections", moved, back, known, len(x.open))
+	if back < 38 || math.Abs(known-float64(len(x.open))) > 0.25*float64(len(x.open)) {
+		t.Errorf("%d of 40 ask the first keeper, whose book has %.0f of %d connections", back, known, len(x.open))
+	}
+}
--- a/brain/lists.go
+++ b/brain/lists.go
@@ -101,18 +101,3 @@
 	d := min(limit, max(limit/8*math.Pow(2, float64(min(b.askFails, 8)-1)), askSpread*float64(b.cfg.Peers)))
 	b.fx.After(max(b.cfg.Tick, Time(d*(0.25+0.75*b.rng.Float64()))), "ask")
 }
-
-// measure keeps the weight of the fleet that the rate belongs to: it sinks slowly, since a fleet that has
-// just lost a zone still sees the ends of connections that the whole one bore. It gives the weight as it is
-// now.
-func (b *Brain) measure() float64 {
-	total := 0.0
-	for _, s := range b.servers {
-		if s.state == Ready {
-			total += s.weight
-		}
-	}
-	f := math.Exp(-float64(b.now-b.fleetAt) / float64(2*b.cfg.WarmUp+1))
-	b.fleet, b.fleetAt = max(total, b.fleet*f+total*(1-f)), b.now
-	return total
-}
--- a/brain/outcomes.go
+++ b/brain/outcomes.go
@@ -1,7 +1,5 @@
 package brain
 
-import "math"
-
 // What became of attempts and connections.
 
 // First tells that an attempt's connection stands.
@@ -23,23 +21,6 @@
 	b.stand(r)
 }
 
-func (b *Brain) sample(t float64) {
-	if b.setups == 0 {
-		b.setup, b.setupDev = t, t/2
-	}
-	b.setups++
-	b.sampled = b.now
-	d := t - b.setup
-	b.setup += d / 8
-	b.setupDev += (math.Abs(d) - b.setupDev) / 4
-}
-
-// fade halves recent evidence about every longest aim.
-func (b *Brain) fade() {
-	f := math.Exp(-float64(b.now-b.fadeAt) / float64(2*b.aimLong))
-	b.good, b.bad, b.fadeAt = b.good*f, b.bad*f, b.now
-}
-
 // Outcome tells how an attempt ended. Closed: the request has had its final answer.
 func (b *Brain) Outcome(now Time, id string, attempt int, status Status, elapsed Time, closed bool,
 	load []float64) {
@@ -118,6 +99,7 @@
 		return
 	}
 	r.closed = true
+	b.settle(r, nil)
 	if !r.out {
 		delete(b.requests, id)
 	} else if !r.up && b.cfg.MayCancel {
--- a/brain/requests.go
+++ b/brain/requests.go
@@ -29,55 +29,6 @@
 	}
 }
 
-// take begins to keep a request; nil where its id is known already or its class is not.
-func (b *Brain) take(q Request) *request {
-	if b.requests[q.ID] != nil || q.Class < 0 || q.Class >= len(b.cfg.Classes) {
-		return nil
-	}
-	if q.Tenant < 0 || q.Tenant >= len(b.tenants) {
-		q.Tenant = -1
-	}
-	r := &request{Request: q, cost: b.price(&q)}
-	b.requests[q.ID] = r
-	return r
-}
-
-// price is a connection's expected load, raw; the mean over all makes it turns.
-func (b *Brain) price(q *Request) float64 {
-	c := q.Hint
-	if c <= 0 {
-		c = b.classCost[q.Class]
-	}
-	if c <= 0 {
-		c = b.meanCost
-	}
-	if c <= 0 {
-		return 1
-	}
-	if q.Hint > 0 {
-		b.learn(q.Class, c)
-	}
-	return c
-}
-
-func (b *Brain) learn(class int, c float64) {
-	if b.classCost[class] == 0 {
-		b.classCost[class] = c
-	}
-	b.classCost[class] += (c - b.classCost[class]) / 32
-	if b.meanCost == 0 {
-		b.meanCost = c
-	}
-	b.meanCost += (c - b.meanCost) / 64
-}
-
-func (b *Brain) turns(r *request) float64 {
-	if b.meanCost <= 0 {
-		return 1
-	}
-	return min(8, max(0.125, r.cost/b.meanCost))
-}
-
 // place sends a request to the server whose turn it is, or holds it, or gives its final answer.
 func (b *Brain) place(r *request) {
 	left := r.deadline - b.now - 2*b.cfg.Tick
@@ -97,7 +48,13 @@
 		b.hold(r)
 		return
 	}
-	s := b.pick(r)
+	if b.asks(r) {
+		return
+	}
+	s := b.granted(r)
+	if s == nil {
+		s = b.pick(r)
+	}
 	if s == nil {
 		if r.spare || b.allOut() {
 			b.giveUp(r)
@@ -182,6 +139,9 @@
 		case b.now < r.waitTo:
 			b.hold(r)
 		default:
+			if r.waits {
+				b.unanswered(r)
+			}
 			b.place(r)
 		}
 	}
@@ -191,6 +151,7 @@
 func (b *Brain) giveUp(r *request) {
 	c := &b.cfg.Classes[r.Class]
 	r.closed = true
+	b.settle(r, nil)
 	if r.ranOn != nil && (c.Effect == Unsafe || c.Effect == Keyed && c.Scope != ScopeAll) {
 		b.fx.Fail(r.ID)
 	} else {
--- a/brain/restraint.go
+++ b/brain/restraint.go
@@ -9,6 +9,7 @@
 // nobody.
 func (b *Brain) sweep() {
 	b.fx.After(b.sweepEvery(), "sweep")
+	b.lookForBook()
 	ready := b.measure()
 	dt := float64(b.sweepEvery()) / 1e9
 	var all, stalled [2]float64 // in the own zone, in the others
--- a/brain/stalls.go
+++ b/brain/stalls.go
@@ -6,6 +6,9 @@
 // connection or two, most would learn of a stalled server by sending to it.
 func (b *Brain) Peer(now Time, from int, data []byte) {
 	b.tick(now)
+	if b.bookTold(from, data) {
+		return
+	}
 	readTold(data, func(id uint32, x float64) {
 		for _, s := range b.servers {
 			if uint32(s.hash) == id {
--- a/brain/state.go
+++ b/brain/state.go
@@ -6,6 +6,7 @@
 	"math/rand"
 
 	"croftlock/internal/estimate"
+	"croftlock/internal/ledger"
 )
 
 // What a balancer remembers, and how it begins. Nothing is decided here.
@@ -62,6 +63,11 @@
 	ranAt    Time
 	closed   bool // answered; only outcomes are awaited
 	moved    bool
+	asked    bool    // the keeper of the book for a server
+	waits    bool    // for its answer
+	booked   bool    // it has answered
+	units    int     // its load as messages carry it
+	granted  *server // its answer, until the connection stands
 	spare    bool    // refused by restraint, unless a cold server's budget bears it
 	flow     float64 // how many like it come a second, all balancers together
 }
@@ -111,6 +117,12 @@
 
 	tried, stood float64 // attempts of late, and those that stood, fading
 	triedAt      Time
+	desk         *ledger.Desk
+	book         *ledger.Book
+	bookOpen     bool    // it has been said that a book is kept here
+	bookDue      Time    // when the keeper is to be told all that is held here
+	epoch        byte    // of the book here
+	askedFor     tally   // fresh requests that all balancers ask a server for
 	fleet        float64 // weight of the fleet, sinking slowly
 	fleetAt      Time
 	restraint    float64   // part of the load asked for that is refused, least worth for its work first
@@ -142,7 +154,8 @@
 		}
 	}
 	b := &Brain{cfg: cfg, fx: fx, rng: rand.New(rand.NewSource(seed)), byID: map[string]*server{},
-		zones: map[string]int{}, requests: map[string]*request{}, orders: map[string][]int32{}, started: -1}
+		zones: map[string]int{}, requests: map[string]*request{}, orders: map[string][]int32{}, started: -1,
+		desk: ledger.NewDesk(cfg.Peers), book: ledger.NewBook()}
 	for _, z := range cfg.Zones {
 		b.zoneOf(z)
 	}
@@ -182,6 +195,7 @@
 	s.conns = append(s.conns, r)
 	s.load += r.load
 	b.ups++
+	b.settle(r, s)
 	if r.Tenant >= 0 {
 		b.tenants[r.Tenant]++
 	}
@@ -199,6 +213,7 @@
 	s.conns = s.conns[:last]
 	s.load -= r.load
 	b.ups--
+	b.holds(s, r, -1)
 	b.placed(s, -r.load/max(1, b.meanCost))
 	if last == 0 {
 		s.load = 0
