--- /dev/null
+++ b/internal/rules/group_test.go
@@ -0,0 +1,155 @@
+package rules
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"croftlock/internal/jobs"
+	"croftlock/internal/namespace"
+)
+
+const (
+	ms     = Time(1e6)
+	within = 1000 * ms
+)
+
+// group is a keeper and members whose messages a test may hold up; each has a clock of its own speed.
+type group struct {
+	t       *testing.T
+	now     Time
+	k       *Keeper
+	m       map[uint32]*Member
+	rate    map[uint32]float64
+	cut     map[uint32]bool
+	deaf    map[uint32]bool // hears no answers
+	noNotes bool
+	answers []string
+	notes   []func()
+	left    []byte
+	acts    []act
+	held    []func()
+	hold    bool // answers are held up until release
+}
+
+type act struct {
+	at     Time
+	who    uint32
+	number uint64
+	lapsed bool
+}
+
+func (g *group) Do(to uint32, _ uint64, _ []byte) {
+	if !g.cut[to] {
+		g.m[to].Told(g.clock(to))
+	}
+}
+
+func (g *group) Note(number uint64, left []byte) error {
+	if g.noNotes {
+		return errors.New("no lead")
+	}
+	g.notes = append(g.notes, func() { g.left = left; g.k.Noted(g.now, number, true) })
+	return nil
+}
+
+func (g *group) Answer(to uint32, tag uint64, body []byte) {
+	if to == 0 {
+		g.answers = append(g.answers, string(body))
+		return
+	}
+	if g.cut[to] || g.deaf[to] {
+		return
+	}
+	deliver := func() { g.m[to].Answered(g.clock(to), tag, body) }
+	if g.hold {
+		g.held = append(g.held, deliver)
+		return
+	}
+	deliver()
+}
+
+func (g *group) Members() (all []jobs.Member) {
+	for i := uint32(1); i <= uint32(len(g.m)); i++ {
+		all = append(all, jobs.Member{Name: string(rune('a' + i - 1)), Peer: i, Here: !g.cut[i]})
+	}
+	return all
+}
+
+func (g *group) clock(i uint32) Time { return 5e15 + Time(float64(g.now)*g.rate[i]) }
+
+func newGroup(t *testing.T, n uint32) *group {
+	g := &group{t: t, now: 1e9, m: map[uint32]*Member{}, rate: map[uint32]float64{}, cut: map[uint32]bool{}, deaf: map[uint32]bool{}}
+	g.keeper()
+	for i := uint32(1); i <= n; i++ {
+		g.rate[i] = 1
+		gate := &Gate{Now: func() Time { return g.clock(i) }, Wait: time.Second}
+		g.m[i] = &Member{Within: within, Gate: gate, Ask: func(tag uint64, body []byte) {
+			if !g.cut[i] {
+				g.k.Asked(g.now, i, tag, body)
+			}
+		}}
+	}
+	g.run(2 * within)
+	return g
+}
+
+// keeper begins a new keeper with what the last one has left with the group.
+func (g *group) keeper() {
+	g.k, g.notes = &Keeper{Within: within}, nil
+	if err := g.k.Start(g.now, g, 1, 1, g.left); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+func (g *group) run(d Time) {
+	for end := g.now + d; g.now < end; g.now += 20 * ms {
+		notes := g.notes
+		g.notes = nil
+		for _, f := range notes {
+			f()
+		}
+		g.k.Step(g.now)
+		for i := uint32(1); i <= uint32(len(g.m)); i++ {
+			g.m[i].Step(g.clock(i))
+			v := g.m[i].Gate.Judge(anyAsk)
+			g.acts = append(g.acts, act{g.now, i, v.Version, v.Lapsed})
+		}
+	}
+}
+
+func (g *group) put(v *Version, against uint64) {
+	g.k.Asked(g.now, 0, 1, Propose(Put(v, against, nil)))
+}
+
+func (g *group) last() string {
+	if len(g.answers) == 0 {
+		return ""
+	}
+	return g.answers[len(g.answers)-1]
+}
+
+// overlap is the longest time after the first act by a newer version at which somebody acted by an older one.
+func (g *group) overlap() (most Time) {
+	first := map[uint64]Time{}
+	newest := uint64(0)
+	for _, a := range g.acts {
+		if a.lapsed {
+			continue
+		}
+		if _, seen := first[a.number]; !seen {
+			first[a.number] = a.at
+		}
+		newest = max(newest, a.number)
+		for n := a.number + 1; n <= newest; n++ {
+			if at, seen := first[n]; seen {
+				most = max(most, a.at-at)
+			}
+		}
+	}
+	return most
+}
+
+var anyAsk = namespace.Ask{Tenant: "t", Class: "c"}
+
+var refuseAll = &Version{Refuse: []Refusal{{Advice: 500}}}
