--- a/brain/keepers.go
+++ b/brain/keepers.go
@@ -1,6 +1,10 @@
 package brain
 
-import "croftlock/internal/ledger"
+import (
+	"fmt"
+
+	"croftlock/internal/ledger"
+)
 
 // What is told between a balancer and the one that keeps the book, and what comes of it. Nothing is decided here.
 
@@ -71,6 +75,7 @@
 func (b *Brain) heardBook(from int, epoch byte) {
 	if b.keepsBook() && b.desk.Heard(from, epoch) {
 		b.bookDue = b.now + Time(bookSpread*b.rng.Float64())
+		b.fx.Log(fmt.Sprintf("the book of balancer %d is asked", from))
 	}
 }
 
@@ -94,7 +99,9 @@
 // unanswered notes that a request has waited long enough.
 func (b *Brain) unanswered(r *request) {
 	r.waits, r.waitTo = false, 0
-	b.desk.Missed(b.now, r.ID)
+	if b.desk.Missed(b.now, r.ID); b.desk.Keeper(b.now) < 0 {
+		b.fx.Log("no book answers, on its own")
+	}
 }
 
 func (b *Brain) byHash(id uint32) *server {
--- a/internal/lab/proc.go
+++ b/internal/lab/proc.go
@@ -8,14 +8,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"croftlock/internal/standin"
 )
 
@@ -44,6 +41,10 @@
 	Admin     string // where operators call; "": nowhere
 	Tmp       string // the platform's private folder; "": as this process has it
 	Program   string // "": the one that experiments run
+	// Where it reaches the other proxies of its tier, itself included, its number among them, and where it is reached; none: it has no others.
+	Peers      []string
+	Me         int
+	PeerListen string
 }
 
 // Process is a process that an experiment started.
@@ -103,10 +104,11 @@
 	}
 	config := map[string]any{
 		"name": s.Name, "listen": s.Listen, "admin_addr": s.Admin, "discovery": s.Discovery, "seed": "1f",
-		"limits": map[string]any{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
-		"known":  s.Known,
-		"settings": map[string]any{"peers_total": 1, "discovery": mode,
-			"bounds":   map[string]any{"try_limit": 5, "connect_timeout": int64(s.Connect), "retry_after": true, "max_retry_after": int64(time.Second)},
+		"limits":      map[string]any{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
+		"known":       s.Known,
+		"peer_listen": s.PeerListen, "peers": s.Peers,
+		"settings": map[string]any{"me": s.Me, "peers_total": max(1, len(s.Peers)), "discovery": mode,
+			"bounds":   map[string]any{"may_tell": len(s.Peers) > 0, "try_limit": 5, "connect_timeout": int64(s.Connect), "retry_after": true, "max_retry_after": int64(time.Second)},
 			"contract": map[string]any{"must_ask_in": int64(10 * time.Second)},
 			"lanes": []any{map[string]any{"name": class, "on_time": int64(800 * time.Millisecond), "deadline": int64(s.Deadline),
 				"semantics": "read_like"}}},
@@ -221,65 +223,3 @@
 		return errors.New("it was still there 10 s after SIGTERM")
 	}
 }
-
-// apart gives the process a core of its own and this program the others, so that what stand-ins compute is not taken for
-// a delay of the proxy's. Without cores enough it tells false and changes nothing.
-func (p *Process) apart() bool {
-	var all unix.CPUSet
-	if unix.SchedGetaffinity(0, &all) != nil || all.Count() < 3 {
-		return false
-	}
-	last := 0
-	for i := range 1024 {
-		if all.IsSet(i) {
-			last = i
-		}
-	}
-	var one unix.CPUSet
-	one.Set(last)
-	all.Clear(last)
-	for _, x := range []struct {
-		pid int
-		set *unix.CPUSet
-	}{{p.cmd.Process.Pid, &one}, {os.Getpid(), &all}} {
-		tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", x.pid))
-		for _, t := range tasks {
-			tid, _ := strconv.Atoi(filepath.Base(t))
-			unix.SchedSetaffinity(tid, x.set)
-		}
-	}
-	return true
-}
-
-// CPU is the time that all threads have run, from the scheduler's own count in nanoseconds: the usual one ticks in
-// hundredths of a second.
-func (p *Process) CPU() time.Duration {
-	total := int64(0)
-	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
-	for _, f := range files {
-		data, _ := os.ReadFile(f)
-		if w := strings.Fields(string(data)); len(w) > 0 {
-			n, _ := strconv.ParseInt(w[0], 10, 64)
-			total += n
-		}
-	}
-	return time.Duration(total)
-}
-
-// Memory is what the process holds in memory, in bytes.
-func (p *Process) Memory() int64 {
-	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	for _, l := range strings.Split(string(data), "\n") {
-		if w := strings.Fields(l); len(w) == 3 && w[0] == "VmRSS:" {
-			n, _ := strconv.ParseInt(w[1], 10, 64)
-			return n << 10
-		}
-	}
-	return 0
-}
-
-// Descriptors is how many the process holds.
-func (p *Process) Descriptors() int {
-	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
-	return len(list)
-}
--- a/internal/ledger/desk.go
+++ b/internal/ledger/desk.go
@@ -4,7 +4,8 @@
 	mostKeepers = 4    // balancers that keep a book
 	mostMisses  = 2    // asks in a row without an answer after which the next keeper is asked
 	mostOut     = 256  // asks that are remembered
-	rest        = 3e9  // how long nobody is asked once none has answered
+	rest        = 3e9  // how long nobody is asked once none has answered; twice as long each time
+	mostRests   = 4    // doublings of it: where nobody can be heard at all hardly anything waits
 	lookEvery   = 2e9  // how often an earlier keeper is looked for
 	forgetAfter = 10e9 // when an ask's answer counts for nothing any more
 )
@@ -25,6 +26,7 @@
 	at      int // the one asked now
 	misses  int
 	off     Time // until then nobody is asked
+	rests   int  // in a row
 	looked  Time
 	known   bool // it has answered, and was told all
 	epoch   byte
@@ -93,7 +95,8 @@
 	}
 	d.misses, d.known = 0, false
 	if d.at++; d.at == len(d.keepers) {
-		d.at, d.off = 0, now+rest
+		d.at, d.off = 0, now+rest<<min(d.rests, mostRests)
+		d.rests++
 	}
 }
 
@@ -111,7 +114,7 @@
 		return false
 	}
 	tell = i != d.at || !d.known || epoch != d.epoch
-	d.at, d.misses, d.off, d.known, d.epoch = i, 0, 0, true, epoch
+	d.at, d.misses, d.off, d.rests, d.known, d.epoch = i, 0, 0, 0, true, epoch
 	return tell
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -123,6 +123,20 @@
 	if d.Keeper(now) >= 0 || d.Keeper(now+rest) != 0 {
 		t.Errorf("after all have missed %d is asked, later %d", d.Keeper(now), d.Keeper(now+rest))
 	}
+	off := now + rest
+	for i := range 6 {
+		for range 2 * mostKeepers {
+			d.Missed(off, "r")
+		}
+		next := off + 2*rest<<min(i, mostRests-1)
+		if d.Keeper(next-1) >= 0 || d.Keeper(next) != 0 {
+			t.Errorf("rest %d does not end after %g s", i+2, float64(next-off)/1e9)
+		}
+		off = next
+	}
+	if d.Heard(0, 6); d.Keeper(off-1) != 0 {
+		t.Error("not asked though it is heard")
+	}
 	if n := len(NewDesk(2).keepers); n != 2 {
 		t.Errorf("%d keepers of two balancers", n)
 	}
