--- a/internal/rules/hands_test.go
+++ b/internal/rules/hands_test.go
@@ -56,3 +56,32 @@
 		t.Fatalf("nothing changed hands: %v", first)
 	}
 }
+
+// One that was away for 10,000 versions takes the newest whole, and nothing in between.
+func TestFarBehind(t *testing.T) {
+	g := newGroup(t, 3)
+	g.cut[3] = true
+	g.run(2 * within)
+	for n := range uint64(2000) {
+		g.put(&Version{Out: []string{string(rune('a' + n%26))}}, n)
+		g.run(100 * ms)
+	}
+	if g.k.active.Number != 2000 {
+		t.Fatalf("version %d is active: %s", g.k.active.Number, g.last())
+	}
+	g.k.active.Number, g.k.active.Root = 10_000, 10_000 // as if 8,000 more had come
+	g.acts = nil
+	g.cut[3] = false
+	g.run(2 * within)
+	if n, left := g.m[3].Gate.Acting(); n != 10_000 || left <= 0 {
+		t.Fatalf("acts by %d for %d ms more", n, left/ms)
+	}
+	for _, a := range g.acts {
+		if a.who == 3 && !a.lapsed && a.number != 10_000 {
+			t.Fatalf("acted by %d on its way", a.number)
+		}
+	}
+	if len(g.k.past) > mostHistory || len(g.k.trail) > mostTrail || len(g.left) > mostKept {
+		t.Errorf("%d versions, %d changes, %d bytes are kept", len(g.k.past), len(g.k.trail), len(g.left))
+	}
+}
