Eight balancers may keep the book in place of four

Need: with seven in ten proxies killed, or a zone cut off, four keepers are often all out of reach.

Change: mostKeepers 8.

--- a/internal/ledger/desk.go
+++ b/internal/ledger/desk.go
@@ -1,7 +1,7 @@
 package ledger
 
 const (
-	mostKeepers = 4    // balancers that keep a book
+	mostKeepers = 8    // balancers that keep a book
 	mostMisses  = 2    // asks in a row without an answer after which the next keeper is asked
 	mostOut     = 256  // asks that are remembered
 	rest        = 3e9  // how long nobody is asked once none has answered; twice as long each time
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -87,7 +87,7 @@
 // The first keeper that answers is asked: past the misses the next one, after all nobody for a while, and an earlier one as soon as it is back.
 func TestWhomToAsk(t *testing.T) {
 	d := NewDesk(300)
-	if got := d.keepers; len(got) != 4 || got[0] != 0 || got[1] != 75 || got[3] != 225 {
+	if got := d.keepers; len(got) != 8 || got[0] != 0 || got[1] != 37 || got[7] != 262 {
 		t.Fatalf("keepers %v", got)
 	}
 	if !d.Heard(0, 5) || d.Heard(0, 5) || !d.Heard(0, 6) || !d.Told(1) {
@@ -102,7 +102,7 @@
 		t.Error("one miss between answers moves on")
 	}
 	miss()
-	if d.Keeper(now) != 75 || d.Told(now) {
+	if d.Keeper(now) != 37 || d.Told(now) {
 		t.Errorf("after two misses %d is asked", d.Keeper(now))
 	}
 	if d.Heard(150, 1) {
