--- a/internal/lab/rules.go
+++ b/internal/lab/rules.go
@@ -27,7 +27,7 @@
 		changes, fault bool
 		planted        string
 		lasts          time.Duration
-	}{{"without changes", false, false, "", 20 * time.Second}, {"changes", true, false, "", 40 * time.Second}, {"changes and faults", true, true, "", 120 * time.Second}, {"a right ten times too long", true, true, "lapse", 40 * time.Second}} {
+	}{{"without changes", false, false, "", 20 * time.Second}, {"changes", true, false, "", 40 * time.Second}, {"changes and faults", true, true, "", 120 * time.Second}, {"a right ten times too long", true, true, "lapse", 60 * time.Second}} {
 		a, err := agreeing(e, c.lasts, c.changes, c.fault, c.planted)
 		if err != nil {
 			return fmt.Errorf("%s: %w", c.name, err)
@@ -113,8 +113,8 @@
 		i := rng.IntN(5)
 		switch rng.IntN(3) {
 		case 0:
-			r.Cut(i, true)
-			time.Sleep(time.Duration(300+rng.IntN(1500)) * time.Millisecond)
+			r.Cut(i, true) // also for longer than a right holds
+			time.Sleep(time.Duration(300+rng.IntN(3700)) * time.Millisecond)
 			r.Cut(i, false)
 		case 1:
 			down[i].Store(true)
