Another attempt may use a proxy's own part of a cold host's budget

Need: where the keeper has given its word, a request whose attempt failed could not go to any cold host again, and with all hosts cold it was refused.

Change: the keeper's word binds the first attempt alone.

--- a/brain/cold.go
+++ b/brain/cold.go
@@ -38,7 +38,7 @@
 	if b.warmth(s) >= 1 {
 		return true
 	}
-	if r.booked {
+	if r.booked && r.attempts == 0 {
 		return false // whoever keeps the book has counted what is left
 	}
 	rate := b.coldRate(s) / 1e9
