The book through faults: keepers asleep, killed, deaf, and what is told lost

Need: hard cases of the ledger that no test provoked.

Change: tests alone: in virtual time 40 balancers through seven faults.

--- a/brain/ledger_test.go
+++ b/brain/ledger_test.go
@@ -15,11 +15,13 @@
 	now    Time
 	mail   []letter
 	loss   float64
+	lost   byte         // a kind of message that is lost
 	dead   map[int]bool // neither sends nor hears
 	bytes  int
 	open   map[string]*fake
 	stood  []string
 	asked  map[string]Time
+	by     map[string]int    // who was asked
 	grants map[string][]Time // sends by server
 }
 
@@ -38,7 +40,7 @@
 
 func (k *talker) Tell(peer int, data []byte) {
 	for to := range k.t.all {
-		if to == k.me || peer >= 0 && to != peer || k.t.dead[k.me] || k.t.dead[to] || k.t.rng.Float64() < k.t.loss {
+		if to == k.me || peer >= 0 && to != peer || k.t.dead[k.me] || k.t.dead[to] || data[0] == k.t.lost || k.t.rng.Float64() < k.t.loss {
 			continue
 		}
 		k.t.bytes += len(data)
@@ -47,7 +49,7 @@
 }
 
 func newTier(t *testing.T, n, servers int, tells bool) *tier {
-	x := &tier{rng: rand.New(rand.NewSource(5)), now: 100 * sec, dead: map[int]bool{}, open: map[string]*fake{}, asked: map[string]Time{}, grants: map[string][]Time{}}
+	x := &tier{rng: rand.New(rand.NewSource(5)), now: 100 * sec, dead: map[int]bool{}, open: map[string]*fake{}, asked: map[string]Time{}, by: map[string]int{}, grants: map[string][]Time{}}
 	for me := range n {
 		x.all = append(x.all, x.begin(t, me, n, servers, tells))
 	}
@@ -109,7 +111,7 @@
 				me := x.rng.Intn(len(x.all))
 				if f := x.all[me]; !x.dead[me] {
 					id := fmt.Sprintf("%x", x.rng.Int63())
-					x.asked[id] = x.now
+					x.asked[id], x.by[id] = x.now, me
 					f.b.Request(f.now, Request{ID: id, Tenant: 0, Group: x.group(), Returned: returned, Left: 4800 * ms})
 				}
 			}
--- /dev/null
+++ b/brain/ledgerfault_test.go
@@ -0,0 +1,115 @@
+package brain
+
+import (
+	"math"
+	"testing"
+
+	"croftlock/internal/ledger"
+)
+
+// known is how many connections the first keeper's book has.
+func (x *tier) known() (n float64) {
+	for _, s := range x.all[0].b.servers {
+		held, _, _ := x.all[0].b.book.Load(uint32(s.hash), 0)
+		n += held
+	}
+	return n
+}
+
+// restart has balancers begin anew; their connections die with them.
+func (x *tier) restart(t *testing.T, from, to int) {
+	for me := from; me < to; me++ {
+		x.dead[me] = false
+		x.all[me] = x.begin(t, me, len(x.all), len(x.all[0].b.servers), true)
+	}
+	for id, f := range x.open {
+		if f != x.all[f.b.cfg.Me] {
+			delete(x.open, id)
+		}
+	}
+}
+
+// TestTheBookThroughFaults: whatever happens to keepers and messages, no request waits longer than twice for an answer that does not come, and soon after it
+// the book has what stands again.
+func TestTheBookThroughFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(x *tier)
+		soon  bool // all tell a keeper that begins anew at once
+	}{
+		{"the keeper sleeps for 5 s and wakes up", func(x *tier) {
+			x.dead[0] = true
+			x.flow(5*sec, 8, 60, false)
+			x.dead[0] = false
+		}, false},
+		{"seven in ten are killed at once", func(x *tier) {
+			for me := range 28 {
+				x.dead[me] = true
+			}
+			x.flow(sec, 8, 60, true)
+			x.restart(t, 0, 28)
+		}, true},
+		{"all keepers are killed, one after the other", func(x *tier) {
+			for me := range x.all {
+				if x.all[0].b.desk.Keeps(me) {
+					x.dead[me] = true
+					x.flow(sec/2, 8, 60, false)
+					x.restart(t, me, me+1)
+				}
+			}
+			x.dead[0] = true
+			x.restart(t, 0, 1)
+		}, true},
+		{"nobody hears anybody for 8 s", func(x *tier) {
+			x.loss = 1
+			x.flow(8*sec, 8, 60, false)
+			x.loss = 0
+		}, false},
+		{"half of all messages are lost", func(x *tier) {
+			x.loss = 0.5
+			x.flow(8*sec, 8, 60, false)
+			x.loss = 0
+		}, false},
+		{"what is told is lost, and all else is heard", func(x *tier) {
+			x.lost = ledger.Entry{Server: 1}.Append(nil)[0]
+			x.flow(8*sec, 8, 8, false)
+			x.lost = 0
+		}, false},
+		{"200 ask in the same moment", func(x *tier) {
+			x.flow(20*ms, 10_000, 60, true)
+		}, false},
+	} {
+		x := newTier(t, 40, 20, true)
+		x.flow(8*sec, 8, 60, false)
+		waited := func() {
+			t.Helper()
+			for id, at := range x.asked {
+				if x.now-at > 3*bookWait && !x.dead[x.by[id]] {
+					t.Errorf("%s: one waits for %d ms", c.name, (x.now-at)/ms)
+				}
+			}
+		}
+		c.fault(x)
+		for id := range x.asked {
+			if x.by[id] < 28 {
+				delete(x.asked, id) // it may have died with its balancer
+			}
+		}
+		x.flow(2500*ms, 8, 60, false)
+		waited()
+		if d := math.Abs(x.known() - float64(len(x.open))); c.soon && d > 0.25*float64(len(x.open)) {
+			t.Errorf("%s: 2.5 s later its book has %.0f of %d connections", c.name, x.known(), len(x.open))
+		}
+		x.flow(13*sec, 8, 60, false)
+		waited()
+		back := 0
+		for _, f := range x.all {
+			if f.b.desk.Keeper(x.now) == 0 {
+				back++
+			}
+		}
+		if d := math.Abs(x.known() - float64(len(x.open))); back < 38 || d > 0.08*float64(len(x.open))+2 {
+			t.Errorf("%s: 15 s later %d of 40 ask the first keeper, whose book has %.0f of %d connections", c.name, back, x.known(), len(x.open))
+		}
+	}
+}
