Tests ask again where an answer was lost on the way

Need: the full test run failed once: through links that lose a fifth the answer to a single put was lost, and the test took that for a wrong one.

Change: answered repeats a put until somebody knows; the same once more is as once.

--- a/internal/command/rulesrig_test.go
+++ b/internal/command/rulesrig_test.go
@@ -115,3 +115,15 @@
 	line, _ := bufio.NewReader(c).ReadString('\n')
 	return strings.TrimSpace(line)
 }
+
+// answered is propose until somebody knows: an answer may be lost, or its keeper has just changed. The same once more is as once.
+func answered(t *testing.T, r *lab.Rig, i, against int, text string, more ...string) (got string) {
+	t.Helper()
+	if _, ok := lab.Until(2*ownersPatience, func() bool {
+		got = propose(t, r, i, against, text, more...)
+		return !strings.Contains(got, "unknown") && !strings.Contains(got, "ask again")
+	}); !ok {
+		t.Errorf("against version %d nobody has an answer: %q", against, got)
+	}
+	return got
+}
