--- a/brain/keepers.go
+++ b/brain/keepers.go
@@ -122,11 +122,7 @@
 	}
 	data, n := ledger.All(), 0
 	say := func() {
-		if k == b.cfg.Me {
-			b.bookTold(k, data)
-		} else {
-			b.fx.Tell(k, data)
-		}
+		b.tellKeeper(k, data)
 		data, n = nil, 0
 	}
 	for _, s := range b.servers {
@@ -163,11 +159,16 @@
 		return
 	}
 	e := ledger.Entry{Server: uint32(s.hash), Group: ledger.Group(hash(r.Group)), Units: sign * b.units(r)}
+	b.tellKeeper(k, e.Append(nil))
+}
+
+// tellKeeper brings a message to who keeps the book, which may be this balancer.
+func (b *Brain) tellKeeper(k int, data []byte) {
 	if k == b.cfg.Me {
-		b.book.Count(k, e.Server, e.Group, e.Units)
+		b.bookTold(k, data)
 		return
 	}
-	b.fx.Tell(k, e.Append(nil))
+	b.fx.Tell(k, data)
 }
 
 // settle puts right what was granted and is not where the connection stands; s is nil where it stands nowhere.
--- a/internal/allowance/ask.go
+++ b/internal/allowance/ask.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// Step asks each shard for what its accounts want here, three times in a lapse. One that wants nothing says so: nothing is then kept back for it.
+// Step asks each shard for what its accounts want here, some times in a lapse. One that wants nothing says so: nothing is then kept back for it.
 func (p *Purse) Step() {
 	for shard := range Shards {
 		p.ask(shard, false)
--- a/internal/namespace/index.go
+++ b/internal/namespace/index.go
@@ -126,11 +126,11 @@
 	return nil
 }
 
-// find gives the most specific route that fits; nil: none.
-func (x *index) find(k key, share uint16, minute int) *plan {
+// first gives the first route, the most specific before others, whose conditions a key has and that ok takes; nil: none.
+func (x *index) first(k key, ok func(p *plan) bool) *plan {
 	for _, s := range x.shapes {
-		part, ok := s.of(k)
-		if !ok {
+		part, has := s.of(k)
+		if !has {
 			continue
 		}
 		i, is := x.at[part]
@@ -138,7 +138,7 @@
 			continue
 		}
 		for ; int(i) < len(x.plans) && x.plans[i].key == part; i++ {
-			if p := &x.plans[i]; p.fits(share, minute) {
+			if p := &x.plans[i]; ok(p) {
 				return p
 			}
 		}
@@ -146,27 +146,14 @@
 	return nil
 }
 
+// find gives the most specific route that fits; nil: none.
+func (x *index) find(k key, share uint16, minute int) *plan {
+	return x.first(k, func(p *plan) bool { return p.fits(share, minute) })
+}
+
 // covers gives a route that takes all that fits p; nil: none does alone.
 func (x *index) covers(p *plan) *plan {
-	for _, s := range x.shapes {
-		part, ok := s.of(p.key)
-		if !ok {
-			continue
-		}
-		i, is := x.at[part]
-		if !is {
-			continue
-		}
-		for ; int(i) < len(x.plans) && x.plans[i].key == part; i++ {
-			o := &x.plans[i]
-			if o.shared() && !(p.shared() && o.From <= p.From && p.To <= o.To) {
-				continue
-			}
-			if o.windowed() && !(p.windowed() && o.Begin == p.Begin && o.End == p.End) {
-				continue
-			}
-			return o
-		}
-	}
-	return nil
+	return x.first(p.key, func(o *plan) bool {
+		return (!o.shared() || p.shared() && o.From <= p.From && p.To <= o.To) && (!o.windowed() || p.windowed() && o.Begin == p.Begin && o.End == p.End)
+	})
 }
--- a/internal/proxy/allowed.go
+++ b/internal/proxy/allowed.go
@@ -33,10 +33,7 @@
 			if tracing() {
 				slog.Debug("over_limit", "request", r.ask.ID, "account", account, "of", over)
 			}
-			if !c.opt.Settings.RetryAfter {
-				advice = 0
-			}
-			r.refuse(min(advice, max(0, time.Duration(c.opt.Settings.MaxRetryAfter))))
+			r.refuse(c.advice(advice))
 		case r.answered:
 			c.allow.Release(account) // its client has left meanwhile
 		default:
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -122,10 +122,10 @@
 	up       map[*Request]struct{} // its open connections
 	trying   map[*upstreamRequest]struct{}
 	delay    messageDelay
-	loaded   float64 // as it last told when probed: load over what it can do
-	loadedAt int64   // when that was; 0: never
-	pool     *pool   // nil: it changes hands just now
-	known    *brain.ServerMemory
+	loaded   float64             // as it last told when probed: load over what it can do
+	loadedAt int64               // when that was; 0: never
+	pool     *pool               // nil: it changes hands just now
+	known    *brain.ServerMemory // what its last pool's instance knew of it, until another takes it
 }
 
 // New makes a core. Module and Discovery are set by Run.
@@ -186,10 +186,15 @@
 
 // ComeBack is the advice to a client that there is no room or no time for; 0 where clients read none.
 func (c *Core) ComeBack() time.Duration {
+	return c.advice(comeBack)
+}
+
+// advice is what a client may be told of when to come again, within the settings; 0 where clients read none.
+func (c *Core) advice(after time.Duration) time.Duration {
 	if !c.opt.Settings.RetryAfter {
 		return 0
 	}
-	return min(comeBack, time.Duration(c.opt.Settings.MaxRetryAfter))
+	return min(after, max(0, time.Duration(c.opt.Settings.MaxRetryAfter)))
 }
 
 // Left gives that room back.
--- a/internal/proxy/rules.go
+++ b/internal/proxy/rules.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"slices"
-	"time"
 
 	"croftlock/brain"
 	"croftlock/internal/namespace"
@@ -30,10 +29,7 @@
 		slog.Debug("ruled", "request", q.ID, "tenant", tenant, "class", class, "account", v.Account, "route", v.Route, "pool", pool, "refused", v.Refused,
 			"version", v.Version, "lapsed", v.Lapsed)
 	}
-	if !c.opt.Settings.RetryAfter {
-		v.Advice = 0
-	}
-	v.Advice = min(v.Advice, max(0, time.Duration(c.opt.Settings.MaxRetryAfter)))
+	v.Advice = c.advice(v.Advice)
 	return v
 }
 
--- a/internal/rules/change.go
+++ b/internal/rules/change.go
@@ -172,13 +172,13 @@
 		return err
 	}
 	i, is := space(n.Book.Spaces, c.Part)
+	changed := uint64(0)
 	if is {
-		if err := stale(c.Against, n.Book.Spaces[i].Number, was.Number); err != nil {
-			return err
-		}
+		changed = n.Book.Spaces[i].Number
 		n.Book.Spaces = slices.Delete(n.Book.Spaces, i, i+1)
-	} else if c.Against > was.Number {
-		return stale(c.Against, 0, was.Number)
+	}
+	if err := stale(c.Against, changed, was.Number); err != nil {
+		return err
 	}
 	if s.Number = n.Number; len(s.Guards)+len(s.Routes)+len(s.Defaults) > 0 {
 		n.Book.Spaces = slices.Insert(n.Book.Spaces, i, s)
@@ -195,13 +195,13 @@
 		return fmt.Errorf("a change of account %q that holds %q; those at the top are changed with the rules", c.Part, a.Name)
 	}
 	i, is := account(n.Book.Accounts, a.Name)
+	changed := uint64(0)
 	if is {
-		if err := stale(c.Against, n.Book.Accounts[i].Number, was.Number); err != nil {
-			return err
-		}
+		changed = n.Book.Accounts[i].Number
 		n.Book.Accounts = slices.Delete(n.Book.Accounts, i, i+1)
-	} else if c.Against > was.Number {
-		return stale(c.Against, 0, was.Number)
+	}
+	if err := stale(c.Against, changed, was.Number); err != nil {
+		return err
 	}
 	a.Number = n.Number
 	n.Book.Accounts = slices.Insert(n.Book.Accounts, i, a)
--- a/internal/rules/right.go
+++ b/internal/rules/right.go
@@ -100,12 +100,7 @@
 	if v.Refused, v.Advice = a.refuses(q.Tenant, q.Class); v.Refused || a.book == nil {
 		return v
 	}
-	now := time.Now
-	if g.Clock != nil {
-		now = g.Clock
-	}
-	t := now().UTC()
-	q.Minute = 60*t.Hour() + t.Minute()
+	q.Minute = g.minute()
 	w := a.book.Judge(q)
 	v.Refused, v.Advice, v.Account, v.Pools = w.Refused, w.Advice, w.Account, w.Pools
 	if w.Route != "" {
@@ -114,6 +109,16 @@
 	return v
 }
 
+// minute is the minute of the day, UTC.
+func (g *Gate) minute() int {
+	now := time.Now
+	if g.Clock != nil {
+		now = g.Clock
+	}
+	t := now().UTC()
+	return 60*t.Hour() + t.Minute()
+}
+
 // Limits are an account's by the version that this process acts by, or acted by last, and Limited names all accounts that have some.
 func (g *Gate) Limits(account string) allowance.Limit {
 	if a := g.p.Load(); a != nil {
@@ -179,8 +184,7 @@
 	if a.book == nil {
 		return s + "\nthere are no accounts and no pools: it may go to any host"
 	}
-	t := time.Now().UTC()
-	q.Minute = 60*t.Hour() + t.Minute()
+	q.Minute = g.minute()
 	return s + "\n" + a.book.Explain(q)
 }
 
