Servers that started lately get their part of what a balancer without a book holds

Ruled out: lists (all know the new hosts within a second), the store (few timeouts), refusals (49 of 387), the operators' cold rule (35 sends in a second to one cold host, a build with hundredfold lots, felled none). At fault: lists.go gave a newcomer the place 0 of a rotation that sparse balancers never turn once, so that those of the upper half went first (driver: 83 of 1,200 requests to 40 new servers of 80); rotation.go knew no load but a balancer's own, which says nothing of one server at seven connections over eighty; cold.go reckoned lots by fresh requests alone.

Change: a place of its own in the rotation; first the age (started within four warm-ups, or before), by what is held from here, then the server; a cold server's lots by what fills it within its warm-up as well. What load reports add up to moved to seen.go, which is no policy.

--- a/brain/cold.go
+++ b/brain/cold.go
@@ -94,8 +94,11 @@
 	unused := math.Exp(-(b.fresh/b.rateTau() + b.again.n/seconds) * seconds)
 	rate := b.coldRate(s)
 	if b.usual <= 0 {
-		// No quotas tell how many come: fresh ones as seen here, as flow has it of those like this one.
-		rate = min(b.budget(s), evenMost*s.weight/max(b.fleet, s.weight)) * b.believe(b.fresh, b.rateTau(), 0)
+		// No quotas tell how many come: fresh ones as seen here, as flow has it of those like this one, and
+		// at least as many as would fill it within its warm-up as others of its size are, which it can take.
+		part := s.weight / max(b.fleet, s.weight)
+		rate = min(b.budget(s), evenMost*part) * b.believe(b.fresh, b.rateTau(), 0)
+		rate = max(rate, b.cfg.FallMultiple*b.warmth(s)*part*float64(b.ups)*1e9/float64(b.cfg.WarmUp))
 	}
 	p := luck * unused * rate * float64(b.cfg.Peers) / r.flow
 	return float64(hash(r.ID+s.id)%(1<<20)) < p*(1<<20)
--- a/brain/groups.go
+++ b/brain/groups.go
@@ -33,7 +33,7 @@
 		if o == s || place >= most {
 			break
 		}
-		if (o.zone == s.zone || thin && o.zone%areas == s.zone%areas) && b.warmth(o) >= 1 {
+		if (o.zone == s.zone || thin && o.zone%areas == s.zone%areas) && b.warmth(o) >= 1 && !b.passes(o) {
 			place++
 		}
 	}
--- a/brain/lists.go
+++ b/brain/lists.go
@@ -30,6 +30,7 @@
 		if s == nil {
 			s = &server{id: e.ID, hash: hash(e.ID), since: e.Since, tokensAt: now}
 			s.tokens = b.stagger(s)
+			s.lag = 0.5 - s.tokens // a place of its own in the rotation: many have not come further than that
 			b.byID[e.ID] = s
 			b.servers = append(b.servers, s)
 			added = true
--- a/brain/loads.go
+++ b/brain/loads.go
@@ -55,34 +55,6 @@
 	b.relieve(s)
 }
 
-// survey takes in how loaded the fleet is, and how many mean connections fill one server. The tenants'
-// quotas, in sum, are most of what the fleet can hold; where there are none, all balancers' connections, of
-// which this one holds its part, make up the sum of what the servers tell.
-func (b *Brain) survey() {
-	own, sum, told, all := 0.0, 0.0, 0.0, 0.0
-	for _, s := range b.servers {
-		if s.state != Departed {
-			all++
-		}
-		if s.state == Ready && s.told.Known(b.now) {
-			own += s.load
-			sum += s.told.Now(b.now, 0, 0)
-			told++
-		}
-	}
-	if told > 0 {
-		b.usualLoad = sum / told
-	}
-	if b.standing > 0 {
-		b.full = b.standing / usualPart / quotaPart / max(1, all)
-	} else if own > 0 && sum > 0 {
-		b.full = own / b.meanCost * float64(b.cfg.Peers) / sum
-	}
-}
-
-// loaded is how loaded a server is now; 1 is full.
-func (b *Brain) loaded(s *server) float64 { return s.told.Now(b.now, b.full, b.usualLoad) }
-
 // placed notes load that no report holds yet, in mean connections. The other balancers have the same reports
 // and place by them too: somewhere between nothing and as much each.
 func (b *Brain) placed(s *server, turns float64) {
--- a/brain/rotation.go
+++ b/brain/rotation.go
@@ -8,12 +8,43 @@
 // to.
 func (b *Brain) pick(r *request) *server {
 	cost := b.turns(r)
+	b.among = b.ages(r)
+	s := b.rotate(r, cost, false)
+	if b.among = anyAge; s != nil {
+		return s
+	}
 	if s := b.rotate(r, cost, false); s != nil {
 		return s
 	}
 	return b.rotate(r, cost, true)
 }
 
+// ages tells among which servers a request is placed first: those that have started lately, if they hold less
+// than their part of what is held from here, else those before them. Where traffic is thin that tells nothing
+// of one server, but something of all of an age: each balancer keeps to the part by chance, and so all do.
+func (b *Brain) ages(r *request) int {
+	var load, room [3]float64
+	for _, s := range b.servers {
+		if s.state == Ready {
+			load[b.age(s)] += s.load
+			room[b.age(s)] += s.weight * b.warmth(s)
+		}
+	}
+	if b.reports() || !b.thin() || room[newer] == 0 {
+		return anyAge
+	}
+	all, luck := load[newer]+load[older]+r.cost, float64(hash(r.ID)%1024)/1024
+	if load[newer]+luck*r.cost < all*room[newer]/(room[newer]+room[older]) {
+		return newer
+	}
+	return older
+}
+
+// passes tells whether a server is not of the age that is looked among. A cold one has its own budget.
+func (b *Brain) passes(s *server) bool {
+	return b.among == newer && b.age(s) != newer || b.among == older && b.age(s) != older && b.warmth(s) >= 1
+}
+
 func (b *Brain) rotate(r *request, cost float64, all bool) *server {
 	total, widest, top := 0.0, 0.0, math.Inf(-1)
 	pool := b.scratch[:0]
@@ -79,7 +110,7 @@
 
 // mayTake holds what no fallback sets aside: drains, groups that discard repeats, the cold budget.
 func (b *Brain) mayTake(s *server, r *request, cost float64) bool {
-	if s.state != Ready {
+	if s.state != Ready || b.passes(s) {
 		return false // nothing new to a draining or gone server: at once, well within the grace
 	}
 	if r.ranOn != nil {
--- a/brain/seen.go
+++ b/brain/seen.go
@@ -5,6 +5,8 @@
 // What a balancer has seen of requests and connections: what they ask for, how many come, how long set-ups take.
 // Nothing is decided here.
 
+const anyAge, newer, older = 0, 1, 2
+
 // take begins to keep a request; nil where its id is known already or its class is not.
 func (b *Brain) take(q Request) *request {
 	if b.requests[q.ID] != nil || q.Class < 0 || q.Class >= len(b.cfg.Classes) {
@@ -128,6 +130,14 @@
 	return (n + 1) / (seconds + 1/expected)
 }
 
+// age tells servers that have started lately from those before them.
+func (b *Brain) age(s *server) int {
+	if s.since > 0 && b.now < s.since+youngFor*b.cfg.WarmUp {
+		return newer
+	}
+	return older
+}
+
 // measure keeps the weight of the fleet that the rate belongs to: it sinks slowly, since a fleet that has
 // just lost a zone still sees the ends of connections that the whole one bore. It gives the weight as it is
 // now.
@@ -142,3 +152,31 @@
 	b.fleet, b.fleetAt = max(total, b.fleet*f+total*(1-f)), b.now
 	return total
 }
+
+// survey takes in how loaded the fleet is, and how many mean connections fill one server. The tenants'
+// quotas, in sum, are most of what the fleet can hold; where there are none, all balancers' connections, of
+// which this one holds its part, make up the sum of what the servers tell.
+func (b *Brain) survey() {
+	own, sum, told, all := 0.0, 0.0, 0.0, 0.0
+	for _, s := range b.servers {
+		if s.state != Departed {
+			all++
+		}
+		if s.state == Ready && s.told.Known(b.now) {
+			own += s.load
+			sum += s.told.Now(b.now, 0, 0)
+			told++
+		}
+	}
+	if told > 0 {
+		b.usualLoad = sum / told
+	}
+	if b.standing > 0 {
+		b.full = b.standing / usualPart / quotaPart / max(1, all)
+	} else if own > 0 && sum > 0 {
+		b.full = own / b.meanCost * float64(b.cfg.Peers) / sum
+	}
+}
+
+// loaded is how loaded a server is now; 1 is full.
+func (b *Brain) loaded(s *server) float64 { return s.told.Now(b.now, b.full, b.usualLoad) }
--- a/brain/state.go
+++ b/brain/state.go
@@ -99,6 +99,7 @@
 	fresh     float64 // first tries of late, fading as rate does
 	again     tally   // requests that came again within the window of a fall
 	usual     float64 // fresh connections a second that the settings let expect here; 0: they tell nothing
+	among     int     // scratch: servers of what age are looked among in the pick under way
 	standing  float64 // and open connections, at all balancers
 	left      tally   // weight of servers that have begun to send their clients away
 	started   Time
