--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,7 +19,6 @@
 	quotaPart     = 0.8   // part of what the fleet can hold that all quotas add up to
 	freshLuck     = 0.85  // part of a cold budget that fresh connections get by lot where traffic is thin
 	waveLuck      = 0.5   // and the part for those that come again, all at once
-	evenMost      = 2.0   // even parts that a cold server gets by lot at most, where no quotas are told
 	youngFor      = 4     // warm-ups for which a server counts as one that has started lately
 	groupCost     = 3.0   // mean connections that a group's first costs a server on top
 	areas         = 2     // sets of zones that have servers of their own for a group where traffic is thin
--- a/brain/cold.go
+++ b/brain/cold.go
@@ -95,10 +95,9 @@
 	rate := b.coldRate(s)
 	if b.usual <= 0 {
 		// No quotas tell how many come: fresh ones as seen here, as flow has it of those like this one, and
-		// at least as many as would fill it within its warm-up as others of its size are, which it can take.
-		part := s.weight / max(b.fleet, s.weight)
-		rate = min(b.budget(s), evenMost*part) * b.believe(b.fresh, b.rateTau(), 0)
-		rate = max(rate, b.cfg.FallMultiple*b.warmth(s)*part*float64(b.ups)*1e9/float64(b.cfg.WarmUp))
+		// at least as many as fill it within its warm-up as others of its size are, which it can take.
+		held := float64(b.ups) * 1e9 / float64(b.cfg.WarmUp)
+		rate = b.budget(s) * max(b.believe(b.fresh, b.rateTau(), 0), held)
 	}
 	p := luck * unused * rate * float64(b.cfg.Peers) / r.flow
 	return float64(hash(r.ID+s.id)%(1<<20)) < p*(1<<20)
