Floors: a host gets nothing new once another proxy's newer list says that it drains

internal/floors (book, codec, link; on the members' datagrams, sealed as they are) and proxy/floors.go; section (floors (on on) (source NAME) (within 2s)), off by default. A floor takes a host out and never makes one usable; it ends with a list as new, a later start, or 30 s after a list was last known to say so. One of those that hear tells all, what is news is passed on to three, each asks one other now and then; who stays behind has discovery asked anew, less and less often. Lists of another numbering say nothing; an older whole list does not unsay the one before.

--- /dev/null
+++ b/internal/floors/floors.go
@@ -0,0 +1,243 @@
+// Package floors owns what proxies tell one another of upstream hosts that drain or are gone: a floor under each one's list. A proxy whose own
+// list lags places nothing at a host of which another's newer list says so. A floor only ever takes a host out; hearing of one makes none usable.
+// What is decided here is plain code over values, with time passed in; Link sends and takes the datagrams.
+package floors
+
+import (
+	"maps"
+	"slices"
+)
+
+// Time is nanoseconds on the caller's monotonic clock.
+type Time = int64
+
+// State is what a list says of a host that gets nothing new.
+type State uint8
+
+// The states.
+const (
+	Up State = iota
+	Draining
+	Gone
+)
+
+// Life is how long a floor holds after the list that it is from was last known to say so. Without it a word that was wrong, or of a numbering that
+// began anew, would keep a host out for good.
+const Life = Time(30e9)
+
+const (
+	mostFloors = 4096
+	goneKept   = 2 * Life // for which a host that has left the own list is still told of
+)
+
+// Floor is a list's word on one host.
+type Floor struct {
+	Host  string
+	Boot  int64 // when the host last started, Unix milliseconds: a later start is not meant
+	Rev   int64 // of the list that first said so
+	State State
+	Left  Time // for which the word holds still
+}
+
+// Listed is one host of the own list.
+type Listed struct {
+	Host  string
+	Boot  int64
+	State State
+}
+
+type own struct {
+	boot  int64
+	state State
+	rev   int64 // of the list that brought this state
+	at    Time
+}
+
+type word struct {
+	Floor
+	until, since Time
+}
+
+// Book is what one proxy knows: its own list, and what others' newer ones say.
+type Book struct {
+	rev   int64 // of the own list; under 0: there is none
+	list  map[string]own
+	heard map[string]word
+	said  map[string]int64 // what others have told of late, by hosts, up to which revision
+}
+
+// NewBook knows nothing.
+func NewBook() *Book {
+	return &Book{rev: -1, list: map[string]own{}, heard: map[string]word{}, said: map[string]int64{}}
+}
+
+// Rev is the own list's revision; under 0: there is none.
+func (b *Book) Rev() int64 { return b.rev }
+
+// Forget is for a list that comes from another service from now on: its numbers say nothing beside those before. It gives the hosts that this
+// concerns.
+func (b *Book) Forget() []string {
+	ids := slices.Sorted(maps.Keys(b.heard))
+	*b = *NewBook()
+	return ids
+}
+
+// Listed takes the own list, or a change of it. news is what it says for the first time of hosts that get nothing new, except in a first list:
+// everybody has that from discovery, and nobody is surprised. A whole list that is older than the one before, as an agent may push it after an outage,
+// does not unsay what that one said: it holds as another's word does. changed names hosts of which a floor speaks no more, or speaks now.
+func (b *Book) Listed(now Time, rev int64, whole bool, hosts []Listed) (news []Floor, changed []string) {
+	first := b.rev < 0
+	if !whole && rev < b.rev {
+		return nil, nil // a change of a list that is older than the one held
+	}
+	if rev < b.rev {
+		for id, o := range b.list {
+			if f := (Floor{id, o.boot, o.rev, o.state, Life}); o.state != Up && o.rev > rev && !b.Knows(f) {
+				b.heard[id] = word{f, now + Life, now}
+				changed = append(changed, id)
+			}
+		}
+		clear(b.list) // its revisions are those of a list that holds no longer
+		first = true
+	}
+	named := map[string]bool{}
+	for _, h := range hosts {
+		named[h.Host] = true
+		news = b.put(now, rev, h, news)
+	}
+	for id, o := range b.list {
+		if whole && !named[id] && o.state != Gone {
+			news = b.put(now, rev, Listed{id, o.boot, Gone}, news)
+		} else if o.state == Gone && now-o.at > goneKept {
+			delete(b.list, id)
+		}
+	}
+	b.rev = rev
+	for id, w := range b.heard {
+		if w.Rev <= rev {
+			delete(b.heard, id)
+			changed = append(changed, id)
+		}
+	}
+	slices.Sort(changed)
+	if first {
+		news = nil
+	}
+	return news, changed
+}
+
+func (b *Book) put(now Time, rev int64, h Listed, news []Floor) []Floor {
+	o, had := b.list[h.Host]
+	if had && o.state == h.State && o.boot == h.Boot {
+		return news
+	}
+	if !had && len(b.list) >= mostFloors {
+		return news
+	}
+	b.list[h.Host] = own{h.Boot, h.State, rev, now}
+	if h.State == Up || !had && h.State == Gone {
+		return news
+	}
+	return append(news, Floor{h.Host, h.Boot, rev, h.State, Life})
+}
+
+// Heard takes another's word. changed names the hosts that are out now and were not.
+func (b *Book) Heard(now Time, all []Floor) (changed []string) {
+	for _, f := range all {
+		w, had := b.heard[f.Host]
+		had = had && now < w.until
+		switch {
+		case f.Rev <= b.rev, f.State == Up, f.Left <= 0: // the own list knows better, or nothing is said
+			continue
+		case had && w.Rev > f.Rev:
+			continue
+		case had && w.Rev == f.Rev && w.Boot == f.Boot:
+			w.until = max(w.until, now+min(f.Left, Life))
+			b.heard[f.Host] = w
+			continue
+		case !had && len(b.heard) >= mostFloors:
+			continue
+		}
+		n := word{f, now + min(f.Left, Life), now}
+		if had {
+			n.since = w.since
+		}
+		was := b.Out(now, f.Host, b.list[f.Host].boot)
+		b.heard[f.Host] = n
+		if b.Out(now, f.Host, b.list[f.Host].boot) != was {
+			changed = append(changed, f.Host)
+		}
+	}
+	return changed
+}
+
+// Out tells whether a host that the own list calls usable gets nothing new, by the word of a newer one.
+func (b *Book) Out(now Time, host string, boot int64) bool {
+	w, is := b.heard[host]
+	return is && now < w.until && w.Rev > b.rev && boot <= w.Boot
+}
+
+// Step drops what holds no longer, and names it.
+func (b *Book) Step(now Time) (changed []string) {
+	for id, w := range b.heard {
+		if now >= w.until {
+			delete(b.heard, id)
+			changed = append(changed, id)
+		}
+	}
+	slices.Sort(changed)
+	return changed
+}
+
+// Behind tells since when others have had a newer list than this one, as far as that keeps a host out here; 0: they have not.
+func (b *Book) Behind(now Time) (since Time) {
+	for id, w := range b.heard {
+		if o, is := b.list[id]; is && o.state == Up && b.Out(now, id, o.boot) && (since == 0 || w.since < since) {
+			since = w.since
+		}
+	}
+	return since
+}
+
+// Above is all that is known of hosts that get nothing new by lists newer than rev, sorted by revision: by the own list, and by others' for as long
+// as their word still holds, so that no echo makes it hold longer.
+func (b *Book) Above(now Time, rev int64) []Floor {
+	var all []Floor
+	for id, o := range b.list {
+		if o.state != Up && o.rev > rev && (o.state == Draining || now-o.at <= goneKept) {
+			all = append(all, Floor{id, o.boot, o.rev, o.state, Life})
+		}
+	}
+	for _, w := range b.heard {
+		if w.Rev > rev && now < w.until {
+			f := w.Floor
+			f.Left = w.until - now
+			all = append(all, f)
+		}
+	}
+	slices.SortFunc(all, func(x, y Floor) int {
+		if x.Rev != y.Rev {
+			return int(min(1, max(-1, x.Rev-y.Rev)))
+		}
+		return slices.Compare([]byte(x.Host), []byte(y.Host))
+	})
+	return all
+}
+
+// Knows tells whether another's word as new is known of a host.
+func (b *Book) Knows(f Floor) bool {
+	w, is := b.heard[f.Host]
+	return is && w.Rev >= f.Rev
+}
+
+// note notes what others have told, so that it need not be told once more; wasTold asks for it.
+func (b *Book) note(all []Floor) {
+	for _, f := range all {
+		if len(b.said) >= mostFloors {
+			clear(b.said) // it spares messages, no more
+		}
+		b.said[f.Host] = max(b.said[f.Host], f.Rev)
+	}
+}
+
+func (b *Book) wasTold(f Floor) bool { return b.said[f.Host] >= f.Rev }
--- /dev/null
+++ b/internal/floors/link.go
@@ -0,0 +1,180 @@
+package floors
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Whose marks this package's data among what members carry for one another.
+const Whose = 'f'
+
+// Way is how datagrams get to the other members.
+type Way interface {
+	Carry(peer uint32, whose byte, data []byte)
+	Room() int        // bytes of one
+	Others() []uint32 // that may be there
+}
+
+// Clock gives the time and turns on the loop.
+type Clock interface {
+	Now() Time
+	After(d time.Duration, f func())
+}
+
+const (
+	// spread is the time within which one of those that hear of a change from discovery tells all others: whoever draws the shortest wait. The
+	// others then need not.
+	spread = 100 * time.Millisecond
+	// Each asks one other now and then what it may have missed; a fleet of n asks fifty times a second in all at the most.
+	askEvery = time.Second
+	askEach  = 20 * time.Millisecond
+	// passTo is how many others hear of it from whoever hears something new.
+	passTo = 3
+	// answers and pushes are bounded, whatever is known.
+	mostDatagrams = 16
+	mostBackoff   = 30 * time.Second
+)
+
+// Link sends and takes floors. It belongs to the loop.
+type Link struct {
+	Way    Way
+	Clock  Clock
+	Rand   *rand.Rand
+	Source func() uint32 // whose numbering the own list has now
+	Within time.Duration // a proxy that is behind for so long asks discovery anew
+	Anew   func()
+	// Changed is told of hosts that are out now, or no longer.
+	Changed func(ids []string)
+
+	book    *Book
+	source  uint32
+	pending []Floor // told after a short wait, unless another does
+	waits   bool
+	closed  bool
+	anewAt  Time
+	backoff time.Duration
+	asked   Time
+}
+
+// Run begins; it must be called once.
+func (l *Link) Run() {
+	l.book, l.source, l.backoff = NewBook(), l.Source(), l.Within
+	l.asked = l.Clock.Now() - Time(l.Rand.Int64N(int64(askEvery)))
+	l.turn()
+}
+
+// Close ends it.
+func (l *Link) Close() { l.closed = true }
+
+// List takes the own list, or a change of it, and names hosts that are out now, or no longer.
+func (l *Link) List(rev int64, whole bool, hosts []Listed) []string {
+	var changed []string
+	if s := l.Source(); s != l.source {
+		l.source, l.pending, changed = s, nil, l.book.Forget()
+	}
+	news, ended := l.book.Listed(l.Clock.Now(), rev, whole, hosts)
+	if l.book.Behind(l.Clock.Now()) == 0 {
+		l.backoff, l.anewAt = l.Within, 0
+	}
+	if l.pending = append(l.pending, news...); len(l.pending) > mostFloors {
+		l.pending = l.pending[len(l.pending)-mostFloors:]
+	}
+	if len(l.pending) > 0 && !l.waits {
+		l.waits = true
+		l.Clock.After(time.Duration(l.Rand.Int64N(int64(spread))), l.tell)
+	}
+	return append(changed, ended...)
+}
+
+// Out tells whether a host that the own list calls usable gets nothing new. boot is its start, Unix milliseconds.
+func (l *Link) Out(host string, boot int64) bool { return l.book.Out(l.Clock.Now(), host, boot) }
+
+// tell tells all others what nobody has told meanwhile.
+func (l *Link) tell() {
+	l.waits = false
+	var left []Floor
+	for _, f := range l.pending {
+		if !l.book.wasTold(f) {
+			left = append(left, f)
+		}
+	}
+	if l.pending = nil; l.closed || len(left) == 0 {
+		return
+	}
+	all := tells(l.source, left, l.Way.Room())
+	for _, peer := range l.Way.Others() {
+		for _, data := range all[:min(len(all), mostDatagrams)] {
+			l.Way.Carry(peer, Whose, data)
+		}
+	}
+}
+
+// Take takes a datagram.
+func (l *Link) Take(from uint32, data []byte) {
+	m, err := read(data)
+	if err != nil || l.closed || m.source != l.source {
+		return // of another numbering nothing can be said
+	}
+	now := l.Clock.Now()
+	if m.kind == kindTell {
+		l.book.note(m.floors)
+		changed := l.book.Heard(now, m.floors)
+		l.pass(m.floors, changed)
+		l.tellChanged(changed)
+		return
+	}
+	out := tells(l.source, l.book.Above(now, m.rev), l.Way.Room())
+	for _, data := range out[:min(len(out), mostDatagrams)] {
+		l.Way.Carry(from, Whose, data)
+	}
+	if m.rev > l.book.Rev() && l.book.Rev() >= 0 && now-l.asked >= Time(askEvery)/4 {
+		l.asked = now
+		l.Way.Carry(from, Whose, ask(l.source, l.book.Rev())) // it knows more
+	}
+}
+
+// pass passes on what is news here, to a few by chance: what was lost on its way to some comes to nearly all so.
+func (l *Link) pass(all []Floor, changed []string) {
+	others := l.Way.Others()
+	all = slices.DeleteFunc(slices.Clone(all), func(f Floor) bool { return !slices.Contains(changed, f.Host) })
+	if len(all) == 0 || len(others) == 0 {
+		return
+	}
+	data := tells(l.source, all, l.Way.Room())
+	for range passTo {
+		peer := others[l.Rand.IntN(len(others))]
+		for _, d := range data {
+			l.Way.Carry(peer, Whose, d)
+		}
+	}
+}
+
+// turn asks one other what was missed, drops what has lapsed, and has discovery asked anew where the own list stays behind.
+func (l *Link) turn() {
+	if l.closed {
+		return
+	}
+	l.Clock.After(askEvery/4, l.turn)
+	now := l.Clock.Now()
+	l.tellChanged(l.book.Step(now))
+	others := l.Way.Others()
+	if every := max(askEvery, time.Duration(len(others))*askEach); len(others) > 0 && now-l.asked >= Time(every) {
+		l.asked = now
+		l.Way.Carry(others[l.Rand.IntN(len(others))], Whose, ask(l.source, l.book.Rev()))
+	}
+	since := l.book.Behind(now)
+	if since == 0 || now-max(since, l.anewAt) < Time(l.backoff) {
+		return
+	}
+	slog.Info("list_behind", "rev", l.book.Rev(), "for_ms", (now-since)/1e6)
+	l.anewAt, l.backoff = now, min(2*l.backoff, mostBackoff)
+	l.Anew()
+}
+
+func (l *Link) tellChanged(ids []string) {
+	if len(ids) > 0 && !l.closed {
+		l.Changed(ids)
+	}
+}
--- /dev/null
+++ b/internal/floors/link_test.go
@@ -0,0 +1,193 @@
+package floors
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// world is members with clocks of one time, and faults between them.
+type world struct {
+	now   Time
+	due   turns
+	rng   *rand.Rand
+	links []*Link
+	ways  []*way
+	loss  float64
+	sent  int
+	anew  []int
+}
+
+type turnAt struct {
+	at Time
+	n  int
+	f  func()
+}
+
+type turns []turnAt
+
+func (t turns) Len() int           { return len(t) }
+func (t turns) Less(i, j int) bool { return t[i].at < t[j].at || t[i].at == t[j].at && t[i].n < t[j].n }
+func (t turns) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *turns) Push(x any)        { *t = append(*t, x.(turnAt)) }
+func (t *turns) Pop() any {
+	x := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return x
+}
+
+func (w *world) Now() Time { return w.now }
+func (w *world) After(d time.Duration, f func()) {
+	heap.Push(&w.due, turnAt{w.now + Time(d), w.sent + len(w.due), f})
+}
+
+func (w *world) run(d Time) {
+	for end := w.now + d; ; {
+		if len(w.due) == 0 || w.due[0].at > end {
+			w.now = end
+			return
+		}
+		x := heap.Pop(&w.due).(turnAt)
+		w.now = max(w.now, x.at)
+		x.f()
+	}
+}
+
+type way struct {
+	w   *world
+	me  int
+	cut bool
+}
+
+func (y *way) Room() int { return 200 }
+func (y *way) Others() (out []uint32) {
+	for i := range y.w.links {
+		if i != y.me {
+			out = append(out, uint32(i))
+		}
+	}
+	return out
+}
+
+func (y *way) Carry(peer uint32, whose byte, data []byte) {
+	w := y.w
+	w.sent++
+	if y.cut || w.ways[peer].cut || w.rng.Float64() < w.loss || whose != Whose || len(data) > y.Room() {
+		return
+	}
+	w.After(time.Duration(1+w.rng.IntN(40))*time.Millisecond, func() { w.links[peer].Take(uint32(y.me), data) })
+}
+
+func newWorld(n int, seed uint64) *world {
+	w := &world{now: 100 * sec, rng: rand.New(rand.NewPCG(seed, 2)), anew: make([]int, n)}
+	for i := range n {
+		w.ways = append(w.ways, &way{w: w, me: i})
+		w.links = append(w.links, &Link{Way: w.ways[i], Clock: w, Rand: rand.New(rand.NewPCG(seed, uint64(i))), Within: 2 * time.Second, Source: func() uint32 { return 1 }, Anew: func() { w.anew[i]++ }, Changed: func([]string) {}})
+	}
+	for _, l := range w.links {
+		l.Run()
+		l.List(5, true, []Listed{{"a", 1, Up}, {"b", 1, Up}})
+	}
+	return w
+}
+
+func (w *world) out(host string) (n int) {
+	for _, l := range w.links {
+		if l.Out(host, 1) {
+			n++
+		}
+	}
+	return n
+}
+
+// One alone hears of a change: all others go by it, also with a third of all datagrams lost, and whoever was cut off soon after it is back.
+func TestOneHearsAndAllGoByIt(t *testing.T) {
+	for _, n := range []int{3, 30, 300} {
+		w := newWorld(n, uint64(n))
+		w.loss = 0.33
+		w.ways[n-1].cut = true
+		w.run(2 * sec)
+		w.links[0].List(6, false, []Listed{{"a", 1, Draining}})
+		w.run(200 * 1e6)
+		soon := w.out("a")
+		if soon < (n-2)*9/10 || soon > n-2 {
+			t.Errorf("%d members: %d know within 200 ms, with a third of what is sent lost", n, soon)
+		}
+		w.run(25 * sec) // some rounds of asking
+		if got := w.out("a"); got < (n-2)*99/100 {
+			t.Errorf("%d members: %d know in the end", n, got)
+		}
+		t.Logf("%d members, a third of all lost: %d know within 200 ms, %d of %d later; %d datagrams", n, soon, w.out("a"), n-2, w.sent)
+		w.ways[n-1].cut, w.loss = false, 0
+		w.links[0].List(7, false, []Listed{{"b", 1, Gone}})
+		w.run(200 * 1e6)
+		if got := w.out("b"); got != n-1 {
+			t.Errorf("%d members: %d know of b", n, got)
+		}
+	}
+}
+
+// All hear of the same change within moments, as is usual: one or a few tell, and the rest keep silent.
+func TestFewTellWhatAllHear(t *testing.T) {
+	const n = 300
+	w := newWorld(n, 9)
+	w.run(2 * sec)
+	before := w.sent
+	for _, l := range w.links {
+		w.After(time.Duration(w.rng.IntN(20))*time.Millisecond, func() { l.List(6, false, []Listed{{"a", 1, Draining}}) })
+	}
+	w.run(sec / 2)
+	if told := w.sent - before; told > n*n/3 {
+		t.Errorf("%d datagrams", told)
+	} else {
+		t.Logf("%d datagrams where %d would tell all", told, n*(n-1))
+	}
+	if w.out("a") > 0 {
+		t.Error("a floor under a list that is as new")
+	}
+}
+
+// A proxy that stays behind asks discovery anew, and less and less often while that does not help; one whose list catches up asks no more.
+func TestOneThatIsBehindAsksAnew(t *testing.T) {
+	w := newWorld(3, 5)
+	w.links[0].List(6, false, []Listed{{"a", 1, Gone}})
+	w.run(60 * sec)
+	if w.anew[0] > 0 || w.anew[1] < 3 || w.anew[1] > 6 {
+		t.Errorf("asked anew: %v", w.anew)
+	}
+	w.links[1].List(6, false, []Listed{{"a", 1, Gone}})
+	w.links[2].List(6, true, []Listed{{"b", 1, Up}})
+	was := fmt.Sprint(w.anew)
+	w.run(60 * sec)
+	if got := fmt.Sprint(w.anew); got != was || w.out("a") > 0 {
+		t.Errorf("asked anew: %s, %s before; %d hold a out", got, was, w.out("a"))
+	}
+}
+
+// An agent that pushes an old list after an outage does not unsay what it has said; whose numbers are another's say nothing.
+func TestAnOldListDoesNotUnsay(t *testing.T) {
+	w := newWorld(2, 6)
+	w.ways[0].cut = true
+	w.links[0].List(8, false, []Listed{{"a", 1, Draining}})
+	if ids := w.links[0].List(5, true, []Listed{{"a", 1, Up}, {"b", 1, Up}}); len(ids) != 1 || !w.links[0].Out("a", 1) || w.links[0].Out("b", 1) {
+		t.Error("a drained by list 8, and list 5 came after", ids)
+	}
+	if w.links[0].Out("a", 2) {
+		t.Error("it has started anew")
+	}
+	w.run(Life)
+	if w.links[0].Out("a", 1) {
+		t.Error("the numbering may have begun anew: it has lapsed")
+	}
+	w.ways[0].cut = false
+	w.links[0].List(9, false, []Listed{{"b", 1, Gone}})
+	source := uint32(2)
+	w.links[1].Source = func() uint32 { return source }
+	w.links[1].List(3, true, []Listed{{"a", 1, Up}, {"b", 1, Up}})
+	w.run(5 * sec)
+	if w.links[1].Out("b", 1) {
+		t.Error("revisions of two services are not comparable")
+	}
+}
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -40,19 +40,6 @@
 	return NewRigWith(e, RigOptions{N: n, Seed: seed, Key: key, Sections: sections, Env: run})
 }
 
-// RigOptions are what a rig's processes are like.
-type RigOptions struct {
-	N        int
-	Seed     uint64
-	Key      string // seals what they tell one another; "": nothing does
-	Sections string // more of the operators' file; DIR stands for a folder of each process's own
-	Level    string // of the log; "": info
-	Fleet    *fleet // whose hosts they serve; nil: none that answers
-	// Discovery is another way to say which hosts; nil: as Fleet has it.
-	Discovery *standin.Discovery
-	Env       []string
-}
-
 // NewRigWith starts processes that know one another through a mesh.
 func NewRigWith(e *Env, o RigOptions) (*Rig, error) {
 	n, key, sections, run := o.N, o.Key, o.Sections, o.Env
@@ -66,6 +53,9 @@
 	if o.Discovery != nil {
 		setup.Discovery, setup.Known = o.Discovery.Addr(), o.Discovery.List()
 	}
+	if len(o.Discoveries) > 0 && len(o.Discoveries) != n {
+		return nil, fmt.Errorf("%d discoveries for %d processes", len(o.Discoveries), n)
+	}
 	dir, err := os.MkdirTemp(e.Dir, "rig")
 	if err != nil {
 		return nil, err
@@ -75,6 +65,9 @@
 		return nil, err
 	}
 	for i := range n {
+		if len(o.Discoveries) > 0 {
+			setup.Discovery, setup.Known = o.Discoveries[i].Addr(), o.Discoveries[i].List()
+		}
 		text := fmt.Sprintf("(membership (on on) (fleet lab) (listen %q) (peers %q) (socket %q)", r.Mesh.Own(i), strings.Join(r.Mesh.Peers(i), " "), r.socket(i))
 		if key != "" {
 			path := filepath.Join(dir, "key")
--- a/internal/lab/rigsee.go
+++ b/internal/lab/rigsee.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"croftlock/internal/membership"
+	"croftlock/internal/standin"
 )
 
 // Sees is how one process holds another; "" where it does not answer.
@@ -65,3 +66,18 @@
 
 // Admin is where a process's operators call.
 func (r *Rig) Admin(i int) string { return r.admin[i] }
+
+// RigOptions are what a rig's processes are like.
+type RigOptions struct {
+	N        int
+	Seed     uint64
+	Key      string // seals what they tell one another; "": nothing does
+	Sections string // more of the operators' file; DIR stands for a folder of each process's own
+	Level    string // of the log; "": info
+	Fleet    *fleet // whose hosts they serve; nil: none that answers
+	// Discovery is another way to say which hosts; nil: as Fleet has it.
+	Discovery *standin.Discovery
+	// Discoveries are one for each process, in place of one for all: what each hears can differ.
+	Discoveries []*standin.Discovery
+	Env         []string
+}
--- /dev/null
+++ b/internal/node/floors.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/floors"
+	"croftlock/internal/members"
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
+)
+
+// lay begins to tell the other members of hosts that drain or are gone, and to go by what they tell, where the operators want it.
+func (r *replacing) lay() {
+	if !r.flooring.On || r.members == nil {
+		return
+	}
+	if r.floors != nil {
+		r.floors.Close()
+	}
+	m := r.members
+	r.floors = &floors.Link{Way: memberWay{m}, Clock: loopClock{r.loop}, Rand: rand.New(rand.NewPCG(rand.Uint64(), 1)), Within: r.flooring.Within, Anew: r.watch.Fetch, Changed: r.core.Refloor,
+		Source: func() uint32 {
+			name := r.flooring.Source
+			if addr, _ := r.watch.Source(); name == "" {
+				name = addr
+			}
+			return floors.Source(name)
+		}}
+	r.floors.Run()
+	m.Attach(floors.Whose, r.floors.Take)
+	_, rev := r.watch.Source()
+	r.core.SetFloors(floorSide{r.floors}, rev)
+}
+
+type loopClock struct{ *netio.Loop }
+
+func (c loopClock) After(d time.Duration, f func()) { c.Loop.After(d, f) }
+
+// memberWay is the way between members.
+type memberWay struct{ *members.Shell }
+
+// Others are the members that may be there: one that does not answer may hear all the same.
+func (w memberWay) Others() (out []uint32) {
+	for _, m := range w.View() {
+		if m.State == "alive" || m.State == "suspect" {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// floorSide gives the core what others' lists say.
+type floorSide struct{ *floors.Link }
+
+// Listed is proxy.Floors'.
+func (s floorSide) Listed(ch proxy.Change) []string {
+	states := map[brain.State]floors.State{brain.Ready: floors.Up, brain.Draining: floors.Draining, brain.Departed: floors.Gone}
+	all := make([]floors.Listed, 0, len(ch.Hosts))
+	for _, e := range ch.Hosts {
+		all = append(all, floors.Listed{Host: e.ID, Boot: e.Since / 1e6, State: states[e.State]})
+	}
+	return s.List(ch.Version, ch.Kind == brain.ListFull || ch.Kind == brain.ListCached, all)
+}
+
+// Out is proxy.Floors'.
+func (s floorSide) Out(id string, since brain.Time) bool { return s.Link.Out(id, since/1e6) }
--- a/internal/node/joined.go
+++ b/internal/node/joined.go
@@ -16,6 +16,7 @@
 		r.members, err = members.Start(r.loop, o, r.cfg.Name, r.began, r.platform())
 	}
 	if err == nil && now {
+		r.lay()
 		err = r.own()
 	}
 	return err
@@ -60,6 +61,7 @@
 		return
 	}
 	r.members = s
+	r.lay()
 	if err := r.own(); err != nil {
 		slog.Warn("owners_off", "reason", err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"croftlock/brain"
 	"croftlock/internal/admin"
 	"croftlock/internal/cluster"
+	"croftlock/internal/floors"
 	"croftlock/internal/handover"
 	"croftlock/internal/line"
 	"croftlock/internal/logging"
@@ -32,7 +33,7 @@
 
 // Schema is every section that the operators' file may have.
 func Schema() settings.Schema {
-	return settings.Schema{logging.Section(), tlslink.Section(), members.Section(), owners.Section()}
+	return settings.Schema{logging.Section(), tlslink.Section(), members.Section(), owners.Section(), floors.Section()}
 }
 
 // Check reads what the operators' file refers to and tells what of it can't be used.
@@ -56,6 +57,9 @@
 	if err := file.Value("owners").(owners.Options).Check(member); err != nil {
 		faults = append(faults, fmt.Errorf("%s: owners: %w", file.Path, err))
 	}
+	if file.Value("floors").(floors.Options).On && !member.On {
+		faults = append(faults, fmt.Errorf("%s: floors need membership: (membership (on on) …)", file.Path))
+	}
 	return faults
 }
 
@@ -150,7 +154,7 @@
 			r.peers = told
 		}
 	}
-	r.owning = file.Value("owners").(owners.Options)
+	r.owning, r.flooring = file.Value("owners").(owners.Options), file.Value("floors").(floors.Options)
 	if err := r.join(file.Value("membership").(members.Options), old == nil); err != nil {
 		return err
 	}
@@ -219,48 +223,3 @@
 		return k.Dial(tlslink.Host(to), within, limit, h, done)
 	}
 }
-
-type node struct {
-	cfg      *platform.Config
-	file     *settings.File
-	format   string        // of the log, from the command line
-	link     *tlslink.Link // nil: upstream hosts speak plain TCP
-	redirect func(discovery string)
-	leave    func()
-}
-
-// obey takes signals for as long as the program runs. Files are read here, beside the loop, which must not wait for a
-// disk. A file that can't be used changes nothing.
-func (n *node) obey(signals <-chan os.Signal) {
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			slog.Info("stopping", "signal", s)
-			n.leave()
-			continue
-		}
-		n.reload()
-	}
-}
-
-// reload reads both files again. They are two parties', so a fault in one does not hold up the other.
-func (n *node) reload() {
-	file, err := Schema().Load(n.file.Path)
-	if err != nil {
-		slog.Warn("settings_failed", "file", n.file.Path, "reason", err)
-	} else if n.file.Path != "" {
-		n.file = file
-		Logs(file, n.format)
-		slog.Info("settings_reloaded", "file", file.Path)
-	}
-	if n.link != nil {
-		o := n.file.Value("tls").(tlslink.Options)
-		n.link.Reload(&o)
-	}
-	next, later, err := platform.Reload(os.Getenv, n.cfg)
-	if err != nil {
-		slog.Warn("reload_failed", "reason", err)
-		return
-	}
-	slog.Info("reloaded", "discovery", next.Discovery, "at_next_start", strings.Join(later, ","))
-	n.redirect(next.Discovery)
-}
--- /dev/null
+++ b/internal/node/obey.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"log/slog"
+	"os"
+	"strings"
+	"syscall"
+
+	"croftlock/internal/platform"
+	"croftlock/internal/settings"
+	"croftlock/internal/tlslink"
+)
+
+type node struct {
+	cfg      *platform.Config
+	file     *settings.File
+	format   string        // of the log, from the command line
+	link     *tlslink.Link // nil: upstream hosts speak plain TCP
+	redirect func(discovery string)
+	leave    func()
+}
+
+// obey takes signals for as long as the program runs. Files are read here, beside the loop, which must not wait for a
+// disk. A file that can't be used changes nothing.
+func (n *node) obey(signals <-chan os.Signal) {
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			slog.Info("stopping", "signal", s)
+			n.leave()
+			continue
+		}
+		n.reload()
+	}
+}
+
+// reload reads both files again. They are two parties', so a fault in one does not hold up the other.
+func (n *node) reload() {
+	file, err := Schema().Load(n.file.Path)
+	if err != nil {
+		slog.Warn("settings_failed", "file", n.file.Path, "reason", err)
+	} else if n.file.Path != "" {
+		n.file = file
+		Logs(file, n.format)
+		slog.Info("settings_reloaded", "file", file.Path)
+	}
+	if n.link != nil {
+		o := n.file.Value("tls").(tlslink.Options)
+		n.link.Reload(&o)
+	}
+	next, later, err := platform.Reload(os.Getenv, n.cfg)
+	if err != nil {
+		slog.Warn("reload_failed", "reason", err)
+		return
+	}
+	slog.Info("reloaded", "discovery", next.Discovery, "at_next_start", strings.Join(later, ","))
+	n.redirect(next.Discovery)
+}
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -10,6 +10,7 @@
 
 	"croftlock/brain"
 	"croftlock/internal/cluster"
+	"croftlock/internal/floors"
 	"croftlock/internal/handover"
 	"croftlock/internal/line"
 	"croftlock/internal/members"
@@ -68,8 +69,11 @@
 	members *members.Shell // nil: off, or another process's still
 	owners  *owners.Shell  // the same
 	owning  owners.Options
-	began   time.Time
-	joining members.Options
+
+	floors   *floors.Link // the same
+	flooring floors.Options
+	began    time.Time
+	joining  members.Options
 }
 
 // keep is what the next process is to know.
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -72,6 +72,7 @@
 
 	hosts    map[string]*host
 	hand     *byhand.Book  // the hosts that operators have taken out
+	floors   Floors        // nil: every proxy goes by its own list alone
 	pacer    Pacer         // nil: clients leave as it suits this proxy
 	turns    []func() bool // clients that wait for it
 	asking   bool
--- /dev/null
+++ b/internal/proxy/floors.go
@@ -0,0 +1,47 @@
+package proxy
+
+import (
+	"log/slog"
+
+	"croftlock/brain"
+)
+
+// Floors is what other proxies' newer lists say of hosts that drain or are gone.
+type Floors interface {
+	// Listed takes the own list's news, before they take effect, and names hosts of which that ends or begins what others' say.
+	Listed(ch Change) []string
+	// Out tells whether a host that the own list calls usable gets nothing new; since is when it started, as the list has it.
+	Out(id string, since brain.Time) bool
+}
+
+// SetFloors has hosts get nothing new of which another proxy's newer list says that they drain or are gone. rev is that of the own list; under 0:
+// there is none yet.
+func (c *Core) SetFloors(f Floors, rev int64) {
+	if c.floors = f; f == nil || rev < 0 {
+		return
+	}
+	now := Change{Kind: brain.ListCached, Version: rev}
+	for _, h := range c.hosts {
+		now.Hosts = append(now.Hosts, HostEntry{Entry: h.listed, Endpoint: h.endpoint})
+	}
+	c.Refloor(f.Listed(now))
+}
+
+// belowFloor tells whether a listed host is out by another proxy's newer list.
+func (c *Core) belowFloor(e brain.Entry) bool { return c.floors != nil && c.floors.Out(e.ID, e.Since) }
+
+// Refloor has it take effect that floors have changed for some hosts.
+func (c *Core) Refloor(ids []string) {
+	for _, id := range ids {
+		h := c.hosts[id]
+		if h == nil || h.listed.State != brain.Ready || h.state == c.counting(h.listed) {
+			continue
+		}
+		h.state = c.counting(h.listed)
+		slog.Info("floor", "host", id, "out", h.state != brain.Ready)
+		e := h.listed
+		e.State = h.state
+		c.tell(nil, h.pool, func(now brain.Time, m Decider) { m.Members(now, brain.ListByHand, 0, []brain.Entry{e}) })
+	}
+	c.takeBack()
+}
--- a/internal/proxy/hand.go
+++ b/internal/proxy/hand.go
@@ -10,10 +10,15 @@
 )
 
 // counting is the state that counts for a listed host: one that operators have taken out takes nothing, whatever
-// discovery says.
+// discovery says, and one that drains or is gone by another proxy's newer list takes nothing new.
 func (c *Core) counting(e brain.Entry) brain.State {
-	if e.State == brain.Ready && c.hand.Out(e.ID) {
+	switch {
+	case e.State != brain.Ready:
+		return e.State
+	case c.hand.Out(e.ID):
 		return brain.Suspended
+	case c.belowFloor(e):
+		return brain.Draining
 	}
 	return e.State
 }
--- a/internal/proxy/list.go
+++ b/internal/proxy/list.go
@@ -23,6 +23,10 @@
 // Listed takes news of the cluster. What is on its way to a host that drains or is gone stops at once, in the queue
 // of dials too: nothing new may go there.
 func (c *Core) Listed(ch Change) {
+	var floors []string
+	if c.floors != nil && ch.Kind != brain.ListFailed {
+		floors = c.floors.Listed(ch)
+	}
 	entries := map[*pool][]brain.Entry{}
 	named := map[string]bool{}
 	for _, e := range ch.Hosts {
@@ -51,6 +55,7 @@
 		}
 	}
 	c.takeBack()
+	c.Refloor(floors)
 	if c.keeper != nil && ch.Kind != brain.ListFailed {
 		c.keeper.Listed()
 	}
