--- a/internal/owners/door.go
+++ b/internal/owners/door.go
@@ -14,6 +14,7 @@
 	"croftlock/internal/jobs"
 	"croftlock/internal/members"
 	"croftlock/internal/namespace"
+	"croftlock/internal/rules"
 )
 
 // Request is what operators ask at the socket, one a connection.
@@ -152,6 +153,9 @@
 			if q.Do == "move" {
 				a = "its owner is asked for it"
 			}
+			if q.Do == "rules" {
+				a = rules.Plain(a)
+			}
 			return Reply{Answer: a}
 		case <-time.After(askWithin):
 			s.post(func() { delete(s.asks, tag) })
--- a/internal/rules/ask.go
+++ b/internal/rules/ask.go
@@ -43,7 +43,7 @@
 			number = k.active.Number
 		}
 		if v := k.read(number); v != nil {
-			answer(v.String())
+			answer(string(squeeze([]byte(v.String()))))
 		} else {
 			answer(fmt.Sprintf("refused: version %d is not kept any more", number))
 		}
@@ -97,10 +97,22 @@
 	return len(body) > 0 && (body[0] == askPut || body[0] == askShow || body[0] == askHistory || body[0] == askRead)
 }
 
+// Plain is an answer as people read it: long ones come squeezed.
+func Plain(answer string) string {
+	if answer == "" || answer[0] != formSqueezed {
+		return answer
+	}
+	out, err := inflate([]byte(answer[1:]), 8*mostBytes)
+	if err != nil {
+		return "unknown: the answer can't be read"
+	}
+	return string(out)
+}
+
 // Propose is the question that asks for a change. One without an id gets one of what it says, so that the same once more is as once.
 func Propose(c *Change) []byte {
 	c.Name()
-	return append([]byte{askPut}, marshal(c)...)
+	return append([]byte{askPut}, squeeze(marshal(c))...)
 }
 
 // Name gives a change that has none an id of what it says.
--- a/internal/rules/hands_test.go
+++ b/internal/rules/hands_test.go
@@ -70,6 +70,7 @@
 		t.Fatalf("version %d is active: %s", g.k.active.Number, g.last())
 	}
 	g.k.active.Number, g.k.active.Root = 10_000, 10_000 // as if 8,000 more had come
+	g.k.is, g.k.travelling = g.k.active.Hash(), nil
 	g.acts = nil
 	g.cut[3] = false
 	g.run(2 * within)
--- a/internal/rules/keeper.go
+++ b/internal/rules/keeper.go
@@ -24,7 +24,7 @@
 	number         uint64
 	blind          Time // until then an earlier keeper's rights may be held
 	active, staged *Version
-	hash           Hash // of the one staged
+	is, hash       Hash // of the one active, and of the one staged
 	since          Time // when staged came
 	trail, next    []Entry
 	past           [][]byte
@@ -36,6 +36,7 @@
 	waiting        []*pending // changes that no version holds yet
 	made           []*pending // those that staged holds
 	spent          map[string]*tokens
+	travelling     map[[2]*Version][]byte
 	turned         []string
 }
 
@@ -43,6 +44,7 @@
 func (k *Keeper) Start(now Time, o jobs.Owner, _, number uint64, left []byte) error {
 	k.owner, k.number, k.blind, k.since = o, number, Lapsed(now, k.Within), now
 	k.active, k.staged, k.noting, k.waiting, k.made, k.trail, k.next, k.past, k.turned = &Version{}, nil, nil, nil, nil, nil, nil, nil, nil
+	k.is = k.active.Hash()
 	k.rights, k.ready, k.faults, k.spent = map[uint32]right{}, map[uint32]Hash{}, map[uint32]string{}, map[string]*tokens{}
 	if len(left) == 0 {
 		return nil
@@ -50,10 +52,10 @@
 	var s kept
 	err := decoding().Unmarshal(left, &s)
 	if err == nil && len(s.Active) > 0 {
-		k.active, err = Decode(s.Active)
+		k.active, err = arrive(s.Active, only(nil))
 	}
 	if err == nil && len(s.Staged) > 0 {
-		if k.staged, err = Decode(s.Staged); err == nil {
+		if k.staged, err = arrive(s.Staged, only(nil)); err == nil {
 			k.hash = k.staged.Hash()
 		}
 	}
@@ -63,6 +65,7 @@
 	if err := Sound(s.Trail); err != nil {
 		k.turned, s.Trail = append(k.turned, err.Error()), nil // rules go on without it, and say so
 	}
+	k.is = k.active.Hash()
 	// The staged version's changes are in the trail that was kept with it.
 	k.past, k.next = s.History, s.Trail
 	for k.trail = s.Trail; len(k.trail) > 0 && k.trail[len(k.trail)-1].Number > k.active.Number; {
@@ -112,19 +115,38 @@
 	if len(q.ReadyHash) == len(Hash{}) {
 		k.ready[from] = Hash(q.ReadyHash)
 	}
-	h := k.active.Hash()
+	h := k.is
 	a := keepAnswer{Right: k.active.Number, Hash: h[:]}
 	if q.Active != k.active.Number && k.ready[from] != h || q.Active == 0 && q.Ready == 0 {
-		a.Active = k.active.Encode()
+		a.Active = k.travels(k.active, nil)
 	}
 	if k.staged != nil && k.ready[from] != k.hash && !faulty {
-		a.Staged = k.staged.Encode()
+		base := k.active
+		if k.ready[from] != h {
+			base = nil
+		}
+		a.Staged = k.travels(k.staged, base)
 	}
 	k.rights[from] = right{k.active.Number, Lapsed(now, k.Within)}
 	k.owner.Answer(from, tag, marshal(a))
 	k.Step(now)
 }
 
+// travels is travel, made once for all that ask.
+func (k *Keeper) travels(v, base *Version) []byte {
+	key := [2]*Version{v, base}
+	if k.travelling[key] == nil {
+		if len(k.travelling) >= 4 { // the active one and the staged one, whole and different
+			k.travelling = nil
+		}
+		if k.travelling == nil {
+			k.travelling = map[[2]*Version][]byte{}
+		}
+		k.travelling[key] = v.travel(base)
+	}
+	return k.travelling[key]
+}
+
 // call has everybody ask at once.
 func (k *Keeper) call() {
 	for _, m := range k.owner.Members() {
--- a/internal/rules/member.go
+++ b/internal/rules/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"fmt"
 
 	"croftlock/internal/jobs"
@@ -122,12 +123,21 @@
 	if len(data) == 0 {
 		return false
 	}
-	v, err := Decode(data)
+	v, err := arrive(data, func(h Hash) *Version {
+		if c := m.have[h]; c != nil {
+			return c.v
+		}
+		return nil
+	})
+	if errors.Is(err, errBase) {
+		m.number, m.ready = 0, Hash{} // with the next question the whole comes
+		return true
+	}
 	if err == nil && m.Most > 0 && v.Entries() > m.Most {
 		err = fmt.Errorf("rules: %d entries, this process takes %d", v.Entries(), m.Most)
 	}
 	if err != nil {
-		m.fault, m.faulty = err.Error(), sha256.Sum256(data)
+		m.fault, m.faulty = err.Error(), m.named(data)
 		return true
 	}
 	h := v.Hash()
@@ -141,6 +151,20 @@
 	return false
 }
 
+// named is the hash by which the keeper knows a version that can't be used here, also where it came as a difference.
+func (m *Member) named(data []byte) Hash {
+	if data[0] == formDifferent {
+		var d different
+		if data, err := inflate(data[1:], mostBytes); err == nil && decoding().Unmarshal(data, &d) == nil && len(d.Is) == len(Hash{}) {
+			return Hash(d.Is)
+		}
+	}
+	if plain, err := loosen(data); err == nil {
+		data = plain
+	}
+	return sha256.Sum256(data)
+}
+
 // Told takes the keeper's word that there is something new, and asks for it at once.
 func (m *Member) Told(now Time) { m.ask(now) }
 
--- a/internal/rules/queue.go
+++ b/internal/rules/queue.go
@@ -21,7 +21,8 @@
 // put takes a change. What is wrong with it by itself is answered at once, and takes nobody's time but the keeper's.
 func (k *Keeper) put(now Time, answer func(string), body []byte) {
 	c := &Change{}
-	if len(body) > mostBytes+mostBytes/4 || decoding().Unmarshal(body, c) != nil || len(c.ID) > 16 || len(c.Part) > 2*mostName {
+	body, err := loosen(body)
+	if err != nil || len(body) > mostBytes+mostBytes/4 || decoding().Unmarshal(body, c) != nil || len(c.ID) > 16 || len(c.Part) > 2*mostName {
 		answer("refused: a change that can't be read")
 		return
 	}
@@ -154,17 +155,13 @@
 
 // activate makes the staged version the active one.
 func (k *Keeper) activate(now Time) {
-	v, past := k.staged, append(k.past[:len(k.past):len(k.past)], k.active.Encode())
-	past = past[max(0, len(past)-mostHistory):]
-	if k.active.Book != nil && k.active.Book.Was != nil {
-		past = past[:len(past)-1] // one on the way from one to the next is nothing to go back to
-	}
+	v, past := k.staged, k.passed(k.staged)
 	k.note(now, k.left(v, nil, k.next, past), func(ok bool) {
 		if !ok {
 			return // the same state is kept at a later step
 		}
 		made := k.made
-		k.active, k.staged, k.trail, k.past, k.made = v, nil, k.next, past, nil
+		k.active, k.is, k.staged, k.trail, k.past, k.made = v, v.Hash(), nil, k.next, past, nil
 		if v.Book != nil && v.Book.Was != nil {
 			k.settle(now, made)
 		}
--- a/internal/rules/trail.go
+++ b/internal/rules/trail.go
@@ -11,7 +11,7 @@
 // What the group keeps of the past, within what a job may leave.
 const (
 	mostTrail   = 32       // changes
-	mostHistory = 16       // versions
+	mostHistory = 64       // versions
 	mostKept    = 31 << 10 // bytes of everything
 )
 
@@ -93,19 +93,50 @@
 	if number == k.active.Number {
 		return k.active
 	}
-	for _, data := range k.past {
-		if v, err := Decode(data); err == nil && v.Number == number {
+	later := k.active // each is kept as what is different from the one after it
+	for i := len(k.past) - 1; i >= 0; i-- {
+		v, err := arrive(k.past[i], only(later))
+		if later = v; err == nil && v.Number == number {
 			return v
 		}
 	}
 	return nil
 }
 
+// passed is the past once next is active. Each version is kept as what is different from the one after it.
+func (k *Keeper) passed(next *Version) [][]byte {
+	past := k.past[:len(k.past):len(k.past)]
+	if k.active.Book == nil || k.active.Book.Was == nil {
+		past = append(past, k.active.travel(next))
+		return past[max(0, len(past)-mostHistory):]
+	}
+	// One on the way from one to the next is nothing to go back to.
+	if n := len(past); n > 0 {
+		past = append([][]byte(nil), past...)
+		if before, err := arrive(past[n-1], only(k.active)); err == nil {
+			past[n-1] = before.travel(next)
+		} else {
+			past = nil // nothing before it can be read either
+		}
+	}
+	return past
+}
+
+// only has one version.
+func only(v *Version) func(Hash) *Version {
+	return func(h Hash) *Version {
+		if v != nil && v.Hash() == h {
+			return v
+		}
+		return nil
+	}
+}
+
 // left is what the group is to keep: as much of the past as there is room for.
 func (k *Keeper) left(active, staged *Version, trail []Entry, past [][]byte) []byte {
-	s := kept{Active: active.Encode(), Trail: trail}
+	s := kept{Active: squeeze(active.Encode()), Trail: trail}
 	if staged != nil {
-		s.Staged = staged.Encode()
+		s.Staged = squeeze(staged.Encode())
 	}
 	for {
 		s.History = past
--- /dev/null
+++ b/internal/rules/travel_test.go
@@ -0,0 +1,187 @@
+package rules
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"croftlock/internal/namespace"
+)
+
+// large is a version of so many customers with ten routes each.
+func large(customers int) *Version {
+	v := &Version{Number: 7, Book: &namespace.Book{}}
+	for i := range customers {
+		name := fmt.Sprintf("customer%04d", i)
+		v.Book.Accounts = append(v.Book.Accounts, namespace.Account{Name: name, Number: 5, Tenants: []string{name}, Pools: []string{namespace.Main}})
+		s := namespace.Space{Account: name, Number: uint64(i)}
+		for r := range 10 {
+			s.Routes = append(s.Routes, namespace.Route{Name: fmt.Sprintf("r%d", r), Prefix: fmt.Sprintf("%02x", r), Pool: namespace.Main})
+		}
+		v.Book.Spaces = append(v.Book.Spaces, s)
+	}
+	return v
+}
+
+// altered is a version in which one customer's routes are others, and one customer is gone.
+func altered(v *Version) *Version {
+	n := v.next()
+	n.Book.Spaces[20].Number = n.Number
+	n.Book.Spaces[20].Routes = n.Book.Spaces[20].Routes[:4]
+	n.Book.Spaces = append(n.Book.Spaces[:40:40], n.Book.Spaces[41:]...)
+	n.Book.Accounts = append(n.Book.Accounts[:40:40], n.Book.Accounts[41:]...)
+	return n
+}
+
+func TestADifferenceIsSmallAndWhole(t *testing.T) {
+	base := large(300)
+	next := altered(base)
+	if err := next.Check(); err != nil {
+		t.Fatal(err)
+	}
+	wholeData, short := next.travel(nil), next.travel(base)
+	t.Logf("%d entries: %d bytes, %d squeezed, %d as a difference", next.Entries(), len(next.Encode()), len(wholeData), len(short))
+	if len(wholeData) > mostKeptOne || len(short) > 600 {
+		t.Errorf("%d bytes squeezed, %d as a difference", len(wholeData), len(short))
+	}
+	for name, data := range map[string][]byte{"whole": wholeData, "as a difference": short} {
+		v, err := arrive(data, only(base))
+		if err != nil || !bytes.Equal(v.Encode(), next.Encode()) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := arrive(short, only(nil)); err != errBase {
+		t.Error("without its base:", err)
+	}
+	// What is small goes as it is written, which processes of an earlier build read.
+	if data := refuseAll.travel(base); !bytes.Equal(data, refuseAll.Encode()) {
+		t.Error("a small version does not go as it is written")
+	}
+	over := large(410)
+	if err := over.Check(); err == nil || !strings.Contains(err.Error(), "entries") {
+		t.Error(err)
+	}
+}
+
+// A few bytes that stand for very many are refused, and cost nothing much.
+func TestABombIsRefused(t *testing.T) {
+	bomb := deflate(formSqueezed, make([]byte, 8*mostBytes+1))
+	if _, err := arrive(bomb, only(nil)); err == nil || !strings.Contains(err.Error(), "over") {
+		t.Error(err)
+	}
+	g := newGroup(t, 1)
+	g.k.Asked(g.now, 0, 1, append([]byte{askPut}, bomb...))
+	if !strings.HasPrefix(g.last(), "refused") {
+		t.Error(g.last())
+	}
+	if Plain(string(deflate(formSqueezed, make([]byte, 8*mostBytes+1)))) != "unknown: the answer can't be read" {
+		t.Error("an answer")
+	}
+}
+
+// A large version and changes of it among members, one of which is late and one of which has lost what it had: all act by the same, earlier
+// versions are read back through their differences, and a new keeper goes on from what was left.
+func TestLargeVersionsAmongMembers(t *testing.T) {
+	g := newGroup(t, 4)
+	v := large(75)
+	v.Number = 0
+	for i := range v.Book.Accounts {
+		v.Book.Accounts[i].Number = 0
+	}
+	spaces := v.Book.Spaces
+	v.Book.Spaces = nil
+	g.put(v, 0)
+	g.run(3 * within)
+	if !strings.HasPrefix(g.last(), "active: version 2 at 4 of 4") {
+		t.Fatal(g.last())
+	}
+	against := uint64(2)
+	text := map[uint64]string{}
+	for i := 0; i < len(spaces); i += 15 {
+		for j := i; j < i+15; j++ {
+			g.change(PutSpace(&spaces[j], 0, []byte(fmt.Sprint("id", j))))
+		}
+		g.cut[3] = i == 30 // misses a version, and more than one after it
+		g.run(3 * within)
+		g.cut[3] = false
+		against = g.k.active.Number
+		text[against] = g.k.active.String()
+	}
+	g.m[2].have = map[Hash]*compiled{} // what it says that it has it has not
+	g.change(PutSpace(to("customer0003", 0, namespace.Main), against, []byte("last")))
+	g.run(4 * within)
+	if !strings.HasPrefix(g.last(), "active: version ") || !strings.HasSuffix(g.last(), "at 4 of 4") {
+		t.Fatal(g.last())
+	}
+	for i := uint32(1); i <= 4; i++ {
+		if n, left := g.m[i].Gate.Acting(); n != g.k.active.Number || left <= 0 {
+			t.Errorf("member %d acts by %d, %d is active", i, n, g.k.active.Number)
+		}
+	}
+	t.Logf("%d entries, %d bytes, %d kept by the group with %d versions before it", g.k.active.Entries(), len(g.k.active.Encode()), len(g.left), len(g.k.past))
+	g.run(within)
+	g.keeper()
+	read := 0
+	for number, want := range text {
+		if old := g.k.read(number); old != nil {
+			if read++; old.String() != want {
+				t.Errorf("version %d is not as it was", number)
+			}
+		}
+	}
+	if read < 4 {
+		t.Errorf("%d of %d versions can be read back", read, len(text))
+	}
+	g.change(Back(against, g.k.active.Number, nil))
+	g.run(4 * within)
+	if !strings.HasPrefix(g.last(), "active: version ") || !bytes.Equal(marshal(g.k.active.Book.Spaces[3].Routes), marshal(spaces[3].Routes)) {
+		t.Error("back:", g.last())
+	}
+	if o := g.overlap(); o > within {
+		t.Errorf("two versions side by side for %d ms", o/ms)
+	}
+}
+
+// A version on the way from one to the next is nothing to go back to: the one before it is kept as what is different from the next.
+func TestThePastGoesOnOverAStepBetween(t *testing.T) {
+	g := begin(t, 2)
+	first := g.k.active.Number
+	want := g.k.active.String()
+	v := frame()
+	v.Book.Accounts[1].Tenants = []string{"t2", "t3"}
+	v.Book.Accounts[0].Tenants = []string{"t1"}
+	for i := range 100 { // long enough to be kept as a difference
+		v.Out = append(v.Out, fmt.Sprintf("host%03d-of-a-long-name-0123456789-0123456789-0123456789", i))
+	}
+	g.put(v, first)
+	g.run(4 * within)
+	if g.k.active.Number != first+2 {
+		t.Fatal(g.last())
+	}
+	if old := g.k.read(first); old == nil || old.String() != want {
+		t.Error("the version before is not as it was")
+	}
+	if g.k.read(first+1) != nil {
+		t.Error("the step between can be gone back to")
+	}
+}
+
+func FuzzArrive(f *testing.F) {
+	base := large(30)
+	f.Add(altered(large(60)).travel(large(60)))
+	f.Add(base.travel(nil))
+	f.Add(marshal(different{Base: make([]byte, 32), Is: make([]byte, 32), Head: marshal(base)}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if v, err := arrive(data, only(base)); err == nil {
+			if again, err := arrive(v.travel(base), only(base)); err != nil || !bytes.Equal(again.Encode(), v.Encode()) {
+				t.Fatal(err)
+			}
+		}
+		if len(data) < 1<<16 {
+			h := base.Hash()
+			d := different{Base: h[:], Is: h[:], Head: data}
+			arrive(deflate(formDifferent, marshal(d)), only(base))
+		}
+	})
+}
--- a/internal/rules/version.go
+++ b/internal/rules/version.go
@@ -17,10 +17,11 @@
 // Time is nanoseconds on the caller's monotonic clock.
 type Time = int64
 
-// Bounds of a version: what the group keeps of a job is 32 KiB, and two versions are kept side by side.
+// Bounds of a version: what the group keeps of a job is 32 KiB, and two versions are kept side by side, squeezed.
 const (
-	MostEntries = 512
-	mostBytes   = 12 << 10
+	MostEntries = 4096
+	mostBytes   = 256 << 10 // as it is written
+	mostKeptOne = 12 << 10  // as it is kept
 	mostName    = 128
 	mostAdvice  = 60_000
 )
@@ -55,7 +56,7 @@
 })
 
 var decoding = sync.OnceValue(func() cbor.DecMode {
-	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 12, MaxArrayElements: 1024, MaxMapPairs: 16,
+	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 12, MaxArrayElements: MostEntries, MaxMapPairs: 16,
 		IndefLength: cbor.IndefLengthForbidden, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
 	if err != nil {
 		panic(err)
@@ -111,9 +112,15 @@
 			return fmt.Errorf("rules: host %q is without a name, named twice, or out of order", h)
 		}
 	}
-	if n := len(v.Encode()); n > mostBytes {
+	data := v.Encode()
+	if n := len(data); n > mostBytes {
 		return fmt.Errorf("rules: %d bytes, %d are possible", n, mostBytes)
 	}
+	if len(data) > mostKeptOne {
+		if n := len(squeeze(data)); n > mostKeptOne {
+			return fmt.Errorf("rules: %d bytes as the group keeps them, %d are possible", n, mostKeptOne)
+		}
+	}
 	if v.Book == nil {
 		return nil
 	}
