croftlock rules status tells what a change waits for; croftlab run rules-cut

Need: where a change does not become active an operator saw who has no right, but not for how long rights are held, who has the next version ready or can't use it, nor what the group has not answered. And each cut, pause and loss beside a change had no measurement. internal/rules/status.go, asked as the other questions are; lab/rulescut.go on the rig that rules-agree has (split into agreeing.go).

--- a/internal/command/rules.go
+++ b/internal/command/rules.go
@@ -38,6 +38,8 @@
 		return ask(cmd, owners.Request{Do: "rules", Rules: rules.History(*about)}, nil)
 	}
 	all.AddCommand(putting(ask), dropping(ask), rolling(ask), diffing(ask), explaining(ask), checking(), keying(), history,
+		question("status", "Tell who may act by which version and for how long, who has the next one ready or why not, and what is waited for", "status", cobra.NoArgs,
+			func([]string) ([]byte, error) { return rules.Status(), nil }),
 		question("show [VERSION]", "Tell which version is active, at how many, and who has no right; with a number, what that version says (0: the active one)", "show 0",
 			cobra.MaximumNArgs(1), func(args []string) ([]byte, error) {
 				if len(args) == 0 {
--- a/internal/lab/agreement.go
+++ b/internal/lab/agreement.go
@@ -12,6 +12,7 @@
 type agreement struct {
 	mu             sync.Mutex
 	active, silent int
+	lapsed         int // decisions without a right
 	decided        int
 	took, placed   []time.Duration
 	acts           map[int][2]time.Time // first and last decision by each version, at any process
@@ -29,6 +30,7 @@
 	for _, p := range all {
 		for _, l := range p.Log("event=ruled") {
 			if field(l, "lapsed") == "true" {
+				a.lapsed++
 				continue
 			}
 			v, _ := strconv.Atoi(field(l, "version"))
--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -35,6 +35,7 @@
 	{"owner-handover", "jobs of processes that end in order or are replaced; 90 s", ownerHandover},
 	{"owner-cost", "what owners cost, 3 and 5 voters, with disks and without; 5 min", ownerCost},
 	{"rules-agree", "a change each 200 ms, 500 placements a second, a fault every 2 s; 5 min", rulesAgree},
+	{"rules-cut", "a change beside each cut, pause and loss of a process; 5 min", rulesCut},
 	{"tls-bad", "every bad server, its outcome and reason; 20 s", tlsBad},
 }
 
--- a/internal/lab/rules.go
+++ b/internal/lab/rules.go
@@ -3,13 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"croftlock/internal/owners"
 	"croftlock/internal/rules"
 	"croftlock/internal/standin"
 )
@@ -53,55 +49,15 @@
 	return nil
 }
 
+// agreeing plays one case of rules-agree.
 func agreeing(e *Env, lasts time.Duration, changes, faults bool, planted string) (*agreement, error) {
-	var entries []standin.Entry
-	for i := range 4 {
-		s, err := standin.NewServer(fmt.Sprint("s", i), "z", nil)
-		if err != nil {
-			return nil, err
-		}
-		defer s.Close()
-		entries = append(entries, s.Entry())
-	}
-	d, err := standin.NewDiscovery(entries...)
-	if err != nil {
-		return nil, err
-	}
-	defer d.Close()
-	env, o := *e, RigOptions{N: 5, Seed: 11, Key: labKey, Level: "debug", Discovery: d, Sections: ownersFile(3, false, "(rules on) (agree_within 1s)")}
-	if planted != "" {
-		env.Croftlock, o.Env = e.Self, []string{PlantedEnv + "=" + planted}
-	}
-	r, err := NewRigWith(&env, o)
+	g, err := newAgreeing(e, ownersFile(3, false, "(rules on) (agree_within 1s)"), planted)
 	if err != nil {
 		return nil, err
 	}
-	defer r.Close()
-	ask := func(i int, body []byte) string {
-		rep, err := r.Owners(i, owners.Request{Do: "rules", Rules: body})
-		if err != nil {
-			return "unknown: " + err.Error()
-		}
-		return rep.Answer + rep.Error
-	}
-	if _, ok := Until(ownersWait, func() bool { return strings.HasPrefix(ask(0, rules.Show()), "active: version 0 at 5 of 5") }); !ok {
-		return nil, fmt.Errorf("no rights after %v: %s", ownersWait, ask(0, rules.Show()))
-	}
-	a := &agreement{}
-	down := make([]atomic.Bool, 5)
-	var quit atomic.Bool
-	var wg sync.WaitGroup
-	work := func(f func()) {
-		wg.Add(1)
-		go func() { defer wg.Done(); f() }()
-	}
-	for i := range 5 {
-		for range 4 {
-			work(func() { a.place(r, i, &down[i], &quit) })
-		}
-	}
+	defer g.Close()
 	if changes {
-		work(func() { a.change(ask, down, &quit) })
+		g.work(g.change)
 	}
 	end := time.Now().Add(lasts)
 	rng := rand.New(rand.NewPCG(3, 1))
@@ -113,32 +69,19 @@
 		i := rng.IntN(5)
 		switch rng.IntN(3) {
 		case 0:
-			r.Cut(i, true) // also for longer than a right holds
+			g.Cut(i, true) // also for longer than a right holds
 			time.Sleep(time.Duration(300+rng.IntN(3700)) * time.Millisecond)
-			r.Cut(i, false)
+			g.Cut(i, false)
 		case 1:
-			down[i].Store(true)
-			r.Procs[i].Signal(syscall.SIGSTOP)
-			time.Sleep(time.Duration(300+rng.IntN(1500)) * time.Millisecond)
-			r.Procs[i].Signal(syscall.SIGCONT)
-			time.Sleep(300 * time.Millisecond)
-			down[i].Store(false)
+			g.sleeps(i, time.Duration(300+rng.IntN(1500))*time.Millisecond)
 		case 2:
-			down[i].Store(true)
-			r.Procs[i].Kill()
-			if err := r.Start(i); err != nil {
+			if err := g.dies(i); err != nil {
 				return nil, err
 			}
-			down[i].Store(false)
 		}
 		time.Sleep(time.Second)
 	}
-	quit.Store(true)
-	wg.Wait()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	a.read(r.all)
-	return a, nil
+	return g.end(), nil
 }
 
 // place asks for connections at a process, 25 a second, each ended at once.
@@ -164,22 +107,22 @@
 }
 
 // change puts a change each 200 ms, by way of a process that is up.
-func (a *agreement) change(ask func(int, []byte) string, down []atomic.Bool, quit *atomic.Bool) {
+func (g *agreeingRig) change() {
 	at := uint64(0)
-	for n := 0; !quit.Load(); n++ {
+	for n := 0; !g.quit.Load(); n++ {
 		next := time.Now().Add(200 * time.Millisecond)
 		i := n % 5
-		if !down[i].Load() {
+		if !g.down[i].Load() {
 			began := time.Now()
 			v := &rules.Version{Out: []string{fmt.Sprint("nobody", n)}}
-			got := ask(i, rules.Propose(rules.Put(v, at, fmt.Appendf(nil, "change%08d", n))))
+			got := g.ask(i, rules.Propose(rules.Put(v, at, fmt.Appendf(nil, "change%08d", n))))
 			if _, err := fmt.Sscanf(got, "active: version %d", &at); err == nil {
-				a.mu.Lock()
-				a.active++
-				a.took = append(a.took, time.Since(began))
-				a.mu.Unlock()
+				g.agreement.mu.Lock()
+				g.active++
+				g.took = append(g.took, time.Since(began))
+				g.agreement.mu.Unlock()
 			} else {
-				fmt.Sscanf(ask(i, rules.Show()), "active: version %d", &at)
+				fmt.Sscanf(g.ask(i, rules.Show()), "active: version %d", &at)
 			}
 		}
 		time.Sleep(time.Until(next))
--- /dev/null
+++ b/internal/lab/rulescut.go
@@ -0,0 +1,169 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"croftlock/internal/membership/virtual"
+	"croftlock/internal/rules"
+)
+
+// turns are what came of one fault, played again and again with a change under way each time.
+type turns struct {
+	played           int
+	took, heals      []time.Duration // until the change was active, and from the fault's end until all act by it
+	unknown, refused int             // answers other than that it is active
+}
+
+// rulesCut plays each cut, pause and loss of a process beside a change: never over the bound, and all agree again soon after.
+func rulesCut(e *Env, r *Report) error {
+	const table = "a change beside each fault; five processes, three voters, agree_within 1 s"
+	r.Head(table, "fault", "turns", "active after, p50 p99", "no word, refused", "all agree after its end, p50 p99", "side by side, longest", "no answer")
+	for _, part := range []struct {
+		name, sections string
+		faults         []cutFault
+	}{
+		{"when_cut refuse, votes in memory", ownersFile(3, false, "(rules on) (agree_within 1s)"), []cutFault{
+			{"cut off in both directions, 1.5 s", 20, "cut", 1500}, {"hears nothing, 1.5 s", 20, "deaf", 1500}, {"is not heard, 1.5 s", 20, "mute", 1500},
+			{"stopped, 1 s", 20, "pause", 1000}, {"stopped, 10 s", 2, "pause", 10000}, {"the keeper killed", 8, "kill", 0}}},
+		{"when_cut keep", ownersFile(3, false, "(rules on) (agree_within 1s) (when_cut keep)"), []cutFault{{"cut off in both directions, 1.5 s, and keeps", 8, "cut", 1500}}},
+		{"votes on disks", ownersFile(3, true, "(rules on) (agree_within 1s)"), []cutFault{{"two of three disks full, 1.5 s", 4, "full", 1500}}},
+	} {
+		g, err := newAgreeing(e, part.sections, "")
+		if err != nil {
+			return fmt.Errorf("%s: %w", part.name, err)
+		}
+		var rows [][]any
+		for _, f := range part.faults {
+			t, err := g.play(f)
+			if err != nil {
+				g.Close()
+				return fmt.Errorf("%s: %w", f.name, err)
+			}
+			rows = append(rows, []any{f.name, t.played, spread(t.took), fmt.Sprint(t.unknown, ", ", t.refused), spread(t.heals)})
+			if f.kind != "full" {
+				r.Hold(percentile(t.heals, 1) <= 2*time.Second, f.name+": all agree within 2 s of its end", percentile(t.heals, 1))
+			}
+		}
+		a := g.end()
+		_, longest := a.overlaps()
+		for _, row := range rows {
+			r.Row(table, append(row, longest, a.silent)...)
+		}
+		r.Hold(longest <= agreeWithin, part.name+": no act by an older version for longer than agree_within after the first by a newer", longest)
+		r.Hold(a.silent == 0, part.name+": each request gets an answer", a.silent)
+		r.Hold(a.lapsed > 0 == (part.name != "votes on disks"), part.name+": who is cut off acts by no version, or says that it has lapsed", a.lapsed)
+		g.Close()
+	}
+	return nil
+}
+
+type cutFault struct {
+	name  string
+	turns int
+	kind  string
+	ms    int64
+}
+
+// play has a fault happen so many times, each time at another process, with a change put while it lasts.
+func (g *agreeingRig) play(f cutFault) (*turns, error) {
+	t := &turns{}
+	rng := rand.New(rand.NewPCG(7, uint64(len(f.name))))
+	for ; t.played < f.turns; t.played++ {
+		i := rng.IntN(5)
+		if f.kind == "kill" {
+			owner, odd := g.Holders()
+			k, is := owner["rules"]
+			if !is {
+				return nil, fmt.Errorf("nobody keeps the rules: %s", odd)
+			}
+			i = k
+		}
+		by := (i + 1 + rng.IntN(4)) % 5
+		if f.kind == "full" {
+			i, by = t.played%3, 3
+		}
+		at, err := g.standing(by)
+		if err != nil {
+			return nil, err
+		}
+		var end func() error
+		switch f.kind {
+		case "pause", "kill":
+			end = func() error { return nil }
+		case "full":
+			a, b := virtual.Fault{Kind: f.kind, A: i}, virtual.Fault{Kind: f.kind, A: (i + 1) % 3}
+			begin, endA, err := g.effect(a)
+			if err != nil {
+				return nil, err
+			}
+			beginB, endB, _ := g.effect(b)
+			if err := begin(); err != nil {
+				return nil, err
+			}
+			beginB()
+			end = func() error { endB(); return endA() }
+		default:
+			begin, e, err := g.effect(virtual.Fault{Kind: f.kind, A: i})
+			if err != nil {
+				return nil, err
+			}
+			if err := begin(); err != nil {
+				return nil, err
+			}
+			end = e
+		}
+		began, answer := time.Now(), make(chan string, 1)
+		id := fmt.Appendf(nil, "%.4s%08d%04d", f.kind, at, t.played)
+		change := rules.Propose(rules.Put(&rules.Version{Out: []string{fmt.Sprint("nobody", at, f.kind)}}, at, id))
+		go func() { answer <- g.ask(by, change) }()
+		switch f.kind {
+		case "pause":
+			g.sleeps(i, time.Duration(f.ms)*time.Millisecond)
+		case "kill":
+			time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+			if err := g.dies(i); err != nil {
+				return nil, err
+			}
+		default:
+			time.Sleep(time.Duration(f.ms)*time.Millisecond - time.Since(began))
+		}
+		if err := end(); err != nil {
+			return nil, err
+		}
+		ended := time.Now()
+		switch got := <-answer; {
+		case strings.HasPrefix(got, "active: "):
+			t.took = append(t.took, time.Since(began))
+		case strings.HasPrefix(got, "refused: "):
+			t.refused++
+		default:
+			t.unknown++
+			// The same once more is as once.
+			if _, ok := Until(ownersWait, func() bool { return strings.HasPrefix(g.ask(by, change), "active: ") }); !ok {
+				return nil, fmt.Errorf("a change that nobody answered can't be made once all is well: %s", g.ask(by, change))
+			}
+		}
+		if !g.agreed(ownersWait, "active: version "+strconv.FormatUint(at+1, 10)+" at 5 of 5") {
+			return nil, fmt.Errorf("all do not act by version %d: %s", at+1, g.ask(0, rules.Show()))
+		}
+		t.heals = append(t.heals, time.Since(ended))
+	}
+	return t, nil
+}
+
+// standing waits until all act by one version, and gives it.
+func (g *agreeingRig) standing(by int) (at uint64, err error) {
+	got := ""
+	if _, ok := Until(ownersWait, func() bool {
+		got = g.ask(by, rules.Show())
+		n, _ := fmt.Sscanf(got, "active: version %d at 5 of 5", &at)
+		return n == 1
+	}); !ok {
+		return 0, fmt.Errorf("all do not act by one version: %s", got)
+	}
+	return at, nil
+}
--- a/internal/rules/ask.go
+++ b/internal/rules/ask.go
@@ -16,6 +16,7 @@
 	askShow    = 's'
 	askHistory = 'h'
 	askRead    = 'r'
+	askStatus  = 't'
 )
 
 // Asked takes a question.
@@ -31,6 +32,8 @@
 		k.put(now, answer, body[1:])
 	case askShow:
 		answer(k.show(now))
+	case askStatus:
+		answer(string(squeeze([]byte(k.status(now)))))
 	case askHistory:
 		answer(k.history(string(body[1:])))
 	case askRead:
@@ -94,7 +97,7 @@
 
 // IsQuestion tells whether administrators may ask that; what members ask of the keeper is their own.
 func IsQuestion(body []byte) bool {
-	return len(body) > 0 && (body[0] == askPut || body[0] == askShow || body[0] == askHistory || body[0] == askRead)
+	return len(body) > 0 && (body[0] == askPut || body[0] == askShow || body[0] == askHistory || body[0] == askRead || body[0] == askStatus)
 }
 
 // Plain is an answer as people read it: long ones come squeezed.
@@ -150,7 +153,8 @@
 	return &Change{ID: id, Kind: Rollback, Against: against, Body: marshal(to)}
 }
 
-// Show is the question what is active, History which changes were made, Read what a version says (0: the active one).
+// Show is the question what is active, Status who may act by what and what is waited for, History which changes were made, Read what a version says (0: the active one).
 func Show() []byte                { return []byte{askShow} }
+func Status() []byte              { return []byte{askStatus} }
 func History(about string) []byte { return append([]byte{askHistory}, about...) }
 func Read(number uint64) []byte   { return append([]byte{askRead}, marshal(number)...) }
--- /dev/null
+++ b/internal/rules/status_test.go
@@ -0,0 +1,44 @@
+package rules
+
+import (
+	"strings"
+	"testing"
+)
+
+// What operators see while a change waits for one that is cut off, while one can't use it, and once all is well.
+func TestStatus(t *testing.T) {
+	g := newGroup(t, 3)
+	status := func() string {
+		g.k.Asked(g.now, 0, 9, Status())
+		return Plain(g.last())
+	}
+	says := func(words ...string) {
+		t.Helper()
+		got := status()
+		for _, w := range words {
+			if !strings.Contains(got, w) {
+				t.Errorf("expected %q in\n%s", w, got)
+			}
+		}
+	}
+	says("version 0 is active, 0 entries", "a        0        ", "-")
+	g.cut[3] = true
+	g.put(refuseAll, 0)
+	g.run(200 * ms)
+	says("version 1 is on its way for", "on its way: a change of rules by operators", "not ready", "ready")
+	g.run(2 * within)
+	says("version 1 is active, 1 entries; 1 earlier", "c        none: not there  -")
+	g.cut[3] = false
+	g.run(within)
+	g.m[2].Most = 1
+	g.cut[3] = true // holds it up, so that what the other says is still there
+	g.k.staged = nil
+	g.put(&Version{Out: []string{"a", "b"}}, 1)
+	g.run(60 * ms)
+	if got := status(); !strings.Contains(got, "can't be used: rules: 2 entries, this process takes 1") && !strings.Contains(strings.Join(g.answers, "\n"), "refused: b: rules: 2 entries") {
+		t.Error(got)
+	}
+	if !IsQuestion(Status()) || !strings.HasPrefix(Plain("refused: x"), "refused") {
+		t.Error("administrators may ask it")
+	}
+}
