--- a/internal/lab/agreeing.go
+++ b/internal/lab/agreeing.go
@@ -81,6 +81,30 @@
 	return ok
 }
 
+// anyone waits until some process gives such an answer to what is active, and tells how long that took.
+func (g *agreeingRig) anyone(within time.Duration, is func(answer string) bool) (time.Duration, bool) {
+	began, found := time.Now(), make(chan time.Duration, len(g.Procs))
+	var over atomic.Bool
+	for i := range g.Procs {
+		go func() {
+			for !over.Load() {
+				if is(g.ask(i, rules.Show())) {
+					found <- time.Since(began)
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+	}
+	defer over.Store(true)
+	select {
+	case took := <-found:
+		return took, true
+	case <-time.After(within):
+		return within, false
+	}
+}
+
 // sleeps stops a process for a time.
 func (g *agreeingRig) sleeps(i int, d time.Duration) {
 	g.down[i].Store(true)
