--- a/internal/allowance/bank.go
+++ b/internal/allowance/bank.go
@@ -20,8 +20,7 @@
 
 // purseOf is what is out of one account.
 type purseOf struct {
-	tokens float64
-	at     Time
+	pot    jobs.Pot
 	places map[uint32][]promise // how many may be open at each proxy
 }
 
@@ -62,17 +61,6 @@
 	return b.number, nil
 }
 
-// alone is how many proxies go by their own share: all that have not asked of late.
-func (b *Bank) alone(now Time) int {
-	n := b.Base
-	for _, at := range b.asked {
-		if now-at < 2*b.Lapse {
-			n--
-		}
-	}
-	return max(0, n)
-}
-
 func (b *Bank) of(now Time, account string) *purseOf {
 	p := b.accounts[account]
 	if p == nil {
@@ -83,23 +71,12 @@
 				}
 			}
 		}
-		p = &purseOf{at: max(now, b.began), places: map[uint32][]promise{}}
+		p = &purseOf{pot: jobs.Pot{At: max(now, b.began)}, places: map[uint32][]promise{}}
 		b.accounts[account] = p
 	}
 	return p
 }
 
-// fill adds the permits that have become due. Of a rate so much is kept back as those that are alone use by themselves, and no more is saved than
-// comes in a quarter of a second.
-func (b *Bank) fill(now Time, p *purseOf, rate float64) {
-	if now <= p.at {
-		return
-	}
-	part := 1 - float64(b.alone(now))/float64(max(1, b.Base))
-	p.tokens = min(p.tokens+rate*part*float64(now-p.at)/float64(sec), max(1, rate/4))
-	p.at = now
-}
-
 // free is how many more may be open: of those that are not heard of each holds what it was given last, or its share, whichever is more.
 func (b *Bank) free(now Time, p *purseOf, most int) int {
 	share := most / max(1, b.Base)
@@ -127,9 +104,8 @@
 		g := line{account: l.account, places: l.held}
 		if now >= b.began { // else an earlier owner's are still out
 			if limit.Rate > 0 {
-				b.fill(now, p, limit.Rate)
-				g.permits = uint64(max(0, min(float64(l.permits), p.tokens)))
-				p.tokens -= float64(g.permits)
+				p.pot.Fill(now, limit.Rate, b.Base, jobs.Alone(now, b.Base, b.asked, 2*b.Lapse))
+				g.permits = p.pot.Take(l.permits)
 			}
 			if limit.Standing > 0 {
 				// What was promised to this proxy before is its own already.
--- /dev/null
+++ b/internal/jobs/drill.go
@@ -0,0 +1,76 @@
+package jobs
+
+import (
+	"croftlock/internal/ownership"
+	"croftlock/internal/pack"
+)
+
+// Drill is a job that only tells every proxy a number: with it operators try the fleet's owners before anything rests on them.
+type Drill struct {
+	Every Time
+	// Taken hears of each effect here.
+	Taken func(m ownership.Mark)
+	// Late, once it is set, is called after the owner has looked at its lease and before it sends: whatever happens in between, receivers
+	// have to bear.
+	Late func()
+
+	owner  Owner
+	number uint64
+	at     Time
+}
+
+// Start is the Job's.
+func (d *Drill) Start(now Time, o Owner, _, number uint64, left []byte) error {
+	d.owner, d.number, d.at = o, number, now
+	return nil
+}
+
+// Step tells the next number.
+func (d *Drill) Step(now Time) {
+	if now-d.at < d.Every {
+		return
+	}
+	d.at = now
+	d.number++
+	send := d.owner.Do
+	if late := d.Late; late != nil {
+		if sure, may := d.owner.(interface {
+			DoAnyway(to uint32, number uint64, body []byte)
+		}); may {
+			send = sure.DoAnyway // it has looked, and looks no more
+		}
+		d.Late = nil
+		late()
+	}
+	for _, m := range d.owner.Members() {
+		send(m.Peer, d.number, nil)
+	}
+	if d.number%10 == 0 {
+		var w pack.Writer
+		d.owner.Note(d.number, w.Uint(d.number).Data)
+	}
+}
+
+// Stop is the Job's.
+func (d *Drill) Stop() (uint64, []byte) {
+	d.owner = nil
+	d.number++
+	var w pack.Writer
+	return d.number, w.Uint(d.number).Data
+}
+
+// Asked is the Job's.
+func (d *Drill) Asked(Time, uint32, uint64, []byte) {}
+
+// Acked is the Job's.
+func (d *Drill) Acked(Time, uint32, ownership.Mark, ownership.Verdict) {}
+
+// Noted is the Job's.
+func (d *Drill) Noted(Time, uint64, bool) {}
+
+// Effect is the Job's.
+func (d *Drill) Effect(_ Time, m ownership.Mark, _ []byte) {
+	if d.Taken != nil {
+		d.Taken(m)
+	}
+}
