A question about rules is asked again until its keeper, or the next one, answers

At fault: ownership.Core.Ask sends once, to the coordinator that is known then; the answer is lost with the keeper that was asked. Ruled out: the rights (2 ms side by side) and parcels, which are sent again for 3 s to the process that they are for. Change: owners/door.go asks again each 500 ms; the keeper takes the same change once more as once also where one before it has staged it, and before it counts what a key may ask for. TestTheSameOnceMoreAtAnotherKeeper fails without (refused: more changes than it may have; made against something older).

--- a/internal/owners/door.go
+++ b/internal/owners/door.go
@@ -30,6 +30,9 @@
 // askWithin bounds a request's time.
 const askWithin = 4 * time.Second
 
+// askAgain is how soon a question that has no answer yet is asked again.
+const askAgain = 500 * time.Millisecond
+
 type door struct{ l net.Listener }
 
 func (d *door) close() { d.l.Close() }
@@ -61,6 +64,29 @@
 	return &door{l}, nil
 }
 
+// await waits for an owner's answer. What was asked is lost where its owner ends, or another is just taking over: a question about rules is asked
+// again, since twice is as once.
+func (s *Shell) await(tag uint64, ch chan string, q Request) (string, bool) {
+	again := time.NewTicker(askAgain)
+	defer again.Stop()
+	late := time.After(askWithin)
+	for {
+		select {
+		case a := <-ch:
+			return a, true
+		case <-late:
+			s.post(func() { delete(s.asks, tag) })
+			return "", false
+		case <-again.C:
+			s.post(func() {
+				if s.asks[tag] != nil && q.Do == "rules" && s.gate != nil && rules.IsQuestion(q.Rules) {
+					s.core.Ask(s.now(), "rules", tag, q.Rules)
+				}
+			})
+		}
+	}
+}
+
 func (s *Shell) answer(c net.Conn) {
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(askWithin + time.Second))
@@ -145,22 +171,18 @@
 		}) {
 			return late
 		}
-		select {
-		case a := <-ch:
-			if q.Do == "move" && a != "" {
-				return Reply{Error: a}
-			}
-			if q.Do == "move" {
-				a = "its owner is asked for it"
-			}
-			if q.Do == "rules" {
-				a = rules.Plain(a)
-			}
-			return Reply{Answer: a}
-		case <-time.After(askWithin):
-			s.post(func() { delete(s.asks, tag) })
+		a, answered := s.await(tag, ch, q)
+		switch {
+		case !answered:
 			return Reply{Error: "unknown: no owner has answered; what was asked may or may not have been done. Ask again: twice is as once"}
+		case q.Do == "move" && a != "":
+			return Reply{Error: a}
+		case q.Do == "move":
+			a = "its owner is asked for it"
+		case q.Do == "rules":
+			a = rules.Plain(a)
 		}
+		return Reply{Answer: a}
 	case "add", "promote", "remove":
 		var err error
 		if !s.on(func() {
--- a/internal/rules/hands_test.go
+++ b/internal/rules/hands_test.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"strings"
 	"testing"
 
 	"croftlock/internal/namespace"
@@ -86,3 +87,30 @@
 		t.Errorf("%d versions, %d changes, %d bytes are kept", len(g.k.past), len(g.k.trail), len(g.left))
 	}
 }
+
+// A change whose keeper ends with it on its way is asked for once more at the next one: it hears that it is active, and not that it was made against
+// something older. Asking again costs nothing of what may be asked for.
+func TestTheSameOnceMoreAtAnotherKeeper(t *testing.T) {
+	g := begin(t, 3)
+	g.cut[3] = true // holds it up
+	c := PutSpace(to("acme", 0, "a"), 2, []byte("once-and-again"))
+	g.signed(c, 1)
+	g.run(100 * ms)
+	if g.k.staged == nil {
+		t.Fatal("it is not on its way:", g.last())
+	}
+	g.keeper()
+	n := len(g.answers)
+	for range 3 * usualChanges {
+		g.change(c)
+	}
+	g.run(4 * within)
+	got := g.answers[n:]
+	if len(got) != 1 || !strings.HasPrefix(got[0], "active: version 3 at") {
+		t.Errorf("%q", got)
+	}
+	g.change(c)
+	if !strings.HasPrefix(g.last(), "active: version 3 at") {
+		t.Error(g.last())
+	}
+}
--- a/internal/rules/queue.go
+++ b/internal/rules/queue.go
@@ -30,16 +30,13 @@
 		k.turn(c, who, why)
 		answer("refused: " + why)
 	}
-	if !k.afford(now, c) {
-		answer(fmt.Sprintf("refused: more changes of %s a minute than it may have, ask again in some seconds", c.about()))
+	// The same once more is as once, and costs nothing of what it may ask for: whoever has heard no answer asks again.
+	if done := named(k.trail, c.ID); done != nil {
+		answer(k.wasMade(now, done))
 		return
 	}
-	if done := slices.IndexFunc(k.trail, func(e Entry) bool { return len(c.ID) > 0 && bytes.Equal(e.ID, c.ID) }); done >= 0 {
-		s := k.stands(now)
-		if n := k.trail[done].Number; n < k.active.Number {
-			s += fmt.Sprintf("; this change was made as version %d", n)
-		}
-		answer(s)
+	if k.staged != nil && named(k.next, c.ID) != nil && !slices.ContainsFunc(k.made, func(p *pending) bool { return bytes.Equal(p.ID, c.ID) }) {
+		k.made = append(k.made, &pending{Change: c, answer: answer}) // a keeper before this one has begun it
 		return
 	}
 	for _, p := range append(k.waiting[:len(k.waiting):len(k.waiting)], k.made...) {
@@ -47,6 +44,12 @@
 			p.answer = answer
 			return
 		}
+	}
+	if !k.afford(now, c) {
+		answer(fmt.Sprintf("refused: more changes of %s a minute than it may have, ask again in some seconds", c.about()))
+		return
+	}
+	for _, p := range append(k.waiting[:len(k.waiting):len(k.waiting)], k.made...) {
 		if p.about() == c.about() {
 			refuse("", fmt.Sprintf("another change of %s is on its way, ask again", c.about()))
 			return
@@ -71,6 +74,23 @@
 	}
 }
 
+// named is the change of a trail that has an id; nil: there is none.
+func named(trail []Entry, id []byte) *Entry {
+	if i := slices.IndexFunc(trail, func(e Entry) bool { return len(id) > 0 && bytes.Equal(e.ID, id) }); i >= 0 {
+		return &trail[i]
+	}
+	return nil
+}
+
+// wasMade answers for a change that was made.
+func (k *Keeper) wasMade(now Time, e *Entry) string {
+	s := k.stands(now)
+	if e.Number < k.active.Number {
+		s += fmt.Sprintf("; this change was made as version %d", e.Number)
+	}
+	return s
+}
+
 // same tells whether two versions say the same but for their numbers.
 func same(a, b *Version) bool {
 	x, y := a.next(), b.next()
