--- a/internal/rules/queue.go
+++ b/internal/rules/queue.go
@@ -31,20 +31,20 @@
 		answer("refused: " + why)
 	}
 	// The same once more is as once, and costs nothing of what it may ask for: whoever has heard no answer asks again.
-	if done := named(k.trail, c.ID); done != nil {
-		answer(k.wasMade(now, done))
-		return
-	}
-	if k.staged != nil && named(k.next, c.ID) != nil && !slices.ContainsFunc(k.made, func(p *pending) bool { return bytes.Equal(p.ID, c.ID) }) {
-		k.made = append(k.made, &pending{Change: c, answer: answer}) // a keeper before this one has begun it
-		return
-	}
 	for _, p := range append(k.waiting[:len(k.waiting):len(k.waiting)], k.made...) {
 		if len(c.ID) > 0 && bytes.Equal(p.ID, c.ID) {
 			p.answer = answer
 			return
 		}
 	}
+	if done := named(k.trail, c.ID); done != nil && (k.staged == nil || k.active.Book == nil || k.active.Book.Was == nil) {
+		answer(k.wasMade(now, done))
+		return
+	}
+	if k.staged != nil && named(k.next, c.ID) != nil {
+		k.made = append(k.made, &pending{Change: c, answer: answer}) // a keeper before this one has begun it
+		return
+	}
 	if !k.afford(now, c) {
 		answer(fmt.Sprintf("refused: more changes of %s a minute than it may have, ask again in some seconds", c.about()))
 		return
