--- a/internal/owners/door.go
+++ b/internal/owners/door.go
@@ -31,7 +31,7 @@
 const askWithin = 4 * time.Second
 
 // askAgain is how soon a question that has no answer yet is asked again.
-const askAgain = 500 * time.Millisecond
+const askAgain = 200 * time.Millisecond
 
 type door struct{ l net.Listener }
 
