Read over: floors are written by pack, ages looked at only where they matter

Need: what the change wrote again or did twice. No behaviour changes. - floors/codec.go had varints and lengths by hand: internal/pack; Source was membership.ID once more; datagrams are sent by one function in three places. - brain/rotation.go summed loads by age at each pick, also where loads are told or traffic is dense, and tried the same pass twice where no age goes first. - rules: the group's copy of a version was squeezed anew at each note, now as it is for those that ask; Version.between and book in place of the same two checks. - rulescut.go: faults begin in one place; a refused change is no reason to pass over later ones.

--- a/brain/rotation.go
+++ b/brain/rotation.go
@@ -8,10 +8,11 @@
 // to.
 func (b *Brain) pick(r *request) *server {
 	cost := b.turns(r)
-	b.among = b.ages(r)
-	s := b.rotate(r, cost, false)
-	if b.among = anyAge; s != nil {
-		return s
+	if b.among = b.ages(r); b.among != anyAge {
+		s := b.rotate(r, cost, false)
+		if b.among = anyAge; s != nil {
+			return s
+		}
 	}
 	if s := b.rotate(r, cost, false); s != nil {
 		return s
@@ -23,14 +24,18 @@
 // than their part of what is held from here, else those before them. Where traffic is thin that tells nothing
 // of one server, but something of all of an age: each balancer keeps to the part by chance, and so all do.
 func (b *Brain) ages(r *request) int {
+	if b.reports() || !b.thin() {
+		return anyAge
+	}
 	var load, room [3]float64
 	for _, s := range b.servers {
 		if s.state == Ready {
-			load[b.age(s)] += s.load
-			room[b.age(s)] += s.weight * b.warmth(s)
+			a := b.age(s)
+			load[a] += s.load
+			room[a] += s.weight * b.warmth(s)
 		}
 	}
-	if b.reports() || !b.thin() || room[newer] == 0 {
+	if room[newer] == 0 {
 		return anyAge
 	}
 	all, luck := load[newer]+load[older]+r.cost, float64(hash(r.ID)%1024)/1024
@@ -42,7 +47,7 @@
 
 // passes tells whether a server is not of the age that is looked among. A cold one has its own budget.
 func (b *Brain) passes(s *server) bool {
-	return b.among == newer && b.age(s) != newer || b.among == older && b.age(s) != older && b.warmth(s) >= 1
+	return b.among != anyAge && b.age(s) != b.among && (b.among == newer || b.warmth(s) >= 1)
 }
 
 func (b *Brain) rotate(r *request, cost float64, all bool) *server {
--- a/internal/command/attempts_test.go
+++ b/internal/command/attempts_test.go
@@ -54,10 +54,7 @@
 		case f["event"] == "ruled":
 			account[f["request"]], version[f["request"]] = f["account"], f["version"]
 		case f["event"] == "attempt":
-			at, err := time.Parse("2006/01/02 15:04:05.000000", ruledAt.FindString(l))
-			if err != nil {
-				t.Fatalf("a line that the checker can't read: %q", l)
-			}
+			at := loggedAt(t, l)
 			all = append(all, made{at, account[f["request"]], f["host"], version[f["request"]]})
 		}
 	}
--- a/internal/command/floors_test.go
+++ b/internal/command/floors_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,14 +17,9 @@
 func sentTo(t *testing.T, p *lab.Process, host string) (all []time.Time) {
 	t.Helper()
 	for _, l := range p.Log("event=attempt ") {
-		if !regexp.MustCompile(`host=` + host + `( |$)`).MatchString(l) {
-			continue
+		if strings.Contains(l+" ", " host="+host+" ") {
+			all = append(all, loggedAt(t, l))
 		}
-		at, err := time.Parse("2006/01/02 15:04:05.000000", ruledAt.FindString(l))
-		if err != nil {
-			t.Fatalf("a line that the checker can't read: %q", l)
-		}
-		all = append(all, at)
 	}
 	return all
 }
--- a/internal/command/rulesrig_test.go
+++ b/internal/command/rulesrig_test.go
@@ -43,16 +43,25 @@
 	ruledWhat = regexp.MustCompile(`version=(\d+) lapsed=(true|false)`)
 )
 
+// loggedAt is when a line was written.
+func loggedAt(t *testing.T, line string) time.Time {
+	t.Helper()
+	at, err := time.Parse("2006/01/02 15:04:05.000000", ruledAt.FindString(line))
+	if err != nil {
+		t.Fatalf("a line that the checker can't read: %q", line)
+	}
+	return at
+}
+
 func decisions(t *testing.T, p *lab.Process) (all []decision) {
 	t.Helper()
 	for _, l := range p.Log("event=ruled") {
-		when, what := ruledAt.FindString(l), ruledWhat.FindStringSubmatch(l)
-		at, err := time.Parse("2006/01/02 15:04:05.000000", when)
-		if err != nil || what == nil {
+		what := ruledWhat.FindStringSubmatch(l)
+		if what == nil {
 			t.Fatalf("a line that the checker can't read: %q", l)
 		}
 		n, _ := strconv.Atoi(what[1])
-		all = append(all, decision{at, n, what[2] == "true"})
+		all = append(all, decision{loggedAt(t, l), n, what[2] == "true"})
 	}
 	return all
 }
--- a/internal/floors/codec.go
+++ b/internal/floors/codec.go
@@ -1,10 +1,10 @@
 package floors
 
 import (
-	"encoding/binary"
 	"errors"
-	"hash/fnv"
 	"math"
+
+	"croftlock/internal/pack"
 )
 
 // Kinds of datagrams.
@@ -16,104 +16,71 @@
 const (
 	mostHost = 64    // bytes of a host's name
 	unit     = 100e6 // nanoseconds that a word's life is counted in
-	head     = 1 + 4
 )
 
 var errTorn = errors.New("floors: a datagram that can't be read")
 
 // message is one datagram: whose numbering the revisions are of, and what is said.
 type message struct {
-	kind   byte
+	kind   uint64
 	source uint32
 	rev    int64 // of an ask, the asker's own
 	floors []Floor
 }
 
-// Source is a numbering of lists, by its name.
-func Source(name string) uint32 {
-	h := fnv.New32a()
-	h.Write([]byte(name))
-	return h.Sum32()
-}
-
-func start(kind byte, source uint32) []byte {
-	return binary.BigEndian.AppendUint32([]byte{kind}, source)
+func start(kind uint64, source uint32) *pack.Writer {
+	var w pack.Writer
+	return w.Uint(kind).Uint(uint64(source))
 }
 
-// ask is the question for what is above a revision.
+// ask is the question for what is above a revision; one under 0 stands for none.
 func ask(source uint32, rev int64) []byte {
-	return binary.AppendVarint(start(kindAsk, source), rev)
+	return start(kindAsk, source).Uint(uint64(max(-1, rev) + 1)).Data
 }
 
 // tells writes floors into as few datagrams of at most room bytes as they need.
 func tells(source uint32, all []Floor, room int) (out [][]byte) {
-	data := start(kindTell, source)
+	head := start(kindTell, source).Data
+	data := head
 	for _, f := range all {
-		one := appendFloor(nil, f)
-		if len(f.Host) > mostHost || head+len(one) > room {
+		var w pack.Writer
+		w.Uint(uint64(f.State)).Text(f.Host).Uint(uint64(max(0, f.Boot))).Uint(uint64(f.Rev)).Uint(uint64(max(0, f.Left) / unit))
+		if len(f.Host) > mostHost || len(head)+len(w.Data) > room {
 			continue
 		}
-		if len(data)+len(one) > room {
+		if len(data)+len(w.Data) > room {
 			out = append(out, data)
-			data = start(kindTell, source)
+			data = head
 		}
-		data = append(data, one...)
+		data = append(data[:len(data):len(data)], w.Data...)
 	}
-	if len(data) > head {
+	if len(data) > len(head) {
 		out = append(out, data)
 	}
 	return out
 }
 
-func appendFloor(data []byte, f Floor) []byte {
-	data = append(data, byte(f.State), byte(len(f.Host)))
-	data = append(data, f.Host...)
-	data = binary.AppendVarint(data, f.Boot)
-	data = binary.AppendVarint(data, f.Rev)
-	return binary.AppendUvarint(data, uint64(max(0, f.Left)/unit))
-}
-
 // read reads a datagram; one that is torn says nothing at all.
 func read(data []byte) (m message, err error) {
-	if len(data) < head {
-		return m, errTorn
-	}
-	m.kind, m.source = data[0], binary.BigEndian.Uint32(data[1:])
-	data = data[head:]
-	number := func() (n int64) {
-		n, k := binary.Varint(data)
-		if k <= 0 {
-			err = errTorn
-			return 0
-		}
-		data = data[k:]
-		return n
-	}
-	switch m.kind {
+	r := pack.Reader{Data: data}
+	kind, source := r.Uint(), r.Uint()
+	m = message{kind: kind, source: uint32(source)}
+	good := r.Err() == nil && source <= math.MaxUint32
+	switch kind {
 	case kindAsk:
-		if m.rev = number(); err != nil || len(data) > 0 || m.rev < -1 {
-			return message{}, errTorn
-		}
+		rev := r.Uint()
+		m.rev = int64(rev) - 1
+		good = good && rev <= math.MaxInt64 && len(r.Data) == 0
 	case kindTell:
-		for len(data) > 0 {
-			if len(data) < 2 || int(data[1]) > mostHost || data[1] == 0 || len(data) < 2+int(data[1]) || State(data[0]) != Draining && State(data[0]) != Gone {
-				return message{}, errTorn
-			}
-			f := Floor{State: State(data[0]), Host: string(data[2 : 2+data[1]])}
-			data = data[2+data[1]:]
-			f.Boot, f.Rev = number(), number()
-			if err != nil {
-				return message{}, err
-			}
-			left, k := binary.Uvarint(data)
-			if k <= 0 || f.Rev < 0 || f.Rev == math.MaxInt64 {
-				return message{}, errTorn
-			}
-			data = data[k:]
-			f.Left = Time(min(left, uint64(Life/unit))) * unit
-			m.floors = append(m.floors, f)
+		for good && len(r.Data) > 0 {
+			state, host, boot, rev, left := State(r.Uint()), r.Text(mostHost), r.Uint(), r.Uint(), r.Uint()
+			good = (state == Draining || state == Gone) && host != "" && boot <= math.MaxInt64 && rev < math.MaxInt64
+			m.floors = append(m.floors, Floor{host, int64(boot), int64(rev), state, Time(min(left, uint64(Life/unit))) * unit})
 		}
 	default:
+		good = false
+	}
+	if !good || r.Err() != nil {
 		return message{}, errTorn
 	}
 	return m, nil
--- a/internal/floors/floors.go
+++ b/internal/floors/floors.go
@@ -4,6 +4,7 @@
 package floors
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -53,6 +54,8 @@
 	at    Time
 }
 
+func (o own) floor(host string) Floor { return Floor{host, o.boot, o.rev, o.state, Life} }
+
 type word struct {
 	Floor
 	until, since Time
@@ -92,8 +95,8 @@
 	}
 	if rev < b.rev {
 		for id, o := range b.list {
-			if f := (Floor{id, o.boot, o.rev, o.state, Life}); o.state != Up && o.rev > rev && !b.Knows(f) {
-				b.heard[id] = word{f, now + Life, now}
+			if w, known := b.heard[id]; o.state != Up && o.rev > rev && !(known && w.Rev >= o.rev) {
+				b.heard[id] = word{o.floor(id), now + Life, now}
 				changed = append(changed, id)
 			}
 		}
@@ -134,11 +137,12 @@
 	if !had && len(b.list) >= mostFloors {
 		return news
 	}
-	b.list[h.Host] = own{h.Boot, h.State, rev, now}
+	o = own{h.Boot, h.State, rev, now}
+	b.list[h.Host] = o
 	if h.State == Up || !had && h.State == Gone {
 		return news
 	}
-	return append(news, Floor{h.Host, h.Boot, rev, h.State, Life})
+	return append(news, o.floor(h.Host))
 }
 
 // Heard takes another's word. changed names the hosts that are out now and were not.
@@ -205,7 +209,7 @@
 	var all []Floor
 	for id, o := range b.list {
 		if o.state != Up && o.rev > rev && (o.state == Draining || now-o.at <= goneKept) {
-			all = append(all, Floor{id, o.boot, o.rev, o.state, Life})
+			all = append(all, o.floor(id))
 		}
 	}
 	for _, w := range b.heard {
@@ -216,20 +220,11 @@
 		}
 	}
 	slices.SortFunc(all, func(x, y Floor) int {
-		if x.Rev != y.Rev {
-			return int(min(1, max(-1, x.Rev-y.Rev)))
-		}
-		return slices.Compare([]byte(x.Host), []byte(y.Host))
+		return cmp.Or(cmp.Compare(x.Rev, y.Rev), cmp.Compare(x.Host, y.Host))
 	})
 	return all
 }
 
-// Knows tells whether another's word as new is known of a host.
-func (b *Book) Knows(f Floor) bool {
-	w, is := b.heard[f.Host]
-	return is && w.Rev >= f.Rev
-}
-
 // note notes what others have told, so that it need not be told once more; wasTold asks for it.
 func (b *Book) note(all []Floor) {
 	for _, f := range all {
--- a/internal/floors/link.go
+++ b/internal/floors/link.go
@@ -103,9 +103,14 @@
 	if l.pending = nil; l.closed || len(left) == 0 {
 		return
 	}
-	all := tells(l.source, left, l.Way.Room())
-	for _, peer := range l.Way.Others() {
-		for _, data := range all[:min(len(all), mostDatagrams)] {
+	l.carry(left, l.Way.Others()...)
+}
+
+// carry sends floors to some, as many as a bounded number of datagrams holds.
+func (l *Link) carry(all []Floor, peers ...uint32) {
+	out := tells(l.source, all, l.Way.Room())
+	for _, peer := range peers {
+		for _, data := range out[:min(len(out), mostDatagrams)] {
 			l.Way.Carry(peer, Whose, data)
 		}
 	}
@@ -125,10 +130,7 @@
 		l.tellChanged(changed)
 		return
 	}
-	out := tells(l.source, l.book.Above(now, m.rev), l.Way.Room())
-	for _, data := range out[:min(len(out), mostDatagrams)] {
-		l.Way.Carry(from, Whose, data)
-	}
+	l.carry(l.book.Above(now, m.rev), from)
 	if m.rev > l.book.Rev() && l.book.Rev() >= 0 && now-l.asked >= Time(askEvery)/4 {
 		l.asked = now
 		l.Way.Carry(from, Whose, ask(l.source, l.book.Rev())) // it knows more
@@ -142,12 +144,8 @@
 	if len(all) == 0 || len(others) == 0 {
 		return
 	}
-	data := tells(l.source, all, l.Way.Room())
 	for range passTo {
-		peer := others[l.Rand.IntN(len(others))]
-		for _, d := range data {
-			l.Way.Carry(peer, Whose, d)
-		}
+		l.carry(all, others[l.Rand.IntN(len(others))])
 	}
 }
 
--- a/internal/lab/agreeing.go
+++ b/internal/lab/agreeing.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -51,8 +50,8 @@
 	if g.Rig, err = NewRigWith(&env, o); err != nil {
 		return nil, err
 	}
-	if !g.agreed(ownersWait, "active: version 0 at 5 of 5") {
-		return nil, fmt.Errorf("no rights after %v: %s", ownersWait, g.ask(0, rules.Show()))
+	if _, err := g.standing(0); err != nil {
+		return nil, err
 	}
 	for i := range 5 {
 		for range 4 {
@@ -76,11 +75,6 @@
 	return rep.Answer + rep.Error
 }
 
-func (g *agreeingRig) agreed(within time.Duration, want string) bool {
-	_, ok := Until(within, func() bool { return strings.HasPrefix(g.ask(0, rules.Show()), want) })
-	return ok
-}
-
 // anyone waits until some process gives such an answer to what is active, and tells how long that took.
 func (g *agreeingRig) anyone(within time.Duration, is func(answer string) bool) (time.Duration, bool) {
 	began, found := time.Now(), make(chan time.Duration, len(g.Procs))
--- a/internal/lab/rulescut.go
+++ b/internal/lab/rulescut.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -89,31 +90,9 @@
 		if err != nil {
 			return nil, err
 		}
-		var end func() error
-		switch f.kind {
-		case "pause", "kill":
-			end = func() error { return nil }
-		case "full":
-			a, b := virtual.Fault{Kind: f.kind, A: i}, virtual.Fault{Kind: f.kind, A: (i + 1) % 3}
-			begin, endA, err := g.effect(a)
-			if err != nil {
-				return nil, err
-			}
-			beginB, endB, _ := g.effect(b)
-			if err := begin(); err != nil {
-				return nil, err
-			}
-			beginB()
-			end = func() error { endB(); return endA() }
-		default:
-			begin, e, err := g.effect(virtual.Fault{Kind: f.kind, A: i})
-			if err != nil {
-				return nil, err
-			}
-			if err := begin(); err != nil {
-				return nil, err
-			}
-			end = e
+		end, err := g.strike(f, i)
+		if err != nil {
+			return nil, err
 		}
 		began, answer := time.Now(), make(chan string, 1)
 		id := fmt.Appendf(nil, "%.4s%08d%04d", f.kind, at, t.played)
@@ -144,6 +123,7 @@
 			t.took = append(t.took, time.Since(began))
 		case strings.HasPrefix(got, "refused: "):
 			t.refused++
+			continue
 		default:
 			t.unknown++
 			// The same once more is as once.
@@ -152,13 +132,41 @@
 			}
 		}
 		want := fmt.Sprintf("active: version %d at 5 of 5", at+1)
-		if _, ok := g.anyone(ownersWait, func(s string) bool { return strings.HasPrefix(s, want) }); !ok && t.refused == 0 {
+		if _, ok := g.anyone(ownersWait, func(s string) bool { return strings.HasPrefix(s, want) }); !ok {
 			return nil, fmt.Errorf("all do not act by version %d: %s", at+1, g.ask(by, rules.Show()))
 		}
 	}
 	return t, nil
 }
 
+// strike begins a fault at a process, and gives what ends it; stops and deaths are played by the turn itself.
+func (g *agreeingRig) strike(f cutFault, i int) (end func() error, err error) {
+	at := []int{i}
+	switch f.kind {
+	case "pause", "kill":
+		at = nil
+	case "full":
+		at = append(at, (i+1)%3)
+	}
+	var ends []func() error
+	for _, a := range at {
+		begin, end, err := g.effect(virtual.Fault{Kind: f.kind, A: a})
+		if err == nil {
+			err = begin()
+		}
+		if err != nil {
+			return nil, err
+		}
+		ends = append(ends, end)
+	}
+	return func() (err error) {
+		for _, end := range ends {
+			err = errors.Join(err, end())
+		}
+		return err
+	}, nil
+}
+
 // standing waits until all act by one version, and gives it.
 func (g *agreeingRig) standing(by int) (at uint64, err error) {
 	got := ""
--- a/internal/node/floors.go
+++ b/internal/node/floors.go
@@ -7,6 +7,7 @@
 	"croftlock/brain"
 	"croftlock/internal/floors"
 	"croftlock/internal/members"
+	"croftlock/internal/membership"
 	"croftlock/internal/netio"
 	"croftlock/internal/proxy"
 )
@@ -26,7 +27,7 @@
 			if addr, _ := r.watch.Source(); name == "" {
 				name = addr
 			}
-			return floors.Source(name)
+			return membership.ID(name)
 		}}
 	r.floors.Run()
 	m.Attach(floors.Whose, r.floors.Take)
--- a/internal/rules/change.go
+++ b/internal/rules/change.go
@@ -53,6 +53,9 @@
 	return nil
 }
 
+// between tells whether a version is a step from one to the next, while something changes hands.
+func (v *Version) between() bool { return book(v).Was != nil }
+
 // next is a version that changes may be applied to; nothing of v is changed through it.
 func (v *Version) next() *Version {
 	n := *v
--- a/internal/rules/hands.go
+++ b/internal/rules/hands.go
@@ -9,10 +9,7 @@
 // moves tells whether a host or a tenant changes hands between two versions.
 func moves(old, next *Version) bool {
 	frame := func(v *Version) (namespace.Frame, map[string]string) {
-		f, of := namespace.Frame{}, map[string]string{}
-		if v.Book != nil {
-			f = namespace.Frame{Pools: v.Book.Pools, Accounts: v.Book.Accounts}
-		}
+		f, of := namespace.Frame{Pools: book(v).Pools, Accounts: book(v).Accounts}, map[string]string{}
 		for _, a := range f.Accounts { // the deepest stands last
 			for _, t := range a.Tenants {
 				of[t] = a.Name
@@ -35,12 +32,9 @@
 
 // bare is what a frame needs to say whose something was.
 func bare(v *Version) *namespace.Frame {
-	f := &namespace.Frame{}
-	if v.Book != nil {
-		f.Pools = v.Book.Pools
-		for _, a := range v.Book.Accounts {
-			f.Accounts = append(f.Accounts, namespace.Account{Name: a.Name, Tenants: a.Tenants})
-		}
+	f := &namespace.Frame{Pools: book(v).Pools}
+	for _, a := range book(v).Accounts {
+		f.Accounts = append(f.Accounts, namespace.Account{Name: a.Name, Tenants: a.Tenants})
 	}
 	return f
 }
--- a/internal/rules/keeper.go
+++ b/internal/rules/keeper.go
@@ -132,7 +132,7 @@
 	k.Step(now)
 }
 
-// travels is travel, made once for all that ask.
+// travels is travel, made once for all that ask and for what the group keeps.
 func (k *Keeper) travels(v, base *Version) []byte {
 	key := [2]*Version{v, base}
 	if k.travelling[key] == nil {
--- a/internal/rules/print.go
+++ b/internal/rules/print.go
@@ -50,7 +50,7 @@
 			b.WriteString(")\n")
 		}
 	}
-	if v.Book.Was != nil {
+	if v.between() {
 		b.WriteString("; something changes hands: a version more follows\n")
 	}
 	return b.String()
--- a/internal/rules/queue.go
+++ b/internal/rules/queue.go
@@ -37,7 +37,7 @@
 			return
 		}
 	}
-	if done := named(k.trail, c.ID); done != nil && (k.staged == nil || k.active.Book == nil || k.active.Book.Was == nil) {
+	if done := named(k.trail, c.ID); done != nil && (k.staged == nil || !k.active.between()) {
 		answer(k.wasMade(now, done))
 		return
 	}
@@ -109,7 +109,7 @@
 // stage makes one version of all changes that wait, so that one customer's change waits for nobody else's. Each is checked again: what was
 // revoked since, or changed by another, is refused.
 func (k *Keeper) stage(now Time) {
-	if b := k.active.Book; b != nil && b.Was != nil {
+	if k.active.between() {
 		k.settle(now, nil) // a keeper before this one has begun it
 		return
 	}
@@ -182,11 +182,11 @@
 		}
 		made := k.made
 		k.active, k.is, k.staged, k.trail, k.past, k.made = v, v.Hash(), nil, k.next, past, nil
-		if v.Book != nil && v.Book.Was != nil {
+		if v.between() {
 			k.settle(now, made)
 		}
 		k.call() // whoever asks may begin the next round
-		if v.Book == nil || v.Book.Was == nil {
+		if !v.between() {
 			for _, p := range made {
 				p.answer(k.stands(now))
 			}
--- a/internal/rules/trail.go
+++ b/internal/rules/trail.go
@@ -106,7 +106,7 @@
 // passed is the past once next is active. Each version is kept as what is different from the one after it.
 func (k *Keeper) passed(next *Version) [][]byte {
 	past := k.past[:len(k.past):len(k.past)]
-	if k.active.Book == nil || k.active.Book.Was == nil {
+	if !k.active.between() {
 		past = append(past, k.active.travel(next))
 		return past[max(0, len(past)-mostHistory):]
 	}
@@ -134,9 +134,9 @@
 
 // left is what the group is to keep: as much of the past as there is room for.
 func (k *Keeper) left(active, staged *Version, trail []Entry, past [][]byte) []byte {
-	s := kept{Active: squeeze(active.Encode()), Trail: trail}
+	s := kept{Active: k.travels(active, nil), Trail: trail}
 	if staged != nil {
-		s.Staged = squeeze(staged.Encode())
+		s.Staged = k.travels(staged, nil)
 	}
 	for {
 		s.History = past
