A repeat is written while hosts still discard it, or not at all

A connection that comes up in 240 ms carried a repeat that hosts had ceased to discard 239 ms before. Ruled out: the first attempt's clock, which begins at its choice, before it can have run. Also: a request that may have run and must not run twice was refused (BUSY: trying again is harmless) where the fleet's rules took its pool away. Now the core ends such an attempt unwritten (Moot), by a timer and once more right before the write; Request.decline refuses or fails by effect. Tests without the fix: 'want end up ended; outcome q 1 7 false; refuse q 0', 'a repeat was let through after its time', 'got refuse q 0 want fail q'.

--- a/internal/line/conns.go
+++ b/internal/line/conns.go
@@ -309,7 +309,12 @@
 		u.finish(err)
 		return
 	}
-	u.conn, u.stage = c, netio.Sending
+	u.conn = c
+	if !u.events.MaySend() {
+		c.Close()
+		return
+	}
+	u.stage = netio.Sending
 	c.Write(u.first.WithWait(time.Duration(u.until - u.loop.Now())))
 	if !c.Blocked() {
 		u.sent()
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -74,6 +74,8 @@
 
 // UpstreamEvents is what an Upstream tells the core.
 type UpstreamEvents interface {
+	// MaySend is asked right before the first line is written. False: it must not be, and the attempt has been ended.
+	MaySend() bool
 	UpstreamSent()               // the first line is written whole: from here on the host may act on it
 	FromUpstream(m Message) bool // false: not taken, Pump will ask for it again
 	UpstreamReady()
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -170,7 +170,7 @@
 	from := r.pool
 	c.tell(r, from, func(now brain.Time, m Decider) { m.Outcome(now, r.ask.ID, number, brain.Moot, 0, true, nil) })
 	if to == nil {
-		r.refuse(c.ComeBack())
+		r.decline(c.ComeBack())
 		return
 	}
 	if r.mayRun && c.opt.Settings.Classes[r.ask.Class].Effect != brain.Safe {
--- /dev/null
+++ b/internal/proxy/repeat_test.go
@@ -0,0 +1,90 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/netio"
+)
+
+// keyed opens a request whose repeats hosts discard for 500 ms. Its first attempt is reset after 300 ms, and the second one begins at once.
+func keyed(t *testing.T) *world {
+	w := newWorld(t)
+	c := &w.core.opt.Settings.Classes[0]
+	c.Effect, c.Window = brain.Keyed, int64(500*time.Millisecond)
+	w.on = func(e string) {
+		switch e {
+		case "request q":
+			w.fx.Send("q", "A", 0)
+		case "outcome q 0 5 false":
+			w.fx.Send("q", "B", 0)
+		case "outcome q 1 7 false":
+			w.fx.Refuse("q", 0)
+		}
+	}
+	w.open("q")
+	w.ups[0].stage = netio.Sent
+	w.pass(300 * time.Millisecond)
+	w.seen = nil
+	w.ups[0].ev.UpstreamEnded(&netio.Error{Stage: netio.Sent, Cause: netio.Broke})
+	return w
+}
+
+// A repeat whose connection comes up slowly was written after hosts had ceased to discard it, and ran twice.
+func TestARepeatIsWrittenInTimeOrNotAtAll(t *testing.T) {
+	w := keyed(t)
+	w.expect("end up ended", "outcome q 0 5 false", "start at-B 700")
+	w.pass(190 * time.Millisecond)
+	w.expect()
+	w.pass(20 * time.Millisecond)
+	w.expect("end up ended", "outcome q 1 7 false", "refuse q 0")
+}
+
+// The connection stands in the moment in which the time is up, before the timer has been looked at.
+func TestARepeatWhoseConnectionStandsTooLate(t *testing.T) {
+	w := keyed(t)
+	if !w.ups[1].ev.MaySend() {
+		t.Fatal("a repeat in time was held back")
+	}
+	w.seen = nil
+	w.now += int64(200 * time.Millisecond)
+	if w.ups[1].ev.MaySend() {
+		t.Fatal("a repeat was let through after its time")
+	}
+	w.expect("end up ended", "outcome q 1 7 false", "refuse q 0")
+}
+
+// What is on its way when the time ends was written before it, and its answer counts.
+func TestARepeatThatIsWrittenGoesOn(t *testing.T) {
+	w := keyed(t)
+	w.ups[1].stage = netio.Sent
+	w.pass(400 * time.Millisecond)
+	w.ups[1].ev.FromUpstream(Message{Kind: Receipt, Text: []byte("UP\r\n")})
+	w.expect("end up ended", "outcome q 0 5 false", "start at-B 700", "serve q", "first q 1")
+}
+
+// A refusal says that trying again is harmless. One that may have run must not hear so where it must not run twice.
+func TestWhatMayHaveRunIsNotRefused(t *testing.T) {
+	for _, c := range []struct {
+		effect brain.Effect
+		scope  brain.Scope
+		ran    bool
+		want   string
+	}{
+		{brain.Safe, brain.ScopeAll, true, "refuse q 0"},
+		{brain.Keyed, brain.ScopeAll, true, "refuse q 0"},
+		{brain.Keyed, brain.ScopeZone, true, "fail q"},
+		{brain.Unsafe, brain.ScopeAll, true, "fail q"},
+		{brain.Unsafe, brain.ScopeAll, false, "refuse q 0"},
+	} {
+		w := newWorld(t)
+		k := &w.core.opt.Settings.Classes[0]
+		k.Effect, k.Scope = c.effect, c.scope
+		r := w.open("q")
+		w.seen = nil
+		r.mayRun = c.ran
+		r.decline(0)
+		w.expect(c.want)
+	}
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -30,6 +30,7 @@
 	pool     *pool  // whose instance of the module places it, and after UP the one of its host; nil: its host changes hands
 	base     int    // attempts that were made before that instance was asked
 	mayRun   bool   // an attempt that ended may have run
+	ranAt    int64  // when the first of these was sent
 	slot     string // the account whose limits it counts against; "": none
 	deadline int64
 	overdue  *netio.Timer
@@ -43,19 +44,21 @@
 
 // upstreamRequest is one attempt to serve a request.
 type upstreamRequest struct {
-	req     *Request
-	number  int
-	host    *host
-	conn    Upstream
-	sentAt  int64
-	until   int64
-	timer   *netio.Timer
-	up      bool
-	last    Kind      // Farewell or MoveAway once the host has said so
-	report  []float64 // the load report that came with its answer or its end; nil: none
-	load    float64   // as the host last told it; 0: not yet
-	before  float64   // and the one before that
-	waiting []int64   // when the client's lines went up that no line has come back for
+	req    *Request
+	number int
+	host   *host
+	conn   Upstream
+	sentAt int64
+	until  int64
+	timer  *netio.Timer
+	// repeatTimer ends a repeat that is not written before hosts cease to discard it; nil: no repeat, or no such time.
+	repeatTimer *netio.Timer
+	up          bool
+	last        Kind      // Farewell or MoveAway once the host has said so
+	report      []float64 // the load report that came with its answer or its end; nil: none
+	load        float64   // as the host last told it; 0: not yet
+	before      float64   // and the one before that
+	waiting     []int64   // when the client's lines went up that no line has come back for
 }
 
 // tracing tells whether the log takes the life of each request. Asked before a line is put together: with 80 proxies to
@@ -87,7 +90,7 @@
 	}
 	switch v, how := c.again(r, h); how {
 	case refusedNow:
-		r.refuse(v.Advice)
+		r.decline(v.Advice)
 		c.tell(r, p, func(now brain.Time, m Decider) { m.Outcome(now, id, number, brain.Moot, 0, true, nil) })
 		return
 	case elsewhere:
@@ -110,6 +113,7 @@
 		slog.Debug("attempt", "request", r.ask.ID, "number", number, "host", h.id, "left_ms", (r.deadline-now)/1e6)
 	}
 	a.timer = c.loop.After(time.Duration(until-now), func() { a.finish(brain.Timeout, netio.Ended) })
+	a.limitRepeat()
 	a.dial()
 }
 
@@ -145,6 +149,7 @@
 		return false
 	}
 	a.timer.Stop()
+	a.repeatTimer.Stop()
 	a.req.out = nil
 	delete(a.host.trying, a)
 	delete(a.host.up, a.req)
@@ -186,7 +191,7 @@
 		return
 	}
 	closed := r.answered || a.up
-	r.mayRun = r.mayRun || !status.ProvesNotRun()
+	r.noteRun(a, status)
 	c.tell(r, r.pool, func(now brain.Time, m Decider) { m.Outcome(now, r.ask.ID, a.number, status, elapsed, closed, a.report) })
 	if closed {
 		r.forget()
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -40,6 +40,7 @@
 	r, c := a.req, a.req.core
 	a.up, r.answered = true, true
 	a.timer.Stop()
+	a.repeatTimer.Stop()
 	r.overdue.Stop()
 	delete(a.host.trying, a)
 	a.host.up[r] = struct{}{}
