No client ends without its answer or its MOVE at the moments in which connections close

Parts that nobody takes over now end with their rest and MOVE as well. - A connection that rested was closed without a word after 2.5 s; a request that came in that moment had no answer. It gets BUSY now and is finished, not closed; the front's own (PING) is finished as before. - A process that leaves with nothing standing ended 0.45 s after SIGTERM, whatever half of a first line it had read. It now ends what rests with BUSY and waits for what is coming, within the time that it has (Core.SetNewcomers, Front.Dismiss). - A client that sends over 16 KB before its answer is read no further, so its end stays unseen behind that, and attempts go on for nobody. It gets ERR: the protocol has it wait.

--- /dev/null
+++ b/internal/line/front.go
@@ -0,0 +1,94 @@
+package line
+
+import (
+	"container/list"
+	"net"
+	"time"
+
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
+)
+
+const (
+	// firstLine is how long after connecting a downstream's first line may take, whole: a client that sends it in
+	// pieces gets no more time for each. Who does not send one is owed its end within 3 s.
+	firstLine = 2500 * time.Millisecond
+	// betweenPings is how long a connection that has asked PING may stay: the front may keep one.
+	betweenPings = 30 * time.Second
+)
+
+// inputLimit is how much a connection may have sent that nobody has taken before it is read no further: some lines of
+// the longest kind.
+const inputLimit = 4 * Max
+
+// Front takes in clients. It turns their lines into the core's terms.
+type Front struct {
+	loop *netio.Loop
+	core *proxy.Core
+	// newcomers are the connections that hold a descriptor and no request: those without a first line yet, and those
+	// that have been turned away and not hung up. They have room of their own, else hundreds of clients that say
+	// nothing would turn away the ones that do; and the one that has been there longest makes room for the next.
+	newcomers list.List
+	room      int
+	listener  *netio.Listener
+}
+
+// Addr is where it listens.
+func (f *Front) Addr() net.Addr { return f.listener.Addr() }
+
+// NewFront is for clients of the line protocol who come to a listener, with room for so many that have no request.
+func NewFront(l *netio.Loop, core *proxy.Core, on *netio.Listener, room int) *Front {
+	return &Front{loop: l, core: core, room: room, listener: on}
+}
+
+// Stop leaves clients that come from now on to another process that holds the listener.
+func (f *Front) Stop() { f.listener.Stop() }
+
+// Serve takes clients, after Stop again.
+func (f *Front) Serve() error { return netio.Serve(f.loop, f.listener, inputLimit, f.accept) }
+
+func (f *Front) accept(c *netio.Conn) netio.Handler {
+	d := &downstream{front: f, conn: c}
+	c.WhenGone(d.gone)
+	if f.newcomers.Len() >= f.room {
+		f.newcomers.Front().Value.(*downstream).drop()
+	}
+	d.place = f.newcomers.PushBack(d)
+	d.idle = f.loop.After(firstLine, d.late)
+	return d
+}
+
+// Dismiss ends the connections that rest without having sent anything, and tells how many without a request are left.
+func (f *Front) Dismiss() int {
+	for e := f.newcomers.Front(); e != nil; {
+		d := e.Value.(*downstream)
+		e = e.Next() // a connection that ends leaves the list
+		if !d.conn.Over() && len(d.conn.Input()) == 0 {
+			d.dismiss()
+		}
+	}
+	return f.newcomers.Len()
+}
+
+// Resume goes on with an open connection that another process has handed over.
+func (f *Front) Resume(s *proxy.Standing) {
+	d := &downstream{front: f, counted: true, served: true}
+	u := &upstream{loop: f.loop, stage: netio.Up}
+	d.req, u.events = f.core.Resume(s, d, u)
+	if err := netio.Resume(f.loop, s.Down, inputLimit, d, func(c *netio.Conn) {
+		d.conn = c
+		c.WhenGone(d.gone)
+	}); err != nil {
+		s.Up.Discard(nil)
+		d.gone()
+		d.req.DownstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.Broke, Detail: err})
+		return
+	}
+	if err := netio.Resume(f.loop, s.Up, inputLimit, u, func(c *netio.Conn) { u.conn = c }); err != nil {
+		u.finish(&netio.Error{Stage: netio.Up, Cause: netio.Broke, Detail: err})
+		return
+	}
+	// What was read and not passed on waits in both buffers.
+	f.loop.Post(d.Pump)
+	f.loop.Post(u.Pump)
+}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -20,6 +20,7 @@
 	ErrTooLong   = errors.New("line over 4 KiB")
 	ErrMalformed = errors.New("malformed line")
 	errLate      = errors.New("first line not whole in time")
+	errEarly     = errors.New("much sent before the answer, which a client has to wait for")
 )
 
 // Cut finds the first line in b. It gives the line with its CRLF, or nil while its end has not come yet.
--- /dev/null
+++ b/internal/line/upstream.go
@@ -0,0 +1,144 @@
+package line
+
+import (
+	"strings"
+	"time"
+
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
+)
+
+// upstream is the connection of one upstream request.
+type upstream struct {
+	loop   *netio.Loop
+	events proxy.UpstreamEvents
+	first  proxy.First
+	fields []string // of a load report behind an answer
+	until  int64
+	drop   func() // gives the connection up while it opens
+	conn   *netio.Conn
+	stage  netio.Stage
+	ended  *netio.Error // the host is gone; its last lines may still wait for the client
+	done   bool
+}
+
+var _ proxy.Upstream = (*upstream)(nil)
+
+func (u *upstream) connected(c *netio.Conn, err *netio.Error) {
+	u.drop = nil
+	if err != nil {
+		u.finish(err)
+		return
+	}
+	u.conn = c
+	if !u.events.MaySend() {
+		c.Close()
+		return
+	}
+	u.stage = netio.Sending
+	c.Write(u.first.WithWait(time.Duration(u.until - u.loop.Now())))
+	if !c.Blocked() {
+		u.sent()
+	}
+}
+
+func (u *upstream) sent() {
+	u.stage = netio.Sent
+	u.events.UpstreamSent()
+}
+
+func (u *upstream) Data(c *netio.Conn) { u.Pump() }
+
+// Pump hands the host's lines on, as far as the other side takes them.
+func (u *upstream) Pump() {
+	for !u.done && u.conn != nil {
+		line, err := Cut(u.conn.Input())
+		if err != nil {
+			u.conn.Close()
+			u.finish(&netio.Error{Stage: u.stage, Cause: netio.Dropped, Detail: err})
+			return
+		}
+		if line == nil {
+			if u.ended != nil {
+				u.finish(u.ended)
+			}
+			return
+		}
+		m := ParseHost(line)
+		if len(u.fields) > 0 && (m.Kind == proxy.Busy || m.Kind == proxy.Fault || m.Kind == proxy.Farewell) {
+			_, rest := word(line)
+			m.Report = ParseReport(strings.TrimSpace(rest), u.fields)
+		}
+		if m.Kind == proxy.Receipt && u.stage < netio.Up {
+			u.stage = netio.Up
+		}
+		if !u.events.FromUpstream(m) {
+			return
+		}
+		u.conn.Consume(len(line))
+	}
+}
+
+func (u *upstream) Writable(c *netio.Conn) {
+	if u.stage == netio.Sending {
+		u.sent()
+		return
+	}
+	u.events.UpstreamReady()
+}
+
+func (u *upstream) Closed(c *netio.Conn, err *netio.Error) {
+	// The connection knows that it stood; how far the request on it had come is known here.
+	// Its layer may know that it never stood: then the host has read nothing, whatever was written.
+	u.ended = &netio.Error{Stage: min(u.stage, err.Stage), Cause: err.Cause, Detail: err.Detail}
+	u.Pump() // a slow client still gets what the host said before it ended
+}
+
+func (u *upstream) finish(err *netio.Error) {
+	if !u.done {
+		u.done = true
+		u.events.UpstreamEnded(err)
+	}
+}
+
+// Release lets go of the host's connection without ending it. What a host that has ended said last is not left behind.
+func (u *upstream) Release(done func(netio.Parts)) {
+	u.done = true
+	if u.conn == nil || u.ended != nil {
+		u.loop.Post(func() { done(netio.Parts{FD: -1}) })
+		return
+	}
+	u.conn.Release(done)
+}
+
+// Pass hands on a line of the client's; false: not now.
+func (u *upstream) Pass(m proxy.Message) bool { return u.conn.Write(m.Text) }
+
+// Expires is when what the connection rests on ends; the zero time where it rests on nothing.
+func (u *upstream) Expires() time.Time {
+	if u.conn != nil {
+		if l, ok := u.conn.Layer().(proxy.Expiring); ok {
+			return l.Expires()
+		}
+	}
+	return time.Time{}
+}
+
+// Stage is how far the request has come.
+func (u *upstream) Stage() netio.Stage { return u.stage }
+
+// End gives the request up, or ends the connection as the client's ended. Nothing more is told.
+func (u *upstream) End(cause netio.Cause) {
+	u.done = true
+	if u.drop != nil {
+		u.drop()
+		u.drop = nil
+	}
+	if u.conn != nil {
+		if cause == netio.Broke {
+			u.conn.Abort()
+		} else {
+			u.conn.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/netio/finish_test.go
@@ -0,0 +1,46 @@
+package netio
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+// A peer that reads slowly has an unfinished line in the way of its last one, which was dropped: a client was cut off without
+// being told to move.
+func TestLastLineBehindAnUnfinishedOne(t *testing.T) {
+	line := append(bytes.Repeat([]byte("x"), 4094), "\r\n"...)
+	finished := make(chan struct{})
+	_, addr, _ := serve(t, func(c *Conn) {
+		for !c.Blocked() {
+			c.Write(line)
+		}
+		c.FinishWith([]byte("MOVE\r\n"))
+		close(finished)
+	})
+	c := dial(t, addr)
+	c.Write([]byte("."))
+	<-finished
+	got, err := io.ReadAll(c)
+	if err != nil || !bytes.HasSuffix(got, append(line[len(line)-8:], "MOVE\r\n"...)) || (len(got)-6)%len(line) != 0 {
+		t.Errorf("%d bytes end in %q: %v", len(got), got[max(0, len(got)-8):], err)
+	}
+}
+
+// What nobody goes on with still ends with whole lines, where its socket takes them.
+func TestPartsAreDiscardedWithTheirRest(t *testing.T) {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := os.NewFile(uintptr(pair[1]), "peer")
+	defer peer.Close()
+	Parts{FD: pair[0], Rest: []byte("of a line\r\n")}.Discard([]byte("MOVE\r\n"))
+	got, err := io.ReadAll(peer)
+	if err != nil || string(got) != "of a line\r\nMOVE\r\n" {
+		t.Errorf("got %q and %v", got, err)
+	}
+}
--- /dev/null
+++ b/internal/netio/write.go
@@ -0,0 +1,118 @@
+package netio
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// How long to wait before a peer that takes no bytes is offered them again.
+const (
+	firstRetry = 2 * time.Millisecond
+	lastRetry  = 64 * time.Millisecond
+)
+
+// stuckAfter is how long a peer may take nothing before its connection is given up: what waits for it holds memory, and
+// somebody else's descriptor too.
+const stuckAfter = 10 * time.Second
+
+// Write hands one line to the kernel. It tells false, and takes nothing, while the rest of an earlier one waits;
+// Writable says when to come again.
+func (c *Conn) Write(p []byte) bool {
+	if c.over {
+		return true // its end is on the way to the handler, or came from it
+	}
+	if len(c.rest) > 0 {
+		return false
+	}
+	if c.layer == nil {
+		c.push(p)
+	} else if err := c.layer.Seal(p); err != nil {
+		c.loop.Post(func() { c.fail(whyNot(err)) })
+	}
+	return true
+}
+
+// push hands bytes to the kernel and keeps what it does not take.
+func (c *Conn) push(p []byte) {
+	if len(c.rest) > 0 {
+		if len(c.rest)+len(p) > mostSaid {
+			c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errTalk}) })
+			return
+		}
+		c.rest = append(c.rest, p...)
+		return
+	}
+	if n := c.send(p); n < len(p) {
+		c.rest = append(c.rest, p[n:]...)
+		c.pause, c.giveUp = firstRetry, c.loop.Now()+int64(stuckAfter)
+		c.retry = c.loop.After(c.pause, c.flush)
+	}
+}
+
+// Blocked tells whether the rest of a line waits for the peer.
+func (c *Conn) Blocked() bool { return len(c.rest) > 0 }
+
+// flush offers the peer the rest of a line again. netpoll's own Flush would block the loop until a slow reader has
+// taken everything, and its poller watches for writing only inside that call; so the offer is renewed by a timer,
+// more and more seldom.
+func (c *Conn) flush() {
+	n := c.send(c.rest)
+	c.rest = c.rest[:copy(c.rest, c.rest[n:])]
+	switch {
+	case len(c.rest) > 0 && !c.over && c.loop.Now() > c.giveUp:
+		c.rest = nil
+		c.fail(&Error{Stage: Up, Cause: Dropped, Detail: errors.New("peer takes nothing")})
+	case len(c.rest) > 0 && !(c.over && c.loop.Now() > c.until):
+		c.pause = min(2*c.pause, lastRetry)
+		c.retry = c.loop.After(c.pause, c.flush)
+	case c.over && c.ending && len(c.rest) == 0:
+		c.halfClose()
+	case c.over:
+		c.shut()
+	default:
+		c.rest = nil
+		c.guard(func() { c.handler.Writable(c) })
+	}
+}
+
+// send gives the kernel what it takes right now. A connection that is broken takes everything: its end is reported
+// by netpoll, in its own time.
+func (c *Conn) send(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	done := 0
+	for c.fd >= 0 && done < len(p) {
+		n, err := unix.SendmsgN(c.fd, p[done:], nil, nil, unix.MSG_NOSIGNAL|unix.MSG_DONTWAIT)
+		switch {
+		case err == nil:
+			done += n
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			return done
+		default:
+			if c.paused {
+				// netpoll does not watch it now, so nobody else will tell.
+				c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Broke, Detail: err}) })
+			}
+			return len(p)
+		}
+	}
+	return len(p)
+}
+
+// FinishWith writes a last line and ends the connection as Finish does. The line also goes out where the rest of an earlier
+// one still waits for the peer: Write would take nothing then.
+func (c *Conn) FinishWith(last []byte) {
+	if c.over {
+		return
+	}
+	if c.layer == nil {
+		c.push(last)
+	} else if err := c.layer.Seal(last); err != nil {
+		c.loop.Post(func() { c.fail(whyNot(err)) })
+	}
+	c.Finish()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,6 +162,7 @@
 		return fmt.Errorf("listen: %v", err)
 	}
 	r.front = line.NewFront(loop, core, r.on, cfg.Newcomers())
+	core.SetNewcomers(r.front)
 	if cfg.Admin != "" {
 		_, err := patiently(func() (*admin.Front, error) { return admin.Listen(loop, core, cfg.Admin, cfg.Callers()) }, inUse)
 		if err != nil {
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -85,10 +85,11 @@
 	calls    []call
 	effects  []func()
 
-	planner  *expiry.Planner // nil: connections are kept whatever ends
-	sessions int
-	leaving  bool
-	keeper   Keeper // nil: nothing outlives this process
+	planner   *expiry.Planner // nil: connections are kept whatever ends
+	sessions  int
+	leaving   bool
+	newcomers Newcomers // nil: there are none
+	keeper    Keeper    // nil: nothing outlives this process
 	// handed: another process of this proxy takes what comes; elsewhere is how many downstreams it holds.
 	handed    bool
 	elsewhere int
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -24,6 +24,15 @@
 	shortestStay = 3400 * time.Millisecond
 )
 
+// Newcomers are the connections on which no request has come yet.
+type Newcomers interface {
+	// Dismiss ends those that rest without having sent anything, and tells how many are left.
+	Dismiss() int
+}
+
+// SetNewcomers has a proxy that leaves end the connections without a request, and wait for those on which one is coming.
+func (c *Core) SetNewcomers(n Newcomers) { c.newcomers = n }
+
 // Leave ends the proxy's service in order: clients that still come are refused with advice, requests under way get
 // their answer, and every open connection is moved. done is called once nothing is left, or when the time that the
 // platform grants is nearly over.
@@ -46,7 +55,11 @@
 	step = func() {
 		passed := c.loop.Now() - began
 		open, pending := c.standing()
-		if passed > unnoticed && open+pending+c.handing == 0 && c.sessions == 0 || passed > longest {
+		unasked := 0
+		if passed > unnoticed && c.newcomers != nil {
+			unasked = c.newcomers.Dismiss()
+		}
+		if passed > unnoticed && open+pending+c.handing+unasked == 0 && c.sessions == 0 || passed > longest {
 			slog.Info("left", "open", open, "pending", pending)
 			done()
 			return
