--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"time"
@@ -51,26 +52,17 @@
 	late   time.Duration // how long past that an answer may come
 	agent  bool          // lists are pushed to an agent on this machine, and the client follows it unasked
 
-	rev     int64 // of the list as held, in the numbering of the service at addr; under 0: none is held of it
-	moved   int64 // when addr last changed, until it has answered; 0: it has
-	again   *netio.Timer
-	wanted  bool  // the watch goes on
-	first   bool  // its first answer is awaited, which is told even if it is empty
-	watch   *call // the call under way
-	fetch   *call
-	idle    *netio.Conn // a connection whose last response is complete
-	lastErr string
-}
-
-// call is one request on its way.
-type call struct {
-	client *Client
-	target string
-	dial   *netio.Dial
-	conn   *netio.Conn
-	timer  *netio.Timer
-	reused bool
-	done   func(ch proxy.Change, err error)
+	rev    int64 // of the list as held, in the numbering of the service at addr; under 0: none is held of it
+	moved  int64 // when addr last changed, until it has answered; 0: it has
+	again  *netio.Timer
+	wanted bool  // the watch goes on
+	first  bool  // its first answer is awaited, which is told even if it is empty
+	watch  *call // the call under way
+	// reopened: the watch has been opened anew since it fell silent, and nothing has come since.
+	reopened bool
+	fetch    *call
+	idle     *netio.Conn // a connection whose last response is complete
+	lastErr  string
 }
 
 // NewClient makes a client, one of so many that share discovery, that holds the list up to rev and gives news to tell.
@@ -116,7 +108,7 @@
 	if addr == c.addr {
 		return
 	}
-	c.addr, c.rev, c.moved = addr, -1, c.loop.Now()
+	c.addr, c.rev, c.moved = addr, noVersion, c.loop.Now()
 	if c.idle != nil {
 		c.idle.Close()
 		c.idle = nil
@@ -151,6 +143,12 @@
 			c.again = c.loop.After(pause, c.next)
 			return
 		}
+		if errors.Is(err, errSilent) && !c.reopened {
+			c.note(err)
+			c.reopen()
+			return
+		}
+		c.reopened = false
 		if err != nil {
 			// The module decides when to ask again; it backs off.
 			c.wanted = false
@@ -165,6 +163,18 @@
 	})
 }
 
+// reopen opens a watch that has fallen silent anew, at once: what it has missed counts as told soon, while the module's own
+// pause grows with the fleet. The calls of a fleet fall silent each at its own time, so discovery is not asked by all together.
+// A connection at rest may be as dead as the one that was used. Should the new call fail too, the module is told.
+func (c *Client) reopen() {
+	c.reopened = true
+	if c.idle != nil {
+		c.idle.Close()
+		c.idle = nil
+	}
+	c.next()
+}
+
 // Fetch asks for the whole list once.
 func (c *Client) Fetch() {
 	if c.fetch != nil {
@@ -192,110 +202,3 @@
 	c.note(err)
 	c.tell(proxy.Change{Kind: brain.ListFailed})
 }
-
-func (c *Client) start(target string, within time.Duration, done func(proxy.Change, error)) *call {
-	q := &call{client: c, target: target, done: done}
-	q.timer = c.loop.After(within, func() { q.finish(nil, fmt.Errorf("no answer in %v", within)) })
-	if c.idle != nil && !c.idle.Over() {
-		q.conn, q.reused, c.idle = c.idle, true, nil
-		q.conn.SetHandler(q)
-		q.send()
-		return q
-	}
-	q.connect()
-	return q
-}
-
-func (q *call) connect() {
-	c := q.client
-	q.dial = c.dialer.Dial(c.addr, connectWithin, inputLimit, q, func(conn *netio.Conn, err *netio.Error) {
-		q.dial = nil
-		if err != nil {
-			q.finish(nil, err)
-			return
-		}
-		q.conn = conn
-		q.send()
-	})
-}
-
-func (q *call) send() {
-	q.conn.Write([]byte("GET " + q.target + " HTTP/1.1\r\nHost: " + q.client.addr + "\r\nAccept: application/json\r\n\r\n"))
-}
-
-// Data looks whether the response is complete.
-func (q *call) Data(c *netio.Conn) { q.look(false) }
-
-func (q *call) look(ended bool) {
-	r, err := parseResponse(q.conn.Input(), ended)
-	if r != nil || err != nil {
-		q.finish(r, err)
-	}
-}
-
-// Writable is nothing to a call: its request is one short write.
-func (q *call) Writable(*netio.Conn) {}
-
-// Closed comes when discovery ends the connection, which may complete a response.
-func (q *call) Closed(c *netio.Conn, err *netio.Error) {
-	if q.reused && len(c.Input()) == 0 {
-		// It was closed for being idle before this call reached it: that is no failure of discovery's.
-		q.reused = false
-		q.connect()
-		return
-	}
-	if err.Cause == netio.Ended {
-		q.look(true)
-		return
-	}
-	q.finish(nil, err)
-}
-
-func (q *call) finish(r *response, err error) {
-	if q.done == nil {
-		return
-	}
-	var ch proxy.Change
-	if err == nil && r.status != 200 {
-		err = fmt.Errorf("status %d", r.status)
-	}
-	if err == nil {
-		ch, err = Parse(r.body)
-	}
-	done := q.done
-	if err == nil && !r.last && !q.conn.Over() {
-		q.conn.Consume(r.length)
-		q.client.idle = q.conn
-		q.conn.SetHandler(unused{q.client})
-		q.conn = nil
-	}
-	q.drop()
-	if err == nil {
-		q.client.rev, q.client.moved = ch.Version, 0
-		if q.client.lastErr != "" {
-			q.client.lastErr = ""
-			slog.Info("discovery_back", "rev", ch.Version)
-		}
-	}
-	done(ch, err)
-}
-
-// drop ends a call without telling.
-func (q *call) drop() {
-	q.done = nil
-	q.timer.Stop()
-	q.dial.Drop()
-	if q.conn != nil {
-		q.conn.Close()
-	}
-}
-
-// unused handles a connection that waits for the next call.
-type unused struct{ client *Client }
-
-func (u unused) Data(c *netio.Conn) {
-	// Nothing was asked, so nothing can be meant.
-	c.Close()
-}
-func (u unused) Writable(*netio.Conn)             {}
-func (u unused) Closed(*netio.Conn, *netio.Error) {}
