Among several cold servers whose lot is drawn the least loaded goes first, then the draw

Cause: a lot took MaxFloat32 off the load (brain/rotation.go, rotate), which leaves nothing of the load in a float; several lots drawn for one request were equal then, and the first server by id won. So the first ids got all of their lots and the last few.

--- a/brain/rotation.go
+++ b/brain/rotation.go
@@ -101,7 +101,7 @@
 			l = s.x + (cost+b.strange(s, r, thin)/max(1, b.meanCost))/b.full
 		}
 		if s.lucky {
-			l -= math.MaxFloat32 // the lot says how often it is its turn; a tie-break on top would halve that
+			l = -1 / (1 + l + float64(hash(r.ID+s.id)%1024)/1e6) // lots first, by load and then by the draw
 		}
 		if l < least || l == least && s.lag > best.lag {
 			best, least = s, l
--- a/brain/untold_test.go
+++ b/brain/untold_test.go
@@ -25,50 +25,12 @@
 // Without quotas all lots were off, and a cold server got nothing from a process that had just started: its warm-up went by
 // unused while the warm ones were full.
 func TestColdServersAreUsedWhereNoQuotasAreTold(t *testing.T) {
-	const cold, flow = 30, 40.0
+	const cold, flow = coldServers, untoldFlow
 	for _, c := range []struct {
 		n   int
 		new float64
 	}{{1, 0}, {3, 0}, {30, 0.5}, {300, 0}, {300, 0.5}, {300, 1}} {
-		rng := rand.New(rand.NewSource(7))
-		all, young := untold(t, c.n, 1), untold(t, c.n, 2)
-		at := 100 * sec
-		step := func() Time { return Time(rng.ExpFloat64() / flow * 1e9) }
-		var before []Time
-		for ; at < 130*sec; at += step() {
-			before = append(before, at)
-		}
-		replayEnds(all, rng, before)
-		for i := range all {
-			if rng.Float64() < c.new {
-				all[i] = young[i]
-			}
-		}
-		for _, f := range all {
-			var es []Entry
-			for i := 0; i < cold; i++ {
-				es = append(es, Entry{ID: fmt.Sprintf("s%02d", i), Zone: "a", Weight: 1, Since: at})
-			}
-			f.now = max(f.now, at)
-			f.b.Members(f.now, ListDelta, 2, es)
-		}
-		var later []Time
-		for up := at; at < up+9*sec; at += step() {
-			later = append(later, at)
-		}
-		sent := map[string][]Time{}
-		for i, now := range later {
-			f := all[rng.Intn(len(all))]
-			f.run(now - f.now)
-			id, from := fmt.Sprintf("l-%d", i), len(f.sends)
-			f.b.Request(f.now, Request{ID: id, Tenant: -1, Left: 4800 * ms})
-			for _, s := range f.sends[from:] {
-				f.stands(s.req)
-				if s.server < fmt.Sprintf("s%02d", cold) {
-					sent[s.server] = append(sent[s.server], now)
-				}
-			}
-		}
+		_, sent, later := startCold(t, c.n, c.new, 1)
 		total, most := 0, 0
 		for _, at := range sent {
 			total, most = total+len(at), max(most, within(at, sec))
@@ -91,6 +53,56 @@
 	}
 }
 
+const (
+	coldServers = 30   // of 80 have just started
+	untoldFlow  = 40.0 // requests a second
+)
+
+// startCold has servers start under balancers, a part of which are new as well. It tells when each of these servers was sent something in
+// its warm-up, and when requests came.
+func startCold(t *testing.T, n int, restarted float64, seed int64) (up Time, sent map[string][]Time, later []Time) {
+	t.Helper()
+	rng := rand.New(rand.NewSource(seed + 6))
+	all, young := untold(t, n, seed), untold(t, n, seed+1)
+	at := 100 * sec
+	step := func() Time { return Time(rng.ExpFloat64() / untoldFlow * 1e9) }
+	var before []Time
+	for ; at < 130*sec; at += step() {
+		before = append(before, at)
+	}
+	replayEnds(all, rng, before)
+	for i := range all {
+		if rng.Float64() < restarted {
+			all[i] = young[i]
+		}
+	}
+	for _, f := range all {
+		var es []Entry
+		for i := 0; i < coldServers; i++ {
+			es = append(es, Entry{ID: fmt.Sprintf("s%02d", i), Zone: "a", Weight: 1, Since: at})
+		}
+		f.now = max(f.now, at)
+		f.b.Members(f.now, ListDelta, 2, es)
+	}
+	for up = at; at < up+9*sec; at += step() {
+		later = append(later, at)
+	}
+	sent = map[string][]Time{}
+	for i, now := range later {
+		f := all[rng.Intn(len(all))]
+		f.run(now - f.now)
+		id, from := fmt.Sprintf("l-%d", i), len(f.sends)
+		f.b.Request(f.now, Request{ID: id, Tenant: -1, Left: 4800 * ms})
+		for _, s := range f.sends[from:] {
+			f.stands(s.req)
+			if s.server < fmt.Sprintf("s%02d", coldServers) {
+				sent[s.server] = append(sent[s.server], now)
+			}
+		}
+	}
+	return up, sent, later
+}
+
 // replayEnds gives requests at moments to balancers by chance; each stands at once and ends by itself 15 s later.
 func replayEnds(all []*fake, rng *rand.Rand, at []Time) {
 	type open struct {
