--- a/internal/netio/finish_test.go
+++ b/internal/netio/finish_test.go
@@ -30,17 +30,19 @@
 	}
 }
 
-// What nobody goes on with still ends with whole lines, where its socket takes them.
+// What nobody goes on with still ends with whole lines, where its socket takes them; what somebody else goes on with is left to them.
 func TestPartsAreDiscardedWithTheirRest(t *testing.T) {
-	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	peer := os.NewFile(uintptr(pair[1]), "peer")
-	defer peer.Close()
-	Parts{FD: pair[0], Rest: []byte("of a line\r\n")}.Discard([]byte("MOVE\r\n"))
-	got, err := io.ReadAll(peer)
-	if err != nil || string(got) != "of a line\r\nMOVE\r\n" {
-		t.Errorf("got %q and %v", got, err)
+	for _, c := range []struct{ last, want string }{{"MOVE\r\n", "of a line\r\nMOVE\r\n"}, {"", ""}} {
+		pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer := os.NewFile(uintptr(pair[1]), "peer")
+		Parts{FD: pair[0], Rest: []byte("of a line\r\n")}.Discard([]byte(c.last))
+		got, err := io.ReadAll(peer)
+		if err != nil || string(got) != c.want {
+			t.Errorf("last %q: got %q and %v", c.last, got, err)
+		}
+		peer.Close()
 	}
 }
--- a/internal/netio/release.go
+++ b/internal/netio/release.go
@@ -84,14 +84,14 @@
 	return nil
 }
 
-// Discard ends what was let go of and has found nobody to go on with it. The rest of a line that is partly written and a last
-// line go out as far as the kernel takes them at once.
+// Discard gives this process's hold on the socket up. Where nobody else goes on with it there is a last line to say: the rest of a
+// line that is partly written and the last one go out, as far as the kernel takes them at once.
 func (p Parts) Discard(last []byte) {
 	if p.FD < 0 {
 		return
 	}
-	if out := append(bytes.Clone(p.Rest), last...); len(out) > 0 {
-		unix.SendmsgN(p.FD, out, nil, nil, unix.MSG_NOSIGNAL|unix.MSG_DONTWAIT)
+	if len(last) > 0 {
+		unix.SendmsgN(p.FD, append(bytes.Clone(p.Rest), last...), nil, nil, unix.MSG_NOSIGNAL|unix.MSG_DONTWAIT)
 	}
 	unix.Close(p.FD)
 }
