--- a/internal/command/certs.go
+++ b/internal/command/certs.go
@@ -24,8 +24,8 @@
 
 // output is where a new certificate and its key go.
 type output struct {
-	cert, key, password, name, kind, life string
-	force                                 bool
+	cert, key, password, kind, life string
+	force                           bool
 }
 
 func (o *output) flags(cmd *cobra.Command, name, life string) {
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -160,7 +160,6 @@
 	turnAt    Time
 	changing  bool
 	working   bool
-	confirms  uint64
 	yields    Time // until then this process does not act as leader
 	leadsTerm uint64
 }
--- a/internal/consensus/disk/disk.go
+++ b/internal/consensus/disk/disk.go
@@ -16,6 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 
@@ -61,7 +62,7 @@
 		}
 	}()
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: 20 * time.Millisecond, FreelistType: bbolt.FreelistMapType})
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, bbolterrors.ErrTimeout) {
 		return nil, fmt.Errorf("%w: %s", ErrInUse, path)
 	}
 	if err != nil {
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -158,9 +158,8 @@
 		rng := rand.New(rand.NewPCG(seed, 1))
 		var ps [proxies]*Pace
 		type word struct {
-			at   Time
-			do   func(now Time)
-			lost bool
+			at Time
+			do func(now Time)
 		}
 		var words []word
 		var owner *Moves
--- a/internal/lab/agreement.go
+++ b/internal/lab/agreement.go
@@ -15,8 +15,7 @@
 	lapsed         int // decisions without a right
 	decided        int
 	took, placed   []time.Duration
-	acts           map[int][2]time.Time // first and last decision by each version, at any process
-	sides          []time.Duration      // for each decision by an older version: how long after the first by a newer one
+	sides          []time.Duration // for each decision by an older version: how long after the first by a newer one
 }
 
 // read takes the decisions of a life's log: the checker knows nothing else of the program.
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -17,14 +17,14 @@
 	}
 	f.Fuzz(func(t *testing.T, in []byte, seed int64) {
 		in = in[:min(len(in), 4*Max)]
-		whole, wholeErr, _ := cutAll([][]byte{in})
+		whole, _, wholeErr := cutAll([][]byte{in})
 		rng := rand.New(rand.NewSource(seed))
 		var pieces [][]byte
 		for rest := in; len(rest) > 0; {
 			n := 1 + rng.Intn(len(rest))
 			pieces, rest = append(pieces, rest[:n]), rest[n:]
 		}
-		got, err, held := cutAll(pieces)
+		got, held, err := cutAll(pieces)
 		if err != wholeErr || !bytes.Equal(bytes.Join(got, nil), bytes.Join(whole, nil)) || len(got) != len(whole) {
 			t.Fatalf("in pieces %q %v, whole %q %v", got, err, whole, wholeErr)
 		}
@@ -35,14 +35,14 @@
 }
 
 // cutAll cuts what the pieces bring, and tells the most that was left waiting for more.
-func cutAll(pieces [][]byte) (lines [][]byte, err error, held int) {
+func cutAll(pieces [][]byte) (lines [][]byte, held int, err error) {
 	var in []byte
 	for _, p := range pieces {
 		in = append(in, p...)
 		for {
 			l, err := Cut(in)
 			if err != nil {
-				return lines, err, held
+				return lines, held, err
 			}
 			if l == nil {
 				break
@@ -51,7 +51,7 @@
 		}
 		held = max(held, len(in))
 	}
-	return lines, nil, held
+	return lines, held, nil
 }
 
 const head = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 "
--- a/internal/membership/virtual/virtual.go
+++ b/internal/membership/virtual/virtual.go
@@ -68,7 +68,6 @@
 	queue     events
 	plant     membership.Config
 	left      map[int]bool
-	calm      Time // since when there has been no fault
 }
 
 type event struct {
--- a/internal/ownership/virtual/virtual.go
+++ b/internal/ownership/virtual/virtual.go
@@ -101,7 +101,6 @@
 type job struct {
 	token, number uint64
 	stepAt        Time // local
-	noting        uint64
 }
 
 // Run is one fleet.
--- a/internal/ownership/virtual/virtual_test.go
+++ b/internal/ownership/virtual/virtual_test.go
@@ -20,7 +20,7 @@
 }
 
 // play plays seeds on all processors, and gives the first that fails.
-func play(first, n int, config func(seed uint64) Config) (effects, refused int, worst error, plan []Fault) {
+func play(first, n int, config func(seed uint64) Config) (effects, refused int, plan []Fault, worst error) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	next := make(chan uint64)
@@ -52,12 +52,12 @@
 	}
 	close(next)
 	wg.Wait()
-	return effects, refused, worst, plan
+	return effects, refused, plan, worst
 }
 
 // TestPlans: OWNERS_SEEDS plans of faults from OWNERS_FIRST on, each checked at every step.
 func TestPlans(t *testing.T) {
-	effects, refused, err, plan := play(number("OWNERS_FIRST", 1), number("OWNERS_SEEDS", 40), config)
+	effects, refused, plan, err := play(number("OWNERS_FIRST", 1), number("OWNERS_SEEDS", 40), config)
 	if err != nil {
 		t.Error(err)
 		for _, f := range plan {
@@ -83,7 +83,7 @@
 		{"a lease counted from its answer", func(c *Config) { c.FromAnswer = true }, 118},
 		{"a receiver forgets its fence", func(c *Config) { c.Forget = true }, 1},
 	} {
-		_, _, err, plan := play(number("OWNERS_FIRST", c.first), 1000, func(s uint64) Config {
+		_, _, plan, err := play(number("OWNERS_FIRST", c.first), 1000, func(s uint64) Config {
 			x := config(s)
 			c.plant(&x)
 			return x
--- a/internal/proxy/hand_test.go
+++ b/internal/proxy/hand_test.go
@@ -20,11 +20,10 @@
 // handWorld is a core with the real module between fakes.
 type handWorld struct {
 	*world
-	t       *rapid.T
-	out     map[string]bool
-	at      map[string]int // starts by host
-	hosts   map[string]HostEntry
-	answers map[string]int
+	t     *rapid.T
+	out   map[string]bool
+	at    map[string]int // starts by host
+	hosts map[string]HostEntry
 }
 
 func (w *handWorld) Start(to Target, first First, until int64, within time.Duration, ev UpstreamEvents) Upstream {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -37,7 +37,6 @@
 
 	answered bool // the client has its answer, or is gone
 	adopted  bool // open at a host before this proxy's start
-	decided  bool // the module has been told of it
 	attempts int
 	out      *upstreamRequest // the attempt under way, and after UP the connection
 }
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -88,7 +88,7 @@
 func Config(raw []byte) (brain.Config, error) {
 	var s settings
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return brain.Config{}, fmt.Errorf("Init with malformed config: %v", err)
+		return brain.Config{}, fmt.Errorf("message Init with malformed config: %v", err)
 	}
 	c := brain.Config{
 		Me: s.Me, Peers: s.Peers, Zone: s.Zone, Zones: s.Zones, Tick: s.Step, OverShare: s.OverShare,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -200,7 +200,7 @@
 	case "Membership":
 		form, ok := forms[e.Form]
 		if !ok {
-			return nil, fmt.Errorf("Membership with form %q, which is unknown", e.Form)
+			return nil, fmt.Errorf("message Membership with form %q, which is unknown", e.Form)
 		}
 		var entries []brain.Entry
 		if form != brain.ListFailed {
@@ -208,7 +208,7 @@
 				return nil, missing(e, "sheet")
 			}
 			if entries, ok = h.sheets[*e.Sheet]; !ok {
-				return nil, fmt.Errorf("Membership names sheet %d, which was not sent", *e.Sheet)
+				return nil, fmt.Errorf("message Membership names sheet %d, which was not sent", *e.Sheet)
 			}
 		}
 		return func(b *brain.Brain) { b.Members(now, form, e.Gen, entries) }, nil
@@ -241,7 +241,7 @@
 	case "Memo":
 		data, err := base64.StdEncoding.DecodeString(e.Contents)
 		if err != nil {
-			return nil, fmt.Errorf("Memo with contents that are not base64: %v", err)
+			return nil, fmt.Errorf("message Memo with contents that are not base64: %v", err)
 		}
 		return func(b *brain.Brain) { b.Peer(now, e.Origin, data) }, nil
 	}
@@ -284,10 +284,10 @@
 	for i, m := range e.Elements {
 		state, ok := states[m.State]
 		if !ok {
-			return fmt.Errorf("Directory entry %d with state %q, which is unknown", i, m.State)
+			return fmt.Errorf("message Directory entry %d with state %q, which is unknown", i, m.State)
 		}
 		if m.Server == "" {
-			return fmt.Errorf("Directory entry %d without server", i)
+			return fmt.Errorf("message Directory entry %d without server", i)
 		}
 		entries[i] = brain.Entry{ID: m.Server, State: state, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell,
 			Weight: m.Weight, Since: m.Since}
@@ -317,7 +317,7 @@
 	}
 	b, err := h.make(cfg, seed, &effects{h, e.Balancer})
 	if err != nil {
-		return fmt.Errorf("Init of %q: %v", e.Balancer, err)
+		return fmt.Errorf("message Init of %q: %v", e.Balancer, err)
 	}
 	in.brain = b
 	h.instances[e.Balancer] = in
@@ -333,7 +333,7 @@
 	}
 	n, err := strconv.ParseUint(s, 10, 64)
 	if err != nil {
-		return 0, fmt.Errorf("Init with salt %q, which is no whole number", s)
+		return 0, fmt.Errorf("message Init with salt %q, which is no whole number", s)
 	}
 	return int64(n), nil
 }
