--- a/internal/line/ends_test.go
+++ b/internal/line/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -88,3 +89,16 @@
 		}
 	}
 }
+
+// A client that ends its side has left: from here the two can't be told apart, and nothing may begin for one that has.
+func TestAHalfClosedClientHasLeft(t *testing.T) {
+	m := newHolder()
+	r := newFrontRig(t, 2, func(brain.Effects) proxy.Decider { return m })
+	c := r.dial()
+	io.WriteString(c, opening)
+	asked := <-m.asked
+	c.(*net.TCPConn).CloseWrite()
+	if gone := <-m.gone; gone != asked {
+		t.Errorf("asked for %q, and %q has left", asked, gone)
+	}
+}
--- /dev/null
+++ b/internal/proxy/world_test.go
@@ -0,0 +1,169 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"croftlock/brain"
+	"croftlock/internal/netio"
+)
+
+// world is a core between fakes, on a clock that the test moves. Everything that the core does is noted in seen.
+type world struct {
+	t       *testing.T
+	now     int64
+	loop    *netio.Loop
+	core    *Core
+	fx      brain.Effects
+	seen    []string
+	ups     []*fakeUp
+	on      func(event string) // what the module does about an event
+	avoided string             // a host that the module keeps out
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, now: 1e18}
+	w.loop = netio.NewLoopAt(func() int64 { return w.now })
+	w.core = New(w.loop, w, Options{Sessions: 2, DelayInLoad: true, Settings: brain.Config{MaxAttempts: 5, RetryAfter: true, MaxRetryAfter: 2e9,
+		ConnectTimeout: 250e6, Classes: []brain.Class{{Name: "c", Deadline: 4800e6, MessageAim: 150e6}},
+		Tenants: []brain.Tenant{{Name: "t"}}}})
+	up := func(id string) HostEntry { return HostEntry{Endpoint: "at-" + id, Entry: brain.Entry{ID: id}} }
+	err := w.core.Run(func(fx brain.Effects) (Decider, error) { w.fx = fx; return (*fakeModule)(w), nil }, nil,
+		Change{Kind: brain.ListCached, Hosts: []HostEntry{up("A"), up("B")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.seen = nil
+	return w
+}
+
+func (w *world) note(format string, args ...any) {
+	w.seen = append(w.seen, fmt.Sprintf(format, args...))
+}
+
+// expect compares what has happened since the last call.
+func (w *world) expect(want ...string) {
+	w.t.Helper()
+	if got := strings.Join(w.seen, "; "); got != strings.Join(want, "; ") {
+		w.t.Fatalf("\n got %s\nwant %s", got, strings.Join(want, "; "))
+	}
+	w.seen = nil
+}
+
+func (w *world) pass(d time.Duration) {
+	for end := w.now + int64(d); w.now < end; {
+		w.now = min(end, w.now+int64(10*time.Millisecond))
+		w.loop.RunPending()
+	}
+}
+
+// open sends a request whose module answers with a send to server A.
+func (w *world) open(id string) *Request {
+	return w.core.Open(&fakeDown{w, id}, &Opening{ID: id, Class: "c", Tenant: "t", Wait: time.Second, HasWait: true}, nil)
+}
+
+// serve brings a request up at A.
+func (w *world) serve(id string) (*Request, *fakeUp) {
+	w.on = func(e string) {
+		if e == "request "+id {
+			w.fx.Send(id, "A", 0)
+		}
+	}
+	r := w.open(id)
+	u := w.ups[len(w.ups)-1]
+	u.stage = netio.Sent
+	u.ev.FromUpstream(Message{Kind: Receipt, Text: []byte("UP\r\n")})
+	w.seen = nil
+	return r, u
+}
+
+func (w *world) Start(to Target, _ First, until int64, _ time.Duration, ev UpstreamEvents) Upstream {
+	w.note("start %s %d", to.Endpoint, (until-w.now)/1e6)
+	u := &fakeUp{w: w, ev: ev}
+	w.ups = append(w.ups, u)
+	return u
+}
+
+type fakeUp struct {
+	w     *world
+	ev    UpstreamEvents
+	stage netio.Stage
+	full  bool
+}
+
+func (u *fakeUp) Pass(m Message) bool { return !u.full }
+
+func (u *fakeUp) Pump() { u.w.note("pump up") }
+
+func (u *fakeUp) Stage() netio.Stage { return u.stage }
+
+func (u *fakeUp) End(cause netio.Cause) { u.w.note("end up %s", cause) }
+
+type fakeDown struct {
+	w  *world
+	id string
+}
+
+func (d *fakeDown) Serve(Message) { d.w.note("serve %s", d.id) }
+
+func (d *fakeDown) Refuse(after time.Duration) { d.w.note("refuse %s %d", d.id, after.Milliseconds()) }
+
+func (d *fakeDown) Fail() { d.w.note("fail %s", d.id) }
+
+func (d *fakeDown) Pass(Message) bool { return true }
+
+func (d *fakeDown) Goodbye() []byte { return nil }
+
+func (d *fakeDown) Pump() { d.w.note("pump %s", d.id) }
+
+func (d *fakeDown) Move() { d.w.note("move %s", d.id) }
+
+func (d *fakeDown) End(cause netio.Cause) { d.w.note("end %s %s", d.id, cause) }
+
+type fakeModule world
+
+func (m *fakeModule) event(format string, args ...any) {
+	e := fmt.Sprintf(format, args...)
+	(*world)(m).note("%s", e)
+	if m.on != nil {
+		m.on(e)
+	}
+}
+
+func (m *fakeModule) Request(_ brain.Time, q brain.Request) { m.event("request %s", q.ID) }
+
+func (m *fakeModule) Open(_ brain.Time, q brain.Request, s string) { m.event("open %s %s", q.ID, s) }
+
+func (m *fakeModule) First(_ brain.Time, id string, n int, _ brain.Time) {
+	m.event("first %s %d", id, n)
+}
+
+func (m *fakeModule) Outcome(_ brain.Time, id string, n int, s brain.Status, _ brain.Time, closed bool, _ []float64) {
+	m.event("outcome %s %d %d %t", id, n, s, closed)
+}
+
+func (m *fakeModule) Gone(_ brain.Time, id string) { m.event("gone %s", id) }
+
+func (m *fakeModule) Note(_ brain.Time, id string, n int, k brain.NoteKind, v float64) {
+	m.event("note %s %d %g", id, k, v)
+}
+
+func (m *fakeModule) Members(_ brain.Time, k brain.ListKind, _ int64, e []brain.Entry) {
+	m.event("members %d %d", k, len(e))
+}
+
+func (m *fakeModule) Probed(_ brain.Time, id string, s brain.Status, _ brain.Time, load []float64) {
+	m.event("probed %s %s %v", id, s, load)
+}
+
+func (m *fakeModule) Peer(_ brain.Time, from int, data []byte) { m.event("peer %d %s", from, data) }
+
+func (m *fakeModule) Remember(bool) brain.Memory { return brain.Memory{} }
+
+func (m *fakeModule) Recall(brain.Time, brain.Memory) {}
+
+func (m *fakeModule) Avoids(_ brain.Time, id string) bool { return id == m.avoided }
+
+func (m *fakeModule) Timer(_ brain.Time, token string) { m.event("timer %s", token) }
