--- /dev/null
+++ b/brain/bench_test.go
@@ -0,0 +1,70 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+)
+
+func BenchmarkPlacement(b *testing.B) {
+	for _, n := range []int{10, 60, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			cfg := settings()
+			cfg.Peers = 80
+			f := start(b, cfg, fleet(n)...)
+			b.ResetTimer()
+			for i := 0; i < b.N; i++ {
+				id := fmt.Sprint(i)
+				f.b.Request(f.now, Request{ID: id, Tenant: -1, Group: fmt.Sprint("g", i%8), Left: 2 * sec})
+				f.stands(id)
+				f.ends(id, OK)
+				f.now += 50 * ms
+				f.sends, f.trace = f.sends[:0], f.trace[:0]
+			}
+		})
+	}
+}
+
+func BenchmarkList(b *testing.B) {
+	for _, n := range []int{10, 60, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := start(b, settings(), fleet(n)...)
+			es := fleet(n)
+			b.ResetTimer()
+			for i := 0; i < b.N; i++ {
+				f.b.Members(f.now, ListFull, int64(i), es)
+			}
+		})
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		f := told(&testing.T{}, settings(), fleet(n)...)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				f.now += ms
+				f.trace = f.trace[:0]
+				f.b.Probed(f.now, f.b.servers[i%n].id, OK, ms, []float64{0.5 + float64(i%100)/1e4, 0})
+			}
+		})
+	}
+}
+
+func BenchmarkPlacementByLoad(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		f := told(&testing.T{}, settings(), fleet(n)...)
+		f.report(func(i int) float64 { return 0.4 + float64(i%10)/50 })
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				f.now += ms
+				f.trace, f.sends = f.trace[:0], f.sends[:0]
+				id := fmt.Sprint("r", i)
+				f.b.Request(f.now, Request{ID: id, Tenant: -1, Group: fmt.Sprint(i % 8), Left: 2 * sec})
+				f.stands(id)
+				f.ends(id, OK)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/brain/cold_test.go
@@ -0,0 +1,96 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestColdServerGetsItsBudgetOnly(t *testing.T) {
+	cfg := settings()
+	cfg.Peers = 4
+	es := fleet(10)
+	f := start(t, cfg, es...)
+	for i := 0; i < 400; i++ { // 20 a second, 2 a server and second
+		f.serve(fmt.Sprint("w", i))
+		f.now += 50 * ms
+	}
+	f.b.Members(f.now, ListDelta, 2, []Entry{{ID: "s03", Zone: "a", Weight: 1, Since: f.now}})
+	from := len(f.sends)
+	for i := 0; i < 400; i++ { // a wave of returning clients, all in one second
+		f.b.Request(f.now, Request{ID: fmt.Sprint("v", i), Returned: true, Left: 2 * sec})
+		f.stands(fmt.Sprint("v", i))
+		f.now += sec / 400
+	}
+	n := 0
+	for _, x := range f.sends[from:] {
+		if x.server == "s03" {
+			n++
+		}
+	}
+	if limit := coldSafety * 3 * 0.3 * 2; float64(n) > limit+1 {
+		t.Fatalf("%d connections in a second to a cold server that bears %.1f from here", n, limit)
+	}
+}
+
+func TestWholeFleetColdHoldsAndRefuses(t *testing.T) {
+	es := fleet(4)
+	for i := range es {
+		es[i].Since = 100 * sec
+	}
+	f := start(t, settings(), es...)
+	for i := 0; i < 100; i++ {
+		f.request(fmt.Sprint(i))
+	}
+	if len(f.sends) > 4*3 {
+		t.Fatalf("%d sent at once to 4 cold servers", len(f.sends))
+	}
+	n := len(f.sends)
+	f.run(3 * sec)
+	if len(f.sends) < n {
+		t.Fatal("impossible")
+	}
+	for i := 0; i < 100; i++ {
+		id := fmt.Sprint(i)
+		if f.attempts[id] == 0 && f.answers[id] != 1 {
+			t.Fatalf("request %s held without an answer", id)
+		}
+	}
+}
+
+// Many balancers with little traffic each: their unused cold budgets must not lie in wait for a wave.
+func TestColdBudgetsOfSparseBalancersExpire(t *testing.T) {
+	const peers = 60
+	var all []*fake
+	for me := 0; me < peers; me++ {
+		cfg := settings()
+		cfg.Me, cfg.Peers = me, peers
+		f := start(t, cfg, fleet(10)...)
+		for i := 0; i < 60; i++ { // one connection each 0.5 s and balancer: 12 a second and server in all
+			f.serve(fmt.Sprint("w", i))
+			f.now += sec / 2
+		}
+		f.b.Members(f.now, ListDelta, 2, []Entry{{ID: "s03", Zone: "a", Weight: 1, Since: f.now}})
+		f.now += 4 * sec // nobody comes, then all at once
+		all = append(all, f)
+	}
+	n := 0
+	for _, f := range all {
+		from := len(f.sends)
+		for i := 0; i < 10; i++ {
+			f.b.Request(f.now, Request{ID: fmt.Sprint("v", i), Tenant: -1, Returned: true, Left: 2 * sec})
+			f.stands(fmt.Sprint("v", i))
+		}
+		for _, x := range f.sends[from:] {
+			if x.server == "s03" {
+				n++
+			}
+		}
+	}
+	warmth := 0.2 + 0.8*4/10
+	if limit := coldSafety * 3 * warmth * 12; float64(n) > limit {
+		t.Fatalf("a wave brought %d connections at once to a cold server that bears %.0f in a second", n, limit)
+	}
+	if n == 0 {
+		t.Fatal("a cold server got nothing")
+	}
+}
--- a/brain/loads_test.go
+++ b/brain/loads_test.go
@@ -157,52 +157,6 @@
 	}
 }
 
-// A group's connections keep to the first server of its order, the same at every balancer, until that is full.
-func TestGroupsKeepToTheirHome(t *testing.T) {
-	homes := map[string]bool{}
-	var f *fake
-	for me := range 3 {
-		cfg := settings()
-		cfg.Me, cfg.Peers = me, 3
-		f = told(t, cfg, fleet(8)...)
-		f.report(func(int) float64 { return 0.5 })
-		for i := range 8 {
-			id := fmt.Sprint("r", i)
-			f.b.Request(f.now, Request{ID: id, Tenant: 0, Group: "g", Left: 2 * sec})
-			f.stands(id)
-			homes[f.last().server] = true
-		}
-	}
-	if len(homes) != 1 {
-		t.Errorf("24 connections of a group, placed by three balancers, stand on %d servers", len(homes))
-	}
-	f.now += 2 * sec
-	f.report(func(i int) float64 {
-		if homes[f.b.servers[i].id] {
-			return 1.05
-		}
-		return 0.5
-	})
-	f.b.Request(f.now, Request{ID: "more", Tenant: 0, Group: "g", Left: 2 * sec})
-	if homes[f.last().server] {
-		t.Error("a group's home that is full gets more of it")
-	}
-}
-
-func BenchmarkReport(b *testing.B) {
-	for _, n := range []int{10, 100, 1000} {
-		f := told(&testing.T{}, settings(), fleet(n)...)
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			b.ReportAllocs()
-			for i := range b.N {
-				f.now += ms
-				f.trace = f.trace[:0]
-				f.b.Probed(f.now, f.b.servers[i%n].id, OK, ms, []float64{0.5 + float64(i%100)/1e4, 0})
-			}
-		})
-	}
-}
-
 // Weights that fall as a server fills come late and alike to all: a server that looks empty by them must not draw every
 // balancer, where its load is told.
 func TestWeightsDrawNobodyAgainstTheLoadTold(t *testing.T) {
@@ -259,44 +213,3 @@
 		}
 	}
 }
-
-// A class whose load is unknown at first counts as any other; once servers tell it, it counts for what it is, in turns and in
-// what is held to be placed.
-func TestClassOfUnknownLoad(t *testing.T) {
-	cfg := settings()
-	heavy := cfg.Classes[0]
-	heavy.Name, heavy.Worth = "heavy", 3
-	cfg.Classes = append(cfg.Classes, heavy)
-	f := told(t, cfg, fleet(4)...)
-	turns := func(class int) float64 { return f.b.turns(&request{cost: f.b.price(&Request{Class: class})}) }
-	if turns(0) != 1 || turns(1) != 1 {
-		t.Errorf("%.2f and %.2f turns before anything is known", turns(0), turns(1))
-	}
-	for i := range 200 {
-		id := fmt.Sprint("r", i)
-		f.b.Request(f.now, Request{ID: id, Class: i % 2, Tenant: -1, Left: 2 * sec})
-		f.stands(id)
-		f.b.Note(f.now, id, 0, NoteLoad, 1000+float64(i%2)*5000)
-	}
-	if x := turns(1) / turns(0); x < 4 || x > 8 {
-		t.Errorf("a connection six times as heavy counts for %.2f", x)
-	}
-}
-
-func BenchmarkPlacementByLoad(b *testing.B) {
-	for _, n := range []int{10, 100, 1000} {
-		f := told(&testing.T{}, settings(), fleet(n)...)
-		f.report(func(i int) float64 { return 0.4 + float64(i%10)/50 })
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			b.ReportAllocs()
-			for i := range b.N {
-				f.now += ms
-				f.trace, f.sends = f.trace[:0], f.sends[:0]
-				id := fmt.Sprint("r", i)
-				f.b.Request(f.now, Request{ID: id, Tenant: -1, Group: fmt.Sprint(i % 8), Left: 2 * sec})
-				f.stands(id)
-				f.ends(id, OK)
-			}
-		})
-	}
-}
--- /dev/null
+++ b/brain/quarantine_test.go
@@ -0,0 +1,140 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestQuarantineLife(t *testing.T) {
+	cfg := settings()
+	cfg.QuarantineInit, cfg.QuarantineMax = 10*sec, 40*sec
+	f := start(t, cfg, fleet(4)...)
+	s := f.b.byID["s00"]
+	longest := Time(0)
+	for i, want := range []Time{10, 20, 40, 40} {
+		f.breaks(s)
+		got := s.until - f.now
+		if got > want*sec || got < want*sec/2 {
+			t.Fatalf("failure %d: quarantined %d ms, want at most %d s and at least half", i, got/ms, want)
+		}
+		longest = max(longest, got)
+		for k := 0; k < 12; k++ {
+			if f.serve(fmt.Sprintf("q%d-%d", i, k)) == "s00" {
+				t.Fatal("a quarantined server got a turn")
+			}
+		}
+		f.now = s.until
+	}
+	// half-open: exactly one trial at a time
+	for i := 0; i < 12; i++ {
+		f.request(fmt.Sprint("h", i))
+	}
+	trials := 0
+	for _, x := range f.sends[len(f.sends)-12:] {
+		if x.server == "s00" {
+			trials++
+			f.b.First(f.now, x.req, 0, ms)
+		}
+	}
+	if trials != 1 {
+		t.Fatalf("%d trials at once, want 1", trials)
+	}
+	if s.fails != 0 || s.until != 0 {
+		t.Fatal("success did not restore the server")
+	}
+	f.breaks(s)
+	if s.until-f.now > 10*sec {
+		t.Fatal("success did not reset the period")
+	}
+}
+
+func TestFailedConnectGoesElsewhereAndQuarantines(t *testing.T) {
+	f := start(t, settings(), fleet(4)...)
+	f.request("r")
+	first := f.last().server
+	f.ends("r", ConnectFailed)
+	if len(f.sends) != 2 || f.last().server == first {
+		t.Fatalf("no further attempt elsewhere: %v", f.sends)
+	}
+	if f.b.byID[first].fails != 1 {
+		t.Fatal("failed connect did not quarantine")
+	}
+}
+
+func TestFullPassesTheTurnOnly(t *testing.T) {
+	f := start(t, settings(), fleet(4)...)
+	f.request("r")
+	first := f.last().server
+	f.ends("r", Full)
+	if f.last().server == first || f.b.byID[first].fails != 0 {
+		t.Fatal("full should go elsewhere without quarantine")
+	}
+}
+
+func TestZeroDisablesQuarantine(t *testing.T) {
+	cfg := settings()
+	cfg.QuarantineInit, cfg.QuarantineMax = 0, 0
+	f := start(t, cfg, fleet(3)...)
+	f.request("r")
+	first := f.last().server
+	f.ends("r", ConnectFailed)
+	if f.b.byID[first].fails != 0 {
+		t.Fatal("quarantine acted though disabled")
+	}
+}
+
+func TestEmptyPoolFallsBackToAll(t *testing.T) {
+	f := start(t, settings(), append(fleet(3), Entry{ID: "drain", Zone: "a", Weight: 1, State: Draining})...)
+	for _, s := range f.b.servers {
+		f.breaks(s)
+	}
+	seen := map[string]bool{}
+	for i := 0; i < 6; i++ {
+		seen[f.serve(fmt.Sprint(i))] = true
+		for _, s := range f.b.servers {
+			f.breaks(s)
+		}
+	}
+	if len(seen) != 3 || seen["drain"] {
+		t.Fatalf("fallback reached %v, want all three but the draining one", seen)
+	}
+}
+
+func TestFreshStartClearsQuarantine(t *testing.T) {
+	f := start(t, settings(), fleet(3)...)
+	s := f.b.byID["s01"]
+	f.breaks(s)
+	f.b.Members(f.now, ListDelta, 2, []Entry{{ID: "s01", Zone: "a", Weight: 1, Since: f.now}})
+	if s.fails != 0 || s.until != 0 {
+		t.Fatal("a restarted server stays shunned for its predecessor's failures")
+	}
+}
+
+func TestSharedErrorsAreNotChasedFromServerToServer(t *testing.T) {
+	f := start(t, settings(), fleet(20)...)
+	for i := 0; i < 40; i++ { // everything fails alike, as with a store that turns calls away
+		id := fmt.Sprint(i)
+		f.request(id)
+		for k := 0; k < 4 && f.out[id]; k++ {
+			f.ends(id, Error)
+		}
+	}
+	if len(f.sends) > 12 {
+		t.Fatalf("%d attempts for 40 requests within a moment, though none of them stood", len(f.sends))
+	}
+	f.run(5 * sec)
+	for i := 0; i < 40; i++ {
+		if id := fmt.Sprint(i); f.out[id] {
+			f.ends(id, Error)
+		}
+	}
+	f.run(5 * sec)
+	n := len(f.sends)
+	f.now += 60 * sec
+	for i := 0; i < 20; i++ {
+		f.serve(fmt.Sprint("w", i))
+	}
+	if len(f.sends) != n+20 {
+		t.Fatal("sends still wait after the failures have passed")
+	}
+}
--- /dev/null
+++ b/brain/restraint_test.go
@@ -0,0 +1,100 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestRestraintRefusesTheLeastWorthFirst(t *testing.T) {
+	cfg := settings()
+	cfg.Classes = append(cfg.Classes, Class{Name: "dear", Aim: 300 * ms, Deadline: 2 * sec, MessageAim: 100 * ms})
+	cfg.Classes[0].Worth, cfg.Classes[1].Worth, cfg.WorthByWork = 1, 5, true
+	f := start(t, cfg, fleet(4)...)
+	ask := func(id string, class int) {
+		f.b.Request(f.now, Request{ID: id, Class: class, Tenant: -1, Left: 2 * sec})
+	}
+	for i := 0; i < 40; i++ {
+		ask(fmt.Sprint("o", i), i%2)
+		f.stands(fmt.Sprint("o", i))
+	}
+	for i := 0; i < 20; i++ { // every server stalls and stays so
+		for k := 0; k < 40; k++ {
+			f.b.Note(f.now, fmt.Sprint("o", k), 0, NoteDelay, 500)
+		}
+		f.run(sec / 2)
+	}
+	refused := [2]int{}
+	for i := 0; i < 100; i++ {
+		id := fmt.Sprint("n", i)
+		ask(id, i%2)
+		if f.answers[id] == 1 {
+			refused[i%2]++
+		}
+	}
+	if refused[0] < 40 || refused[1] >= refused[0] {
+		t.Fatalf("with all servers stalled, %d of 50 cheap and %d of 50 dear ones refused", refused[0], refused[1])
+	}
+	f.run(60 * sec) // no more bad news
+	ask("later", 0)
+	if f.answers["later"] == 1 {
+		t.Fatal("restraint outlasted its reason")
+	}
+}
+
+func TestStalledServerLosesTurnsAndConnections(t *testing.T) {
+	f := start(t, settings(), fleet(5)...)
+	on := []string{}
+	for i := 0; i < 40; i++ {
+		id := fmt.Sprint("o", i)
+		f.request(id)
+		f.stands(id)
+		if f.last().server == "s02" {
+			on = append(on, id)
+		}
+	}
+	for i := 0; i < 3; i++ {
+		f.b.Note(f.now, on[0], 0, NoteDelay, 2000)
+		f.run(sec)
+	}
+	if len(f.moves) == 0 {
+		t.Fatalf("%d of %d connections moved off a stalled server in three notes, want some", len(f.moves), len(on))
+	}
+	n := 0
+	for i := 0; i < 40; i++ {
+		id := fmt.Sprint("n", i)
+		f.request(id)
+		f.stands(id)
+		if f.last().server == "s02" {
+			n++
+		}
+	}
+	if n > 3 {
+		t.Fatalf("a stalled server that accepts still got %d of 40 turns", n)
+	}
+}
+
+// One server's pause brought restraint that refused most of what came for 18 s after it.
+func TestRestraintEndsWithTheStall(t *testing.T) {
+	f := start(t, settings(), fleet(3)...)
+	f.b.restraint = 0.9
+	f.run(6 * sec)
+	if f.b.restraint > 0.1 {
+		t.Fatalf("%.2f is still refused 6 s after the last stall", f.b.restraint)
+	}
+}
+
+// One bad request, answered with an error wherever it went, made every other request wait as in a jam.
+func TestOneRequestsErrorsAreNoJam(t *testing.T) {
+	f := start(t, settings(), fleet(5)...)
+	f.request("bad")
+	for f.out["bad"] {
+		f.ends("bad", Error)
+	}
+	if f.attempts["bad"] != 4 || f.answers["bad"] != 1 {
+		t.Fatalf("%d attempts, %d answers", f.attempts["bad"], f.answers["bad"])
+	}
+	f.request("usual")
+	if !f.out["usual"] {
+		t.Fatal("a request waits though nothing jams")
+	}
+}
--- /dev/null
+++ b/internal/handshake/refusal.go
@@ -0,0 +1,8 @@
+package handshake
+
+// Refusal is why a handshake may not begin.
+type Refusal int
+
+var refusals = [...]string{"none", "no time left in the handshake budget", "too many handshakes wait"}
+
+func (r Refusal) String() string { return refusals[r] }
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"croftlock/internal/fleetlog"
+
 	"github.com/spf13/cobra"
 )
 
--- /dev/null
+++ b/internal/lab/opssite.go
@@ -0,0 +1,164 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"croftlock/internal/standin"
+)
+
+// site is one proxy with its stand-ins, which processes may replace one another at.
+type site struct {
+	*Env
+	fleet *fleet
+	setup Setup
+	now   *Process
+	admin string
+	crowd *crowd
+	fresh *tally
+	loads sync.WaitGroup
+	stop  chan struct{}
+}
+
+// newSite starts it, with standing clients and fresh ones that come at a rate.
+func newSite(e *Env, rate float64) (*site, error) {
+	f, err := newFleet(e, 3, false)
+	if err != nil {
+		return nil, err
+	}
+	s := &site{Env: e, fleet: f, fresh: newTally(), stop: make(chan struct{}),
+		crowd: &crowd{answers: newTally(), every: 500 * time.Millisecond, away: [2]time.Duration{50 * time.Millisecond, 500 * time.Millisecond}, listen: true}}
+	tmp, err := os.MkdirTemp(e.Dir, "tmp")
+	if err != nil {
+		return nil, err
+	}
+	s.setup = Setup{Name: "n0", Discovery: f.discovery.Addr(), Known: f.discovery.List(), Tmp: tmp, Sockets: 1024}
+	if s.setup.Listen, err = FreeAddr(); err != nil {
+		return nil, err
+	}
+	if s.now, s.admin, err = s.begin(); err != nil {
+		return nil, err
+	}
+	if err := s.crowd.join(s.setup.Listen, opsCrowd, "", opsWait); err != nil {
+		return nil, err
+	}
+	s.load(rate)
+	return s, nil
+}
+
+// door is how many fresh connections ended without an answer.
+func (s *site) door() int { return s.fresh.count("NONE") }
+
+// FreeAddr is an address that nothing listens on.
+func FreeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// begin starts a process of the proxy, with an address of its own for operators.
+func (s *site) begin() (*Process, string, error) {
+	admin, err := FreeAddr()
+	if err != nil {
+		return nil, "", err
+	}
+	with := s.setup
+	with.Admin = admin
+	p, err := s.Proxy(with)
+	return p, admin, err
+}
+
+// Call is one operator's call.
+func Call(admin, method, path string) (status int, body string, took time.Duration, err error) {
+	began := time.Now()
+	req, err := http.NewRequest(method, "http://"+admin+path, nil)
+	if err != nil {
+		return 0, "", 0, err
+	}
+	c := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, "", time.Since(began), err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), time.Since(began), err
+}
+
+// Ready waits for a process's yes.
+func Ready(admin string, within time.Duration) error {
+	began := time.Now()
+	for time.Since(began) < within {
+		if status, _, _, err := Call(admin, "GET", "/v1/readyz"); err == nil && status == 200 {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("not ready after %v", within)
+}
+
+// load has fresh clients come until close, each for a second.
+func (s *site) load(rate float64) {
+	s.loads.Add(1)
+	go func() {
+		defer s.loads.Done()
+		var all sync.WaitGroup
+		every := time.NewTicker(time.Duration(1e9 / rate))
+		defer every.Stop()
+		for {
+			select {
+			case <-s.stop:
+				all.Wait()
+				return
+			case <-every.C:
+				all.Add(1)
+				go func() {
+					defer all.Done()
+					c, a, _ := standin.Open(s.setup.Listen, class, "", opsWait)
+					s.fresh.add(a, opsWait)
+					if c != nil {
+						time.Sleep(time.Second)
+						c.Close()
+					}
+				}()
+			}
+		}
+	}()
+}
+
+func (s *site) close() {
+	select {
+	case <-s.stop:
+	default:
+		close(s.stop)
+	}
+	s.loads.Wait()
+	s.crowd.leave()
+	s.now.Stop()
+	s.fleet.close()
+}
+
+// replace has a new process take the place of the one that serves, as the platform does it.
+func (s *site) replace() (readyIn, leftIn time.Duration, err error) {
+	started := time.Now()
+	p, admin, err := s.begin()
+	if err != nil {
+		return 0, 0, err
+	}
+	if err = Ready(admin, 6*time.Second); err != nil {
+		return 0, 0, err
+	}
+	readyIn = time.Since(started)
+	old, began := s.now, time.Now()
+	s.now, s.admin = p, admin
+	err = old.Stop()
+	return readyIn, time.Since(began), err
+}
--- a/internal/membership/virtual/virtual.go
+++ b/internal/membership/virtual/virtual.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 
 	"croftlock/internal/membership"
 )
@@ -25,31 +24,6 @@
 	wallZero = Time(1.8e18)
 )
 
-// Node is one process.
-type Node struct {
-	Core   *membership.Core
-	Up     bool
-	Asleep bool
-	Deaf   bool
-	Mute   bool
-	Lame   bool // it gets each second turn only
-	Step   Time // of its wall clock
-	Sends  int
-	inbox  []mail // what waits while it sleeps
-	slept  Time   // since when it sleeps
-	woke   Time   // when it last woke from a sleep of a second or more; 0: never
-	turns  int
-	seen   map[uint32]membership.Life // the newest life that it has known, by member
-	ver    uint64
-	fleet  *Fleet
-	i      int
-}
-
-type mail struct {
-	from int
-	data []byte
-}
-
 // Fleet is all of them.
 type Fleet struct {
 	Nodes     []*Node
@@ -70,27 +44,6 @@
 	left      map[int]bool
 }
 
-type event struct {
-	at  Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 // New makes a fleet of n, all starting within a second. plant carries planted faults and times other than the usual.
 func New(n int, seed uint64, plant membership.Config) *Fleet {
 	f := &Fleet{Delay: 2 * Ms, Jitter: 2 * Ms, Cut: map[[2]int]bool{}, rng: rand.New(rand.NewPCG(seed, 7)), plant: plant, left: map[int]bool{}}
@@ -115,14 +68,6 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i))
 }
 
-func (n *Node) receive(from int, data []byte) {
-	if n.fleet.Seeds > 0 {
-		n.Core.ReceiveFrom(n.fleet.now, addr(from), data)
-	} else {
-		n.Core.Receive(n.fleet.now, from, data)
-	}
-}
-
 // Name is a process's.
 func Name(i int) string { return fmt.Sprint("n", i) }
 
@@ -185,95 +130,12 @@
 	n.Asleep = false
 }
 
-func (n *Node) act() {
-	inbox := n.inbox
-	n.inbox = nil
-	if len(inbox) == 0 || !n.fleet.plant.IgnorePause {
-		n.Core.Tick(n.fleet.now, wallZero+n.fleet.now+n.Step)
-	}
-	for _, m := range inbox {
-		n.receive(m.from, m.data)
-	}
-	n.check()
-}
-
-// Send is the network.
-func (n *Node) Send(slot int, data []byte) {
-	f := n.fleet
-	n.Sends++
-	if f.Seeds > 0 {
-		slot = int(n.Core.Where(slot).Port()) - 1000
-	}
-	if n.Mute || len(data) > membership.Longest {
-		if len(data) > membership.Longest {
-			f.fail("a datagram of %d bytes", len(data))
-		}
-		return
-	}
-	times := 1
-	if f.rng.Float64() < f.Twice {
-		times = 2
-	}
-	for range times {
-		if f.rng.Float64() < f.Loss || f.Cut[[2]int{n.i, slot}] {
-			continue
-		}
-		data := slices.Clone(data)
-		f.At(f.now+f.Delay+Time(f.rng.Int64N(int64(f.Jitter)+1)), func() { f.Nodes[slot].arrive(n.i, data) })
-	}
-}
-
-func (n *Node) arrive(from int, data []byte) {
-	switch {
-	case !n.Up || n.Deaf || n.fleet.Cut[[2]int{from, n.i}]:
-	case n.Asleep:
-		if len(n.inbox) < 256 {
-			n.inbox = append(n.inbox, mail{from, data})
-		}
-	default:
-		n.receive(from, data)
-		n.check()
-	}
-}
-
-// Changed hears of a change at a process.
-func (n *Node) Changed(c membership.Change) {
-	if n.woke > 0 && n.fleet.now-n.woke < Sec && c.From != c.To && (c.To == membership.Suspect || c.To == membership.Unreachable) {
-		n.fleet.fail("n%d accuses %d right after it slept: %s", n.i, c.ID, c.Reason)
-	}
-	if n.fleet.Changes != nil {
-		n.fleet.Changes(n.i, c)
-	}
-}
-
 func (f *Fleet) fail(format string, a ...any) {
 	if f.Broken == "" {
 		f.Broken = fmt.Sprintf("at %d ms: ", f.now/Ms) + fmt.Sprintf(format, a...)
 	}
 }
 
-// check looks at what may never happen, as one process sees it.
-func (n *Node) check() {
-	f := n.fleet
-	if f.Unchecked {
-		return
-	}
-	if v := n.Core.Version(); v < n.ver {
-		f.fail("n%d: version %d after %d", n.i, v, n.ver)
-	} else {
-		n.ver = v
-	}
-	for _, m := range n.Core.View() {
-		if m.Life.Start() < n.seen[m.ID].Start() {
-			f.fail("n%d: %d is taken for an earlier life", n.i, m.ID)
-		}
-		n.seen[m.ID] = max(m.Life, n.seen[m.ID])
-		if f.Seeds == 0 && m.State == membership.Gone && m.Slot >= 0 && f.heardByAll(m.ID, m.Slot, m.Life) {
-			f.fail("n%d: n%d is gone, whom all others have heard within the last second", n.i, m.Slot)
-		}
-	}
-}
-
 // heardByAll tells whether all processes that act, itself aside, have heard a member's life within a second.
 func (f *Fleet) heardByAll(id uint32, slot int, life membership.Life) bool {
 	others := 0
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -103,36 +103,6 @@
 	cmdSure    = 6
 )
 
-func grantCmd(job, owner string, life, token uint64, wall int64, why string) []byte {
-	var w pack.Writer
-	return w.Uint(cmdGrant).Text(job).Uint(token).Uint(uint64(wall)).Text(owner).Uint(life).Text(why).Data
-}
-
-func releaseCmd(job string, token, number uint64, left []byte, wall int64, why string) []byte {
-	var w pack.Writer
-	return w.Uint(cmdRelease).Text(job).Uint(token).Uint(uint64(wall)).Uint(number).Bytes(left).Text(why).Data
-}
-
-func noteCmd(job string, token, number uint64, left []byte) []byte {
-	var w pack.Writer
-	return w.Uint(cmdNote).Text(job).Uint(token).Uint(0).Uint(number).Bytes(left).Data
-}
-
-func raiseCmd(job string, token uint64) []byte {
-	var w pack.Writer
-	return w.Uint(cmdRaise).Text(job).Uint(token).Uint(0).Data
-}
-
-func sureCmd() []byte {
-	var w pack.Writer
-	return w.Uint(cmdSure).Text("").Uint(0).Uint(0).Data
-}
-
-func knowCmd(job string, wall int64) []byte {
-	var w pack.Writer
-	return w.Uint(cmdKnow).Text(job).Uint(0).Uint(uint64(wall)).Data
-}
-
 // Results of a command.
 const (
 	resultDone    = 1
@@ -253,60 +223,9 @@
 	return nil
 }
 
-// Fence is what a receiver remembers of each job: the highest token it has seen, and of that the last effect.
-type Fence struct {
-	last map[string]Mark
-	// Forget is a planted fault: nothing is remembered.
-	Forget bool
-}
-
-// Mark is a place in a job's order of effects.
-type Mark struct{ Token, Number uint64 }
-
-// Before tells whether a mark comes before another.
-func (m Mark) Before(o Mark) bool {
-	return m.Token < o.Token || m.Token == o.Token && m.Number < o.Number
-}
-
-// Verdict is what becomes of an effect.
-type Verdict uint8
-
 // The verdicts.
 const (
 	Taken Verdict = iota
 	Again         // it, or a later one of the same token, was taken before
 	Old           // a later token was seen
 )
-
-// Take tells whether an effect may be carried out, and notes it. Each carries all that it is to bring about, so that an earlier one of
-// the same token has nothing to add to a later one.
-func (f *Fence) Take(job string, m Mark) (Verdict, Mark) {
-	if f.last == nil {
-		f.last = map[string]Mark{}
-	}
-	k, known := f.last[job]
-	switch {
-	case f.Forget:
-	case m.Token < k.Token:
-		return Old, k
-	case m.Token == k.Token && m.Number <= k.Number:
-		return Again, k
-	case !known && len(f.last) >= MostJobs:
-		return Old, k // no room to remember: nothing is carried out that could not be refused later
-	}
-	f.last[job] = m
-	return Taken, m
-}
-
-// Last is the latest effect seen of a job.
-func (f *Fence) Last(job string) Mark { return f.last[job] }
-
-// Set raises what is remembered, as a durable receiver does at its start.
-func (f *Fence) Set(job string, m Mark) {
-	if f.last == nil {
-		f.last = map[string]Mark{}
-	}
-	if f.last[job].Before(m) {
-		f.last[job] = m
-	}
-}
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"math"
 	"sort"
 	"strconv"
@@ -117,3 +118,115 @@
 	}
 	return row[len(b)]
 }
+
+// one reads a field of a single value. read tells whether it fits.
+func (f *Form) one(name, doc, want string, value func() string, read func(s string) bool) {
+	n, values := f.take(name, doc, want, value)
+	if n == nil {
+		return
+	}
+	if len(values) != 1 {
+		f.faults.Add(n.Pos, "%s has %d values, expected one: %s", name, len(values), want)
+		return
+	}
+	v := values[0]
+	if v.Kind == List || !read(v.Text) {
+		f.faults.Add(v.Pos, "%s is %s, expected %s", name, v.describe(), want)
+	}
+}
+
+// Bool declares on or off.
+func (f *Form) Bool(name, doc string, to *bool) {
+	f.one(name, doc, "on or off", func() string {
+		if *to {
+			return "on"
+		}
+		return "off"
+	}, func(s string) bool {
+		*to = s == "on"
+		return s == "on" || s == "off"
+	})
+}
+
+// Int declares a whole number between least and most.
+func (f *Form) Int(name, doc string, to *int, least, most int) {
+	f.one(name, doc, fmt.Sprintf("a whole number from %d to %d", least, most), func() string { return strconv.Itoa(*to) },
+		func(s string) bool {
+			x, err := strconv.Atoi(s)
+			if err != nil || x < least || x > most {
+				return false
+			}
+			*to = x
+			return true
+		})
+}
+
+// Duration declares a time with its unit: 250ms, 1.5s, 10m, 2h, 3d.
+func (f *Form) Duration(name, doc string, to *time.Duration, least, most time.Duration) {
+	f.one(name, doc, fmt.Sprintf("a time with its unit from %s to %s", FormatDuration(least), FormatDuration(most)),
+		func() string { return FormatDuration(*to) }, func(s string) bool {
+			x, ok := ParseDuration(s)
+			if !ok || x < least || x > most {
+				return false
+			}
+			*to = x
+			return true
+		})
+}
+
+// Size declares a number of bytes with its unit: 512B, 16KiB, 2MiB, 1GiB.
+func (f *Form) Size(name, doc string, to *int64, least, most int64) {
+	f.one(name, doc, fmt.Sprintf("a size with its unit from %s to %s", FormatSize(least), FormatSize(most)),
+		func() string { return FormatSize(*to) }, func(s string) bool {
+			x, ok := ParseSize(s)
+			if !ok || x < least || x > most {
+				return false
+			}
+			*to = x
+			return true
+		})
+}
+
+// Percent declares a share: 30% becomes 0.3.
+func (f *Form) Percent(name, doc string, to *float64, least, most float64) {
+	f.one(name, doc, fmt.Sprintf("a share from %s to %s", formatPercent(least), formatPercent(most)),
+		func() string { return formatPercent(*to) }, func(s string) bool {
+			number, has := strings.CutSuffix(s, "%")
+			x, ok := decimal(number)
+			if !has || !ok || x/100 < least || x/100 > most {
+				return false
+			}
+			*to = x / 100
+			return true
+		})
+}
+
+func formatPercent(x float64) string { return strconv.FormatFloat(x*100, 'f', -1, 64) + "%" }
+
+// Enum declares one of some words.
+func (f *Form) Enum(name, doc string, to *string, words ...string) {
+	f.one(name, doc, oneOf(words), func() string { return *to }, func(s string) bool {
+		*to = s
+		return contains(words, s)
+	})
+}
+
+func oneOf(words []string) string {
+	if len(words) == 1 {
+		return words[0]
+	}
+	return strings.Join(words[:len(words)-1], ", ") + " or " + words[len(words)-1]
+}
+
+// Enums declares a list of some words, in the order of preference, each at most once.
+func (f *Form) Enums(name, doc string, to *[]string, words ...string) {
+	f.many(name, doc, "some of "+oneOf(words), to, func(s string) (string, bool) { return s, contains(words, s) })
+}
+
+// Text declares a text that check accepts; check may be nil.
+func (f *Form) Text(name, doc, want string, to *string, check func(s string) bool) {
+	f.one(name, doc, want, func() string { return Quote(*to) }, func(s string) bool {
+		*to = s
+		return check == nil || check(s)
+	})
+}
--- /dev/null
+++ b/internal/tlslink/bench_test.go
@@ -0,0 +1,177 @@
+package tlslink
+
+import (
+	"bytes"
+	"crypto/tls"
+	"errors"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"croftlock/internal/certs"
+	"croftlock/internal/netio"
+	"croftlock/internal/standin"
+)
+
+const name = "s1.test"
+
+// bench is a link on a running loop, with the files of a public key infrastructure in a folder.
+type bench struct {
+	t    *testing.T
+	dir  string
+	pki  *standin.Pki
+	opt  Options
+	loop *netio.Loop
+	link *Link
+	skew atomic.Int64 // what the wall clock is ahead by
+}
+
+func newBench(t *testing.T, change func(b *bench)) *bench {
+	t.Helper()
+	pki, err := standin.NewPki(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, dir: t.TempDir(), pki: pki, opt: Defaults(), loop: netio.NewLoop()}
+	b.opt.On, b.opt.Pattern = true, "{uid}.test"
+	trust, err := standin.SaveTrust(b.dir, pki.Trusted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.opt.Trust = []string{trust}
+	if change != nil {
+		change(b)
+	}
+	if err := netio.Attach(b.loop); err != nil {
+		t.Fatal(err)
+	}
+	m, err := Load(b.opt, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.link = New(b.loop, m, func() time.Time { return time.Now().Add(time.Duration(b.skew.Load())) })
+	go b.loop.Run()
+	t.Cleanup(b.loop.Stop)
+	return b
+}
+
+func (b *bench) file(file string, data []byte) string {
+	b.t.Helper()
+	path := filepath.Join(b.dir, file)
+	if err := certs.Replace(path, data, 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+	return path
+}
+
+// on runs f on the loop and waits for it.
+func (b *bench) on(f func()) {
+	done := make(chan struct{})
+	b.loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+// conn is a connection as a test sees it.
+type conn struct {
+	b      *bench
+	c      *netio.Conn
+	err    *netio.Error
+	data   chan []byte
+	closed chan *netio.Error
+	eat    func(c *netio.Conn)
+}
+
+func (c *conn) Data(n *netio.Conn) {
+	if c.eat != nil {
+		c.eat(n)
+		return
+	}
+	c.data <- bytes.Clone(n.Input())
+	n.Consume(len(n.Input()))
+}
+
+func (c *conn) Writable(n *netio.Conn) {
+	if c.eat != nil {
+		c.eat(n)
+	}
+}
+
+func (c *conn) Closed(_ *netio.Conn, err *netio.Error) { c.closed <- err }
+
+// dial opens a connection and waits for what becomes of it.
+func (b *bench) dial(addr string, within time.Duration) *conn { return b.dialEating(addr, within, nil) }
+
+func (b *bench) dialEating(addr string, within time.Duration, eat func(*netio.Conn)) *conn {
+	c := &conn{b: b, data: make(chan []byte, 100), closed: make(chan *netio.Error, 1), eat: eat}
+	done := make(chan struct{})
+	b.loop.Post(func() {
+		b.link.Dial(Host{"s1", "a", addr}, within, 4096, c, func(n *netio.Conn, err *netio.Error) {
+			c.c, c.err = n, err
+			close(done)
+		})
+	})
+	<-done
+	return c
+}
+
+func (c *conn) write(text string) {
+	c.b.on(func() { c.c.Write([]byte(text)) })
+}
+
+func (c *conn) read(want string) {
+	c.b.t.Helper()
+	got := ""
+	for len(got) < len(want) {
+		select {
+		case d := <-c.data:
+			got += string(d)
+		case err := <-c.closed:
+			c.b.t.Fatalf("closed after %q: %v", got, err)
+		case <-time.After(10 * time.Second):
+			c.b.t.Fatalf("got %q, want %q", got, want)
+		}
+	}
+	if got != want {
+		c.b.t.Fatalf("got %q, want %q", got, want)
+	}
+}
+
+// ended waits for the end of the connection.
+func (c *conn) ended() *netio.Error {
+	c.b.t.Helper()
+	select {
+	case err := <-c.closed:
+		return err
+	case <-time.After(20 * time.Second):
+		c.b.t.Fatal("it does not end")
+		return nil
+	}
+}
+
+func (c *conn) reason() Reason {
+	var f *Failure
+	if c.err == nil || !errors.As(c.err, &f) {
+		return ""
+	}
+	return f.Reason
+}
+
+// server is a catalogue server that shows what the pki has for it.
+func (b *bench) server(config *tls.Config) *standin.Server {
+	b.t.Helper()
+	if config == nil {
+		var err error
+		if config, err = b.pki.Trusted.ForServer(name); err != nil {
+			b.t.Fatal(err)
+		}
+	}
+	s, err := standin.NewServer("s1", "a", config)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(s.Close)
+	return s
+}
+
+const up = "UP s1-9b1f03aa5c7e2d41\r\n"
--- /dev/null
+++ b/internal/tlslink/verify.go
@@ -0,0 +1,132 @@
+package tlslink
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"time"
+
+	"croftlock/internal/certs"
+)
+
+// OwnFault tells what of the proxy's own is wrong now, before any host is asked.
+func (m *Material) OwnFault(now time.Time) *Failure {
+	if m.count == 0 {
+		return &Failure{Reason: OwnTrust, Step: "queue", Err: errors.New("no authority is trusted")}
+	}
+	for _, l := range m.lists {
+		if now.After(l.until) {
+			return &Failure{Reason: OwnTrust, Step: "queue", Err: fmt.Errorf("the revocation list %s ran out %s", l.file, l.until.UTC().Format(time.RFC3339))}
+		}
+	}
+	if m.own != nil && now.After(m.ownEnd) {
+		return &Failure{Reason: OwnExpired, Step: "queue", Err: fmt.Errorf("%s ended %s", m.opt.Certificate, m.ownEnd.UTC().Format(time.RFC3339))}
+	}
+	return nil
+}
+
+// Verify tells whether a host that shows these certificates is the one of that name, and until when. The chain's
+// signatures are verified once for each epoch, name and chain; times count every time.
+func (m *Material) Verify(shown []*x509.Certificate, name Name, now time.Time) (time.Time, error) {
+	if len(shown) == 0 {
+		return time.Time{}, fault(NoCertificate, "the host showed none")
+	}
+	key := seenKey{name: name}
+	sum := sha256.New()
+	for _, c := range shown {
+		sum.Write(c.Raw)
+	}
+	sum.Sum(key.chain[:0])
+	m.mu.Lock()
+	s, ok := m.verified[key]
+	m.mu.Unlock()
+	if ok && !now.Before(s.from) && !now.After(s.until) {
+		return s.until, nil
+	}
+	s, err := m.verify(shown, name, now)
+	if err != nil {
+		return time.Time{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.verified) >= maxVerified {
+		clear(m.verified) // they are verified again; that costs time, not safety
+	}
+	m.verified[key] = s
+	return s.until, nil
+}
+
+func (m *Material) verify(shown []*x509.Certificate, name Name, now time.Time) (span, error) {
+	leaf := shown[0]
+	if w := certs.Weak(leaf); w != "" {
+		return span{}, fault(WeakKey, "%s: %s", leaf.Subject, w)
+	}
+	between := x509.NewCertPool()
+	for _, c := range shown[1:] {
+		between.AddCert(c)
+	}
+	chains, err := leaf.Verify(x509.VerifyOptions{Roots: m.roots, Intermediates: between, CurrentTime: now,
+		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}})
+	if err != nil {
+		early := false
+		for _, c := range shown {
+			early = early || now.Before(c.NotBefore)
+		}
+		return span{}, certificateFault(err, leaf, early)
+	}
+	if leaf.KeyUsage != 0 && leaf.KeyUsage&x509.KeyUsageDigitalSignature == 0 {
+		return span{}, fault(WrongUsage, "%s may not sign handshakes", leaf.Subject)
+	}
+	if err := hasName(leaf, name); err != nil {
+		return span{}, err
+	}
+	// Any chain that holds will do; the reason told is that of the last.
+	for _, chain := range chains {
+		var s span
+		if s, err = m.judge(chain); err == nil {
+			return s, nil
+		}
+	}
+	return span{}, err
+}
+
+func hasName(leaf *x509.Certificate, name Name) error {
+	if !name.URI {
+		if err := leaf.VerifyHostname(name.Text); err != nil {
+			return certificateFault(err, leaf, false)
+		}
+		return nil
+	}
+	for _, u := range leaf.URIs {
+		if u.String() == name.Text {
+			return nil
+		}
+	}
+	return fault(WrongName, "certificate for the URIs %v, expected %s", leaf.URIs, name.Text)
+}
+
+// judge looks at a chain whose signatures hold.
+func (m *Material) judge(chain []*x509.Certificate) (span, error) {
+	s := span{chain[0].NotBefore, chain[0].NotAfter}
+	for i, c := range chain {
+		if c.NotBefore.After(s.from) {
+			s.from = c.NotBefore
+		}
+		s.until = earlier(s.until, c.NotAfter)
+		if w := certs.Weak(c); w != "" {
+			return s, fault(WeakKey, "%s: %s", c.Subject, w)
+		}
+		if i+1 == len(chain) {
+			break
+		}
+		for _, l := range m.lists {
+			if bytes.Equal(l.issuer, c.RawIssuer) && (len(l.keyID) == 0 || bytes.Equal(l.keyID, chain[i+1].SubjectKeyId)) &&
+				l.revoked[c.SerialNumber.String()] {
+				return s, fault(Revoked, "%s, serial %x, by %s", c.Subject, c.SerialNumber, l.file)
+			}
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/wire/decode.go
@@ -0,0 +1,172 @@
+package wire
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+
+	"croftlock/brain"
+)
+
+type event struct {
+	Type      string          `json:"event_type"`
+	Balancer  string          `json:"balancer"`
+	RequestID string          `json:"request_id"`
+	Server    string          `json:"server"`
+	Seq       int             `json:"seq_no"`
+	Ending    string          `json:"ending"`
+	Elapsed   int64           `json:"elapsed"`
+	NoMore    bool            `json:"no_more"`
+	Gauge     []float64       `json:"gauge"`
+	Hint      float64         `json:"hint"`
+	Item      string          `json:"item"`
+	Party     json.RawMessage `json:"party"`
+	Channel   string          `json:"channel"`
+	Class     *string         `json:"cls"`
+	Bits      int             `json:"bits"`
+	Remaining *int64          `json:"remaining"`
+	Ref       *string         `json:"ref"`
+	Level     float64         `json:"level"`
+	Sort      int             `json:"sort"`
+	Salt      json.Number     `json:"salt"`
+	Config    json.RawMessage `json:"config"`
+	Sheet     *int            `json:"sheet"`
+	Elements  []element       `json:"elements"`
+	Form      string          `json:"form"`
+	Gen       int64           `json:"gen"`
+	Origin    int             `json:"origin_peer"`
+	Contents  string          `json:"contents"`
+}
+
+type element struct {
+	State  string  `json:"stage_state"`
+	Zone   string  `json:"region_part"`
+	Weight float64 `json:"capacity_hint"`
+	Since  int64   `json:"since"`
+	Server string  `json:"server"`
+	Kind   string  `json:"type"`
+	Cell   int     `json:"stripe"`
+}
+
+type batch struct {
+	Time *int64  `json:"time"`
+	Msgs []event `json:"msgs"`
+}
+
+var statuses = map[string]brain.Status{
+	"OK": brain.OK, "INTERNAL": brain.Error, "RESOURCE_EXHAUSTED": brain.Full, "DEADLINE_EXCEEDED": brain.Timeout,
+	"UNAVAILABLE": brain.ConnectFailed, "ABORTED": brain.Reset, "CANCELLED": brain.Cancelled, "TOO_LATE": brain.Moot,
+}
+
+var states = map[string]brain.State{
+	"healthy": brain.Ready, "cordoned": brain.Draining, "deregistered": brain.Departed,
+}
+
+var forms = map[string]brain.ListKind{
+	"update": brain.ListDelta, "replace": brain.ListFull, "restored": brain.ListCached,
+	"unavailable": brain.ListFailed,
+}
+
+func missing(e *event, field string) error { return fmt.Errorf("%s without %s", e.Type, field) }
+
+// decode checks an event and gives the call that delivers it; nil where there is nothing to deliver.
+func (h *Host) decode(now int64, in *instance, e *event) (func(*brain.Brain), error) {
+	switch e.Type {
+	case "Inbound", "ClientLeft", "Adopted", "Notice", "Response", "Streaming":
+		if e.RequestID == "" {
+			return nil, missing(e, "request_id")
+		}
+	}
+	switch e.Type {
+	case "HealthResult", "Adopted", "Response", "Streaming":
+		if e.Server == "" {
+			return nil, missing(e, "server")
+		}
+	}
+	var status brain.Status
+	if e.Type == "Response" || e.Type == "HealthResult" {
+		s, ok := statuses[e.Ending]
+		if !ok {
+			return nil, fmt.Errorf("%s with ending %q, which is unknown", e.Type, e.Ending)
+		}
+		status = s
+	}
+	switch e.Type {
+	case "Membership":
+		form, ok := forms[e.Form]
+		if !ok {
+			return nil, fmt.Errorf("message Membership with form %q, which is unknown", e.Form)
+		}
+		var entries []brain.Entry
+		if form != brain.ListFailed {
+			if e.Sheet == nil {
+				return nil, missing(e, "sheet")
+			}
+			if entries, ok = h.sheets[*e.Sheet]; !ok {
+				return nil, fmt.Errorf("message Membership names sheet %d, which was not sent", *e.Sheet)
+			}
+		}
+		return func(b *brain.Brain) { b.Members(now, form, e.Gen, entries) }, nil
+	case "Inbound", "Adopted":
+		q, err := in.request(e)
+		if err != nil {
+			return nil, err
+		}
+		if e.Type == "Adopted" {
+			return func(b *brain.Brain) { b.Open(now, q, e.Server) }, nil
+		}
+		return func(b *brain.Brain) { b.Request(now, q) }, nil
+	case "ClientLeft":
+		return func(b *brain.Brain) { b.Gone(now, e.RequestID) }, nil
+	case "HealthResult":
+		return func(b *brain.Brain) { b.Probed(now, e.Server, status, e.Elapsed, e.Gauge) }, nil
+	case "Fired":
+		if e.Ref == nil {
+			return nil, missing(e, "ref")
+		}
+		return func(b *brain.Brain) { b.Timer(now, *e.Ref) }, nil
+	case "Notice":
+		return func(b *brain.Brain) { b.Note(now, e.RequestID, e.Seq, brain.NoteKind(e.Sort), e.Level) }, nil
+	case "Response":
+		return func(b *brain.Brain) {
+			b.Outcome(now, e.RequestID, e.Seq, status, e.Elapsed, e.NoMore, e.Gauge)
+		}, nil
+	case "Streaming":
+		return func(b *brain.Brain) { b.First(now, e.RequestID, e.Seq, e.Elapsed) }, nil
+	case "Memo":
+		data, err := base64.StdEncoding.DecodeString(e.Contents)
+		if err != nil {
+			return nil, fmt.Errorf("message Memo with contents that are not base64: %v", err)
+		}
+		return func(b *brain.Brain) { b.Peer(now, e.Origin, data) }, nil
+	}
+	return nil, fmt.Errorf("unknown event %q", e.Type)
+}
+
+func (in *instance) request(e *event) (brain.Request, error) {
+	q := brain.Request{ID: e.RequestID, Key: e.Item, Group: e.Channel, Tenant: -1,
+		Repeat: e.Bits&flagRepeat != 0, MidFlow: e.Bits&flagMidFlow != 0, Returned: e.Bits&flagReturned != 0}
+	if e.Class == nil {
+		return q, missing(e, "cls")
+	}
+	c, ok := in.classes[*e.Class]
+	if !ok {
+		return q, fmt.Errorf("%s of class %q, which the settings do not name", e.Type, *e.Class)
+	}
+	q.Class = c
+	if e.Remaining != nil {
+		q.Left = *e.Remaining
+	} else if e.Type == "Inbound" {
+		return q, missing(e, "remaining")
+	}
+	if e.Bits&flagHint != 0 {
+		q.Hint = e.Hint
+	}
+	var name string
+	if len(e.Party) > 0 && json.Unmarshal(e.Party, &name) == nil {
+		if t, ok := in.tenants[name]; ok {
+			q.Tenant = t
+		}
+	}
+	return q, nil
+}
