--- a/internal/cluster/agent_test.go
+++ b/internal/cluster/agent_test.go
@@ -5,15 +5,15 @@
 	"time"
 
 	"croftlock/brain"
+	"croftlock/internal/fake"
 	"croftlock/internal/netio"
 	"croftlock/internal/proxy"
-	"croftlock/internal/standin"
 )
 
 // TestFollowsAnAgent: an agent to which lists are pushed is asked though the module asks for nothing, its silence is no
 // failure told, and what it has when it speaks again is heard although the watch that was under way has died.
 func TestFollowsAnAgent(t *testing.T) {
-	d, err := standin.NewDiscovery(standin.Entry{UID: "s1", Endpoint: "127.0.0.1:1"}, standin.Entry{UID: "s2", Endpoint: "127.0.0.1:2"})
+	d, err := fake.NewDiscovery(fake.Entry{UID: "s1", Endpoint: "127.0.0.1:1"}, fake.Entry{UID: "s2", Endpoint: "127.0.0.1:2"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/command/badlinks_test.go
+++ b/internal/command/badlinks_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/lab"
-	"croftlock/internal/standin"
 )
 
 // TestRulesThroughBadLinks: a fifth of all datagrams lost, as many doubled, all late and out of order. Changes of the operators and of a customer arrive, in
@@ -20,7 +20,7 @@
 	for i := range 5 {
 		for j := range 5 {
 			if i != j {
-				r.Mesh.Set(i, j, func(l *standin.Link) { l.Loss, l.Twice, l.Jitter = 0.2, 0.2, 40*time.Millisecond })
+				r.Mesh.Set(i, j, func(l *fake.Link) { l.Loss, l.Twice, l.Jitter = 0.2, 0.2, 40*time.Millisecond })
 			}
 		}
 	}
--- a/internal/command/book_test.go
+++ b/internal/command/book_test.go
@@ -6,18 +6,18 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/lab"
-	"croftlock/internal/standin"
 )
 
 // bookTier is four proxies that may speak, before six hosts.
 type bookTier struct {
 	t     *testing.T
-	mesh  *standin.Mesh
+	mesh  *fake.Mesh
 	procs []*lab.Process
 	setup []lab.Setup
 	env   *lab.Env
-	hosts []*standin.Server
+	hosts []*fake.Server
 }
 
 func newBookTier(t *testing.T) *bookTier {
@@ -25,21 +25,21 @@
 	rigs <- struct{}{}
 	t.Cleanup(func() { <-rigs })
 	b := &bookTier{t: t, env: &lab.Env{Croftlock: os.Args[0], Dir: t.TempDir()}}
-	var entries []standin.Entry
+	var entries []fake.Entry
 	for i := range 6 {
-		s, err := standin.NewServer(fmt.Sprint("s", i), "z", nil)
+		s, err := fake.NewServer(fmt.Sprint("s", i), "z", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(s.Close)
 		b.hosts, entries = append(b.hosts, s), append(entries, s.Entry())
 	}
-	d, err := standin.NewDiscovery(entries...)
+	d, err := fake.NewDiscovery(entries...)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Close)
-	if b.mesh, err = standin.NewMesh(4, 1); err != nil {
+	if b.mesh, err = fake.NewMesh(4, 1); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(b.mesh.Close)
@@ -71,21 +71,21 @@
 	for i := range 4 {
 		for j := range 4 {
 			if i != j {
-				b.mesh.Set(i, j, func(l *standin.Link) { l.Cut = on })
+				b.mesh.Set(i, j, func(l *fake.Link) { l.Cut = on })
 			}
 		}
 	}
 }
 
 // ask has so many clients of three groups ask in turn at all proxies but some, and gives those that stand.
-func (b *bookTier) ask(n int, but int) (stand []*standin.Client) {
+func (b *bookTier) ask(n int, but int) (stand []*fake.Client) {
 	b.t.Helper()
 	for i := range n {
 		at := i % 4
 		if at == but {
 			continue
 		}
-		c, a, err := standin.Open(b.procs[at].Addr, "lab", fmt.Sprintf("g=%016x", 1+i%3), 2*time.Second)
+		c, a, err := fake.Open(b.procs[at].Addr, "lab", fmt.Sprintf("g=%016x", 1+i%3), 2*time.Second)
 		if err != nil || c == nil {
 			b.t.Errorf("request %d at n%d: %+v %v", i, at, a, err)
 			continue
@@ -109,7 +109,7 @@
 	t.Parallel()
 	b := newBookTier(t)
 	time.Sleep(1500 * time.Millisecond) // they hear of one another within a second or so
-	leave := func(all []*standin.Client) {
+	leave := func(all []*fake.Client) {
 		t.Helper()
 		for _, c := range all {
 			c.Close()
--- a/internal/command/floors_test.go
+++ b/internal/command/floors_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/lab"
-	"croftlock/internal/standin"
 )
 
 // sentTo gives the times at which a process sent something new to a host, by its log alone.
@@ -38,18 +38,18 @@
 func TestFloorsAmongProcesses(t *testing.T) {
 	t.Parallel()
 	const n = 5
-	var entries []standin.Entry
+	var entries []fake.Entry
 	for _, id := range []string{"a", "b", "c"} {
-		s, err := standin.NewServer(id, "z", nil)
+		s, err := fake.NewServer(id, "z", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(s.Close)
 		entries = append(entries, s.Entry())
 	}
-	var lists []*standin.Discovery
+	var lists []*fake.Discovery
 	for range n {
-		d, err := standin.NewDiscovery(entries...)
+		d, err := fake.NewDiscovery(entries...)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -91,7 +91,7 @@
 				if asleep[i].Load() {
 					continue
 				}
-				c, a, _ := standin.Open(r.Procs[i].Addr, "lab", "", 400*time.Millisecond)
+				c, a, _ := fake.Open(r.Procs[i].Addr, "lab", "", 400*time.Millisecond)
 				if c != nil {
 					served.Add(1)
 					c.Close()
--- a/internal/command/limits_test.go
+++ b/internal/command/limits_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/lab"
-	"croftlock/internal/standin"
 )
 
 // burst is a connection at a moment.
@@ -42,7 +42,7 @@
 				if c.stopped[i].Load() {
 					continue
 				}
-				client, a, _ := standin.Open(r.Procs[i].Addr, "lab", "t="+tenant, 400*time.Millisecond)
+				client, a, _ := fake.Open(r.Procs[i].Addr, "lab", "t="+tenant, 400*time.Millisecond)
 				c.mu.Lock()
 				switch {
 				case client != nil:
--- a/internal/command/members_test.go
+++ b/internal/command/members_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/lab"
 	"croftlock/internal/members"
 	"croftlock/internal/membership"
 	"croftlock/internal/membership/virtual"
-	"croftlock/internal/standin"
 )
 
 // Five processes of the program with faults between them: what may never happen does not, and what has happened is known to all in
@@ -140,7 +140,7 @@
 // seeds tell.
 func TestMembersFindOneAnotherBySeeds(t *testing.T) {
 	env, dir := &lab.Env{Croftlock: os.Args[0], Dir: t.TempDir()}, t.TempDir()
-	mesh, err := standin.NewMesh(4, 1) // for addresses that are free
+	mesh, err := fake.NewMesh(4, 1) // for addresses that are free
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -153,7 +153,7 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		p, err := env.Proxy(lab.Setup{Name: fmt.Sprint("n", i), Discovery: "127.0.0.1:1", Known: standin.List{Rev: 1, All: true, Targets: []standin.Entry{}},
+		p, err := env.Proxy(lab.Setup{Name: fmt.Sprint("n", i), Discovery: "127.0.0.1:1", Known: fake.List{Rev: 1, All: true, Targets: []fake.Entry{}},
 			Settings: path, Sockets: 256, MemoryMB: 64, Env: []string{"CROFTLOCK_TEST_RUN=1"}})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/command/namespaces_test.go
+++ b/internal/command/namespaces_test.go
@@ -11,17 +11,17 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/lab"
-	"croftlock/internal/standin"
 )
 
 // customers are five processes before four hosts of two kinds.
-func customers(t *testing.T) (*lab.Rig, map[string]*standin.Server) {
+func customers(t *testing.T) (*lab.Rig, map[string]*fake.Server) {
 	t.Helper()
-	hosts := map[string]*standin.Server{}
-	var entries []standin.Entry
+	hosts := map[string]*fake.Server{}
+	var entries []fake.Entry
 	for _, id := range []string{"a1", "a2", "b1", "b2"} {
-		s, err := standin.NewServer(id, "z", nil)
+		s, err := fake.NewServer(id, "z", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -31,7 +31,7 @@
 		e.Model = id[:1]
 		entries = append(entries, e)
 	}
-	d, err := standin.NewDiscovery(entries...)
+	d, err := fake.NewDiscovery(entries...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +78,7 @@
 			defer wg.Done()
 			for n := 0; !quit.Load(); n++ {
 				if !stopped[i].Load() {
-					c, a, _ := standin.Open(r.Procs[i].Addr, "lab", fmt.Sprintf("t=t%d", n%3+1), 400*time.Millisecond)
+					c, a, _ := fake.Open(r.Procs[i].Addr, "lab", fmt.Sprintf("t=t%d", n%3+1), 400*time.Millisecond)
 					if c != nil {
 						served.Add(1)
 						c.Close()
@@ -92,10 +92,10 @@
 		}()
 	}
 	// A connection of acme's at a2 stands through all that follows.
-	var standing *standin.Client
+	var standing *fake.Client
 	if _, ok := lab.Until(ownersPatience, func() bool {
 		before := hosts["a2"].Standing()
-		c, _, _ := standin.Open(r.Procs[0].Addr, "lab", "t=t1", time.Second)
+		c, _, _ := fake.Open(r.Procs[0].Addr, "lab", "t=t1", time.Second)
 		if c == nil {
 			return false
 		}
--- a/internal/command/ops_test.go
+++ b/internal/command/ops_test.go
@@ -7,23 +7,23 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/lab"
-	"croftlock/internal/standin"
 )
 
 // One process after the other at one address: clients that stand stay, bans hold, a death before the end changes nothing, a
 // third start waits for the two.
 func TestReplacingTheProcess(t *testing.T) {
-	var entries []standin.Entry
+	var entries []fake.Entry
 	for i := range 2 {
-		s, err := standin.NewServer(fmt.Sprint("s", i), "a", nil)
+		s, err := fake.NewServer(fmt.Sprint("s", i), "a", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(s.Close)
 		entries = append(entries, s.Entry())
 	}
-	d, err := standin.NewDiscovery(entries...)
+	d, err := fake.NewDiscovery(entries...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,16 +62,16 @@
 		}
 		return body
 	}
-	open := func() *standin.Client {
+	open := func() *fake.Client {
 		t.Helper()
-		c, a, err := standin.Open(listen, "lab", "", 4*time.Second)
+		c, a, err := fake.Open(listen, "lab", "", 4*time.Second)
 		if c == nil {
 			t.Fatalf("got %q, %v", a.Text, err)
 		}
 		t.Cleanup(c.Close)
 		return c
 	}
-	says := func(c *standin.Client, text string) {
+	says := func(c *fake.Client, text string) {
 		t.Helper()
 		if _, moved, err := c.Ask(text, 10*time.Second); moved || err != nil {
 			t.Fatalf("a client that stands: moved %t, %v", moved, err)
@@ -110,7 +110,7 @@
 	call(admin, "POST", "/v1/catalogue-servers/s1/suspend", 200)
 	third.Kill()
 	_, admin = begin()
-	if _, a, _ := standin.Open(listen, "lab", "", 4*time.Second); a.Kind != "BUSY" {
+	if _, a, _ := fake.Open(listen, "lab", "", 4*time.Second); a.Kind != "BUSY" {
 		t.Errorf("with both servers out a client got %q", a.Text)
 	}
 	call(admin, "POST", "/v1/catalogue-servers/s1/resume", 200)
--- a/internal/command/pushed_test.go
+++ b/internal/command/pushed_test.go
@@ -6,21 +6,21 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/lab"
-	"croftlock/internal/standin"
 )
 
 // A proxy whose lists are pushed hears of a drain from the agent on its machine, though nothing in it asks: before, it
 // kept to the list of its start, and sent to hosts that drained or were gone.
 func TestPushedListsAreHeard(t *testing.T) {
-	servers := map[string]*standin.Server{}
-	d, err := standin.NewDiscovery()
+	servers := map[string]*fake.Server{}
+	d, err := fake.NewDiscovery()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Close)
 	for i := range 2 {
-		s, err := standin.NewServer(fmt.Sprint("s", i), "a", nil)
+		s, err := fake.NewServer(fmt.Sprint("s", i), "a", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -44,7 +44,7 @@
 	}
 	open := func() {
 		t.Helper()
-		c, a, err := standin.Open(p.Addr, "lab", "", 4*time.Second)
+		c, a, err := fake.Open(p.Addr, "lab", "", 4*time.Second)
 		if c == nil {
 			t.Fatalf("got %q, %v", a.Text, err)
 		}
--- a/internal/command/rules.go
+++ b/internal/command/rules.go
@@ -11,7 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"croftlock/internal/certs"
-	"croftlock/internal/line"
+	"croftlock/internal/lineproto"
 	"croftlock/internal/namespace"
 	"croftlock/internal/owners"
 	"croftlock/internal/rules"
@@ -184,7 +184,7 @@
 	c := &cobra.Command{Use: "explain 'OPEN …'", Args: cobra.ExactArgs(1), Short: "Say what becomes of a request by the version that this proxy acts by, and why",
 		Example: "  croftlock rules explain 'OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,t=acme,d=2000'",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			o, err := line.ParseOpen([]byte(args[0] + "\r\n"))
+			o, err := lineproto.ParseOpen([]byte(args[0] + "\r\n"))
 			if err != nil {
 				return err
 			}
--- a/internal/command/tls_test.go
+++ b/internal/command/tls_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"croftlock/internal/certs"
+	"croftlock/internal/fake"
 	"croftlock/internal/lab"
-	"croftlock/internal/standin"
 )
 
 // The whole program with TLS to its servers: a sound server serves, beside it one with a wrong name that is never sent
@@ -20,11 +20,11 @@
 // leaves in order.
 func TestServesByTLS(t *testing.T) {
 	dir := t.TempDir()
-	pki, err := standin.NewPki("s1.test")
+	pki, err := fake.NewPki("s1.test")
 	if err != nil {
 		t.Fatal(err)
 	}
-	trust, _ := standin.SaveTrust(dir, pki.Trusted)
+	trust, _ := fake.SaveTrust(dir, pki.Trusted)
 	if _, err := pki.Trusted.SaveClient(dir, certs.Spec{Name: "proxy"}); err != nil {
 		t.Fatal(err)
 	}
@@ -32,19 +32,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	shown := standin.TLS(pair)
-	sound, err := standin.NewServer("s1", "a", standin.Config(func() *tls.Certificate { return shown }, pki.Trusted.Pool))
+	shown := fake.TLS(pair)
+	sound, err := fake.NewServer("s1", "a", fake.Config(func() *tls.Certificate { return shown }, pki.Trusted.Pool))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer sound.Close()
 	wrong, _ := pki.Trusted.ForServer("cat3.example.org")
-	other, err := standin.NewServer("s2", "a", wrong)
+	other, err := fake.NewServer("s2", "a", wrong)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer other.Close()
-	d, err := standin.NewDiscovery(sound.Entry(), other.Entry())
+	d, err := fake.NewDiscovery(sound.Entry(), other.Entry())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,9 +65,9 @@
 			t.Fatalf("no %s in\n%s", line, strings.Join(p.Log(""), "\n"))
 		}
 	}
-	var standing *standin.Client
+	var standing *fake.Client
 	for i := 0; i < 8 || i < 100 && len(p.Log("event=tls_failed")) == 0; i++ { // until the module has tried both
-		c, a, err := standin.Open(p.Addr, "lab", "", 10*time.Second)
+		c, a, err := fake.Open(p.Addr, "lab", "", 10*time.Second)
 		if err != nil || a.Kind != "UP" || !strings.HasPrefix(a.Text, "UP s1-") {
 			t.Fatalf("client %d: %v %v", i, a, err)
 		}
@@ -80,10 +80,10 @@
 	if n, _ := other.Opened(); n > 0 {
 		t.Errorf("%d requests reached the server with the wrong name", n)
 	}
-	os.WriteFile(trust, standin.HalfPEM(pki.Trusted.Root.Cert), 0o644)
+	os.WriteFile(trust, fake.HalfPEM(pki.Trusted.Root.Cert), 0o644)
 	p.Signal(syscall.SIGHUP)
 	await("event=tls_files_kept")
-	standin.SaveTrust(dir, pki.Trusted, pki.Other)
+	fake.SaveTrust(dir, pki.Trusted, pki.Other)
 	await("event=tls_files_taken epoch=2 authorities=2")
 	os.WriteFile(file, []byte("(tls"), 0o644)
 	p.Signal(syscall.SIGHUP)
@@ -91,7 +91,7 @@
 	if _, _, err := standing.Ask("M", 10*time.Second); err != nil {
 		t.Errorf("a standing connection after all that: %v", err)
 	}
-	if c, a, err := standin.Open(p.Addr, "lab", "", 10*time.Second); c == nil {
+	if c, a, err := fake.Open(p.Addr, "lab", "", 10*time.Second); c == nil {
 		t.Errorf("a new one: %v %v", a, err)
 	}
 	for _, l := range p.Log("") {
@@ -110,7 +110,7 @@
 	file := filepath.Join(dir, "a.sexp")
 	os.WriteFile(file, []byte(`(tls (servers on) (trust "none.pem") (name (pattern "{uid}.x")))`), 0o644)
 	env := &lab.Env{Croftlock: os.Args[0], Dir: dir}
-	_, err := env.Proxy(lab.Setup{Name: "n0", Discovery: "127.0.0.1:1", Known: standin.List{Rev: 1, All: true, Targets: []standin.Entry{}},
+	_, err := env.Proxy(lab.Setup{Name: "n0", Discovery: "127.0.0.1:1", Known: fake.List{Rev: 1, All: true, Targets: []fake.Entry{}},
 		Settings: file, Env: []string{"CROFTLOCK_TEST_RUN=1"}})
 	if err == nil || !strings.Contains(err.Error(), "none.pem") {
 		t.Errorf("got %v", err)
--- a/internal/consensus/apply.go
+++ b/internal/consensus/apply.go
@@ -8,7 +8,7 @@
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 func cmpErr(err error, why string) any {
@@ -37,7 +37,7 @@
 	c.applied, c.termAt = e.Index, e.Term
 	switch e.Type {
 	case raftpb.EntryNormal:
-		r := pack.Reader{Data: e.Data}
+		r := encoding.Reader{Data: e.Data}
 		tag, kind := r.Uint(), byte(r.Uint())
 		if m := c.machines[kind]; len(e.Data) > 0 && r.Err() == nil && m != nil {
 			c.fx.Applied(kind, tag, m.Apply(r.Data))
@@ -59,7 +59,7 @@
 
 func (c *Core) reconfigure(cc raftpb.ConfChangeV2) {
 	c.conf = *c.node.ApplyConfChange(cc)
-	r := pack.Reader{Data: cc.Context}
+	r := encoding.Reader{Data: cc.Context}
 	tag, name := r.Uint(), r.Text(mostName)
 	for _, ch := range cc.Changes {
 		switch ch.Type {
@@ -94,7 +94,7 @@
 
 // snapshot holds the members' names and every machine's state.
 func (c *Core) snapshot() []byte {
-	var w pack.Writer
+	var w encoding.Writer
 	ids := make([]uint64, 0, len(c.names))
 	for id := range c.names {
 		ids = append(ids, id)
@@ -115,7 +115,7 @@
 const mostSnapshot = 150 << 10
 
 func (c *Core) restore(snap raftpb.Snapshot) error {
-	r := pack.Reader{Data: snap.Data}
+	r := encoding.Reader{Data: snap.Data}
 	if v := r.Uint(); v != 1 {
 		return fmt.Errorf("consensus: a snapshot of version %d, only 1 is known", v)
 	}
--- a/internal/consensus/disk/disk.go
+++ b/internal/consensus/disk/disk.go
@@ -15,7 +15,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 
 	"croftlock/internal/consensus"
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 var (
@@ -84,7 +84,7 @@
 				}
 			}
 		}
-		var w pack.Writer
+		var w encoding.Writer
 		return put(meta, keyShape, w.Uint(last).Uint(seen).Data)
 	})
 }
@@ -92,7 +92,7 @@
 // SaveIdentity keeps who the store belongs to.
 func (s *Store) SaveIdentity(id consensus.Identity) error {
 	return s.update(func(tx *bbolt.Tx) error {
-		var w pack.Writer
+		var w encoding.Writer
 		return put(tx.Bucket(bucketMeta), keyIdentity, w.Text(id.Group).Text(id.Name).Uint(id.ID).Uint(id.Boots).Bool(id.Stale).Data)
 	})
 }
@@ -100,7 +100,7 @@
 // SaveSeen keeps another voter's last start.
 func (s *Store) SaveSeen(id uint64, seen consensus.Seen) error {
 	return s.update(func(tx *bbolt.Tx) error {
-		var w pack.Writer
+		var w encoding.Writer
 		return put(tx.Bucket(bucketSeen), number(id), w.Uint(seen.Boots).Uint(seen.Life).Data)
 	})
 }
--- a/internal/consensus/disk/load.go
+++ b/internal/consensus/disk/load.go
@@ -9,7 +9,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 
 	"croftlock/internal/consensus"
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 // Load reads all that is kept.
@@ -44,14 +44,14 @@
 		}
 		var last, seen uint64
 		if err := get(keyShape, func(data []byte) error {
-			r := pack.Reader{Data: data}
+			r := encoding.Reader{Data: data}
 			last, seen = r.Uint(), r.Uint()
 			return r.Err()
 		}); err != nil {
 			return err
 		}
 		if err := get(keyIdentity, func(data []byte) error {
-			r := pack.Reader{Data: data}
+			r := encoding.Reader{Data: data}
 			out.Identity = consensus.Identity{Group: r.Text(64), Name: r.Text(64), ID: r.Uint(), Boots: r.Uint(), Stale: r.Bool()}
 			return r.Err()
 		}); err != nil {
@@ -68,7 +68,7 @@
 			if err != nil {
 				return err
 			}
-			r := pack.Reader{Data: data}
+			r := encoding.Reader{Data: data}
 			out.Seen[binary.BigEndian.Uint64(k)] = consensus.Seen{Boots: r.Uint(), Life: r.Uint()}
 			return r.Err()
 		}); err != nil {
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"testing"
 
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 // register is a machine that keeps all it is told.
@@ -18,7 +18,7 @@
 }
 
 func (r *register) Snapshot() []byte {
-	var w pack.Writer
+	var w encoding.Writer
 	w.Uint(uint64(len(r.log)))
 	for _, s := range r.log {
 		w.Text(s)
@@ -27,7 +27,7 @@
 }
 
 func (r *register) Restore(data []byte) error {
-	rd := pack.Reader{Data: data}
+	rd := encoding.Reader{Data: data}
 	r.log = nil
 	for n := rd.Count(1 << 20); n > 0; n-- {
 		r.log = append(r.log, rd.Text(1<<16))
--- a/internal/consensus/lead.go
+++ b/internal/consensus/lead.go
@@ -6,7 +6,7 @@
 
 	"go.etcd.io/raft/v3"
 
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 // Phase is how far a process takes part.
@@ -40,7 +40,7 @@
 	if _, ok := c.Leading(); !ok {
 		return ErrNotLeader
 	}
-	var w pack.Writer
+	var w encoding.Writer
 	c.guard(func() { c.node.ReadIndex(w.Uint(tag).Data) })
 	c.work()
 	return nil
@@ -55,7 +55,7 @@
 	if _, ok := c.Leading(); !ok {
 		return ErrNotLeader
 	}
-	var w pack.Writer
+	var w encoding.Writer
 	w.Uint(tag).Uint(uint64(machine))
 	var err error
 	c.guard(func() { err = c.node.Propose(append(w.Data, cmd...)) })
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -6,7 +6,7 @@
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 // Add takes a process that has asked for it into the group, as one that listens and does not vote.
@@ -93,7 +93,7 @@
 	if c.changing {
 		return ErrBusy
 	}
-	var w pack.Writer
+	var w encoding.Writer
 	var err error
 	c.guard(func() {
 		err = c.node.ProposeConfChange(raftpb.ConfChangeV2{Changes: changes, Context: w.Uint(tag).Text(name).Data})
--- a/internal/consensus/receive.go
+++ b/internal/consensus/receive.go
@@ -7,13 +7,13 @@
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 // Receive takes a message of another process's Core.
 func (c *Core) Receive(now Time, from uint32, msg []byte) error {
 	c.now = max(c.now, now)
-	r := pack.Reader{Data: msg}
+	r := encoding.Reader{Data: msg}
 	switch r.Uint() {
 	case msgHello:
 		return c.takeHello(from, r)
@@ -130,7 +130,7 @@
 				c.apply(&rd.CommittedEntries[i])
 			}
 			for _, s := range rd.ReadStates {
-				r := pack.Reader{Data: s.RequestCtx}
+				r := encoding.Reader{Data: s.RequestCtx}
 				if tag := r.Uint(); r.Err() == nil {
 					c.fx.Confirmed(tag)
 				}
@@ -169,7 +169,7 @@
 	if err != nil {
 		panic(err)
 	}
-	var w pack.Writer
+	var w encoding.Writer
 	w.Uint(msgRaft).Text(c.cfg.Group)
 	w.Data = append(w.Data, data...)
 	c.fx.Send(peerOf(m.To), w.Data)
--- a/internal/consensus/welcome.go
+++ b/internal/consensus/welcome.go
@@ -3,18 +3,18 @@
 import (
 	"errors"
 
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 func (c *Core) hello() {
-	var w pack.Writer
+	var w encoding.Writer
 	w.Uint(msgHello).Text(c.cfg.Group).Text(c.cfg.Name).Uint(c.who.ID).Uint(c.who.Boots).Uint(c.life)
 	for _, p := range c.others() {
 		c.fx.Send(p, w.Data)
 	}
 }
 
-func (c *Core) takeHello(from uint32, r pack.Reader) error {
+func (c *Core) takeHello(from uint32, r encoding.Reader) error {
 	group, name, id, boots, life := r.Text(mostName), r.Text(mostName), r.Uint(), r.Uint(), r.Uint()
 	if r.Err() != nil || group != c.cfg.Group || Peer(name) != from || id != 0 && peerOf(id) != from {
 		return errors.New("consensus: a start of another group, or torn")
@@ -41,7 +41,7 @@
 	m := c.met[asked]
 	// A process that has begun the group but never heard of this voter does not stand in the way of its beginning too.
 	lost := c.formed() && (known.Boots > 0 || m.term > 0 || !c.first(asked))
-	var w pack.Writer
+	var w encoding.Writer
 	// Only who has a memory of its own counts as one who would know.
 	knows := c.who.ID != 0 && c.phase != Outside
 	w.Uint(msgWelcome).Text(c.cfg.Group).Uint(id).Bool(lost).Bool(knows).Uint(known.Boots).Uint(known.Life).Uint(m.term).Uint(m.ackTerm).Uint(m.ackIndex)
@@ -55,7 +55,7 @@
 	return in && id>>32 == 0
 }
 
-func (c *Core) takeWelcome(from uint32, r pack.Reader) error {
+func (c *Core) takeWelcome(from uint32, r encoding.Reader) error {
 	group, id, lost, knows := r.Text(mostName), r.Uint(), r.Bool(), r.Bool()
 	known := Seen{r.Uint(), r.Uint()}
 	m := met{r.Uint(), r.Uint(), r.Uint()}
--- a/internal/pack/pack.go
+++ b/internal/encoding/encoding.go
@@ -1,7 +1,7 @@
-// Package pack writes and reads the short records that processes of a fleet send one another and keep on disk: unsigned numbers in as few
+// Package encoding writes and reads the short records that processes of a fleet send one another and keep on disk: unsigned numbers in as few
 // bytes as they need, and byte strings after their length. It owns nothing but that form. A Reader never reads past its data: what is
 // torn or too long gives zero values, and Err tells.
-package pack
+package encoding
 
 import (
 	"encoding/binary"
--- a/internal/pack/pack_test.go
+++ b/internal/encoding/encoding_test.go
@@ -1,4 +1,4 @@
-package pack
+package encoding
 
 import (
 	"bytes"
--- a/internal/standin/faults.go
+++ b/internal/fake/faults.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"bytes"
--- a/internal/parcel/parcel.go
+++ b/internal/fragment/fragment.go
@@ -1,10 +1,10 @@
-// Package parcel carries messages of up to 200 KiB between a fleet's processes in datagrams of at most 256 bytes. It owns their
+// Package fragment carries messages of up to 200 KiB between a fleet's processes in datagrams of at most 256 bytes. It owns their
 // pieces: what is to be sent again, what has come in part, and how much memory that may take. It does no I/O and reads no clock.
 //
 // A message that fits one datagram is sent once and may be lost, as whoever uses it has to bear anyway. A longer one is sent in pieces, and
 // those that did not arrive again, until it has arrived, is given up after Patience, or newer ones take its room. Messages may come late
 // and in another order, never torn, and a long one never twice in the same life of its sender.
-package parcel
+package fragment
 
 import (
 	"encoding/binary"
--- a/internal/parcel/receive.go
+++ b/internal/fragment/receive.go
@@ -1,4 +1,4 @@
-package parcel
+package fragment
 
 import (
 	"encoding/binary"
--- a/internal/handover/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"errors"
@@ -11,13 +11,13 @@
 	"time"
 
 	"croftlock/brain"
-	"croftlock/internal/byhand"
+	"croftlock/internal/maintenance"
 	"croftlock/internal/netio"
 	"croftlock/internal/proxy"
 )
 
 func sample() *proxy.Kept {
-	return &proxy.Kept{Discovery: "127.0.0.1:1", Rev: 7, Out: []byhand.Ban{{ID: "b", Since: 5}}, Known: []string{"a", "b"},
+	return &proxy.Kept{Discovery: "127.0.0.1:1", Rev: 7, Out: []maintenance.Ban{{ID: "b", Since: 5}}, Known: []string{"a", "b"},
 		Hosts:  []proxy.HostEntry{{Endpoint: "127.0.0.1:2", Entry: brain.Entry{ID: "a", Zone: "z", Weight: 1.5, Since: 3}}},
 		Memory: brain.Memory{Started: 1, MeanCost: 2, Servers: []brain.ServerMemory{{ID: "a", Fails: 1, Until: 9}}}}
 }
@@ -49,7 +49,7 @@
 		"out from a time to come": with(func(k *proxy.Kept) { k.Out[0].Since = 11 }),
 		"an id too long":          with(func(k *proxy.Kept) { k.Known[0] = strings.Repeat("x", 300) }),
 		"no such state":           with(func(k *proxy.Kept) { k.Hosts[0].State = 9 }),
-		"too many":                with(func(k *proxy.Kept) { k.Out = make([]byhand.Ban, 5000) }),
+		"too many":                with(func(k *proxy.Kept) { k.Out = make([]maintenance.Ban, 5000) }),
 	} {
 		os.WriteFile(filepath.Join(dir, stateFile), []byte(data), 0o600)
 		if k, err := Read(dir, now); err == nil || k != nil && k.Valid(now) == nil {
--- a/internal/handover/link.go
+++ b/internal/hotrestart/link.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"errors"
--- a/internal/handover/state.go
+++ b/internal/hotrestart/state.go
@@ -1,8 +1,8 @@
-// Package handover carries a proxy from one process to the next while it serves: the new process asks the old one for its
+// Package hotrestart carries a proxy from one process to the next while it serves: the new process asks the old one for its
 // listening sockets and for what it knows, over a Unix socket in the platform's private folder, and both stay in touch until
 // one of them ends. What must survive the end of both stands in a file there. It owns that socket, that file and their forms;
 // when to take over and what follows from it is the wiring's business.
-package handover
+package hotrestart
 
 import (
 	"bytes"
--- a/internal/jobs/drill.go
+++ b/internal/jobs/drill.go
@@ -1,8 +1,8 @@
 package jobs
 
 import (
+	"croftlock/internal/encoding"
 	"croftlock/internal/ownership"
-	"croftlock/internal/pack"
 )
 
 // Drill is a job that only tells every proxy a number: with it operators try the fleet's owners before anything rests on them.
@@ -46,7 +46,7 @@
 		send(m.Peer, d.number, nil)
 	}
 	if d.number%10 == 0 {
-		var w pack.Writer
+		var w encoding.Writer
 		d.owner.Note(d.number, w.Uint(d.number).Data)
 	}
 }
@@ -55,7 +55,7 @@
 func (d *Drill) Stop() (uint64, []byte) {
 	d.owner = nil
 	d.number++
-	var w pack.Writer
+	var w encoding.Writer
 	return d.number, w.Uint(d.number).Data
 }
 
--- a/internal/jobs/hosts.go
+++ b/internal/jobs/hosts.go
@@ -6,8 +6,8 @@
 	"sort"
 	"strings"
 
+	"croftlock/internal/encoding"
 	"croftlock/internal/ownership"
-	"croftlock/internal/pack"
 )
 
 // MostHosts bounds how many hosts may be out for the whole fleet.
@@ -55,13 +55,13 @@
 
 // Command is an operator's word as it is asked of the owner.
 func Command(out bool, host string) []byte {
-	var w pack.Writer
+	var w encoding.Writer
 	return w.Bool(out).Text(host).Data
 }
 
 // ListCommand asks which hosts are out for the whole fleet.
 func ListCommand() []byte {
-	var w pack.Writer
+	var w encoding.Writer
 	return w.Uint(commandList).Text("").Data
 }
 
@@ -80,7 +80,7 @@
 	if len(data) == 0 {
 		return nil, nil
 	}
-	r := pack.Reader{Data: data}
+	r := encoding.Reader{Data: data}
 	var out []string
 	for n := r.Count(MostHosts); n > 0; n-- {
 		out = append(out, r.Text(128))
@@ -92,7 +92,7 @@
 }
 
 func (h *Hosts) list() []byte {
-	var w pack.Writer
+	var w encoding.Writer
 	w.Uint(uint64(len(h.out)))
 	for _, id := range h.out {
 		w.Text(id)
@@ -112,7 +112,7 @@
 	if h.owner == nil {
 		return
 	}
-	r := pack.Reader{Data: body}
+	r := encoding.Reader{Data: body}
 	what, host := r.Uint(), r.Text(128)
 	out := what == commandOut
 	at, there := slices.BinarySearch(h.out, host)
--- a/internal/jobs/moves.go
+++ b/internal/jobs/moves.go
@@ -1,8 +1,8 @@
 package jobs
 
 import (
+	"croftlock/internal/encoding"
 	"croftlock/internal/ownership"
-	"croftlock/internal/pack"
 )
 
 // permitFor is how long a permit may be used.
@@ -35,7 +35,7 @@
 
 // Asked hands out permits.
 func (m *Moves) Asked(now Time, from uint32, tag uint64, body []byte) {
-	r := pack.Reader{Data: body}
+	r := encoding.Reader{Data: body}
 	want := r.Uint()
 	if m.owner == nil || r.Err() != nil || now < m.began {
 		return // without an answer everyone keeps to the own share
@@ -43,7 +43,7 @@
 	m.pot.Fill(now, m.Pace, m.Base, Alone(now, m.Base, m.asked, 2*permitFor))
 	m.asked[from] = now
 	n := m.pot.Take(want)
-	var w pack.Writer
+	var w encoding.Writer
 	m.owner.Answer(from, tag, w.Uint(n).Data)
 }
 
--- a/internal/jobs/pace.go
+++ b/internal/jobs/pace.go
@@ -1,7 +1,7 @@
 package jobs
 
 import (
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 // Pace is a proxy's own part: when it may send a client away.
@@ -71,14 +71,14 @@
 	}
 	p.tag++
 	p.out[p.tag] = now
-	var w pack.Writer
+	var w encoding.Writer
 	p.Ask(p.tag, w.Uint(uint64(min(want, 64))).Data)
 }
 
 // Answered takes permits. They lapse counted from when they were asked for.
 func (p *Pace) Answered(now Time, tag uint64, body []byte) {
 	at, asked := p.out[tag]
-	r := pack.Reader{Data: body}
+	r := encoding.Reader{Data: body}
 	n := r.Uint()
 	if !asked || r.Err() != nil || now >= at+permitFor {
 		return
--- a/internal/lab/agreeing.go
+++ b/internal/lab/agreeing.go
@@ -7,9 +7,9 @@
 	"syscall"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/owners"
 	"croftlock/internal/rules"
-	"croftlock/internal/standin"
 )
 
 // agreeingRig is five processes that agree on rules, under placements, and what came of it.
@@ -29,16 +29,16 @@
 			g.Close()
 		}
 	}()
-	var entries []standin.Entry
+	var entries []fake.Entry
 	for i := range 4 {
-		s, err := standin.NewServer(fmt.Sprint("s", i), "z", nil)
+		s, err := fake.NewServer(fmt.Sprint("s", i), "z", nil)
 		if err != nil {
 			return nil, err
 		}
 		g.close = append(g.close, s.Close)
 		entries = append(entries, s.Entry())
 	}
-	d, err := standin.NewDiscovery(entries...)
+	d, err := fake.NewDiscovery(entries...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 // tally counts what clients got.
@@ -20,7 +20,7 @@
 
 func newTally() *tally { return &tally{kinds: map[string]int{}} }
 
-func (t *tally) add(a standin.Answer, wait time.Duration) {
+func (t *tally) add(a fake.Answer, wait time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.kinds[a.Kind]++
@@ -119,9 +119,9 @@
 }
 
 // open asks until it is served; refusals are answers like others.
-func (c *crowd) open(proxy, extra string, wait time.Duration) (*standin.Client, standin.Answer, error) {
+func (c *crowd) open(proxy, extra string, wait time.Duration) (*fake.Client, fake.Answer, error) {
 	for {
-		client, a, err := standin.Open(proxy, class, extra, wait)
+		client, a, err := fake.Open(proxy, class, extra, wait)
 		c.answers.add(a, wait)
 		if client != nil || err != nil || a.Kind != "BUSY" || c.stop.Load() {
 			return client, a, err
@@ -130,7 +130,7 @@
 	}
 }
 
-func (c *crowd) stay(proxy string, client *standin.Client, i int, wait time.Duration) {
+func (c *crowd) stay(proxy string, client *fake.Client, i int, wait time.Duration) {
 	time.Sleep(c.every * time.Duration(i%97) / 97) // not all in the same moment
 	for !c.stop.Load() {
 		at := time.Now()
--- a/internal/lab/member.go
+++ b/internal/lab/member.go
@@ -7,8 +7,8 @@
 	"syscall"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/membership/virtual"
-	"croftlock/internal/standin"
 )
 
 const (
@@ -137,7 +137,7 @@
 	for i := range 5 {
 		for j := range 5 {
 			if i != j {
-				rig.Mesh.Set(i, j, func(l *standin.Link) { l.Loss = 0.2 })
+				rig.Mesh.Set(i, j, func(l *fake.Link) { l.Loss = 0.2 })
 			}
 		}
 	}
--- a/internal/lab/membercut.go
+++ b/internal/lab/membercut.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/members"
-	"croftlock/internal/standin"
 )
 
 // memberCut cuts links in one direction, makes one deaf and one mute, and cuts two off from three.
@@ -39,7 +39,7 @@
 			for i := range 5 {
 				for j := range 5 {
 					if i != j && c.cut(i, j) {
-						rig.Mesh.Set(i, j, func(l *standin.Link) { l.Cut = on })
+						rig.Mesh.Set(i, j, func(l *fake.Link) { l.Cut = on })
 					}
 				}
 			}
--- a/internal/lab/ops.go
+++ b/internal/lab/ops.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 const (
@@ -60,7 +60,7 @@
 		lost := s.door() - before
 		r.Row("a process dies", step, lost, who)
 		// Whoever is connected to a process that is killed loses that connection; who waits in the queue does not.
-		c, a, err := standin.Open(s.setup.Listen, class, "", opsWait)
+		c, a, err := fake.Open(s.setup.Listen, class, "", opsWait)
 		if c != nil {
 			c.Close()
 		}
--- a/internal/lab/opsfigures.go
+++ b/internal/lab/opsfigures.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 // opsFigures compares the figures with what clients and servers counted, times operators' calls under load with half
@@ -100,14 +100,14 @@
 			const n = 400
 			began := p.CPU()
 			for range n {
-				c, _, err := standin.Open(p.Addr, class, "", opsWait)
+				c, _, err := fake.Open(p.Addr, class, "", opsWait)
 				if err != nil || c == nil {
 					return fmt.Errorf("a placement: %v", err)
 				}
 				c.Close()
 			}
 			placing[i] = append(placing[i], float64(p.CPU()-began)/1e3/n)
-			c, _, err := standin.Open(p.Addr, class, "", opsWait)
+			c, _, err := fake.Open(p.Addr, class, "", opsWait)
 			if err != nil || c == nil {
 				return fmt.Errorf("a connection: %v", err)
 			}
--- a/internal/lab/opssite.go
+++ b/internal/lab/opssite.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 // site is one proxy with its stand-ins, which processes may replace one another at.
@@ -122,7 +122,7 @@
 				all.Add(1)
 				go func() {
 					defer all.Done()
-					c, a, _ := standin.Open(s.setup.Listen, class, "", opsWait)
+					c, a, _ := fake.Open(s.setup.Listen, class, "", opsWait)
 					s.fresh.add(a, opsWait)
 					if c != nil {
 						time.Sleep(time.Second)
--- a/internal/lab/ownerchaos.go
+++ b/internal/lab/ownerchaos.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 // ownerChaos has a fault every 2 s for two minutes, with clients placed throughout.
@@ -48,7 +48,7 @@
 		var next atomic.Int64
 		arrivals(rate, lasts, func(int) {
 			p := rig.Procs[3+int(next.Add(1))%2]
-			c, a, err := standin.Open(p.Addr, class, "", 2*time.Second)
+			c, a, err := fake.Open(p.Addr, class, "", 2*time.Second)
 			if err != nil {
 				a.Kind = "NONE"
 			}
--- a/internal/lab/ownerhistory.go
+++ b/internal/lab/ownerhistory.go
@@ -11,8 +11,8 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/owners"
-	"croftlock/internal/standin"
 )
 
 // call is one operator's word, for the check of the history.
@@ -121,7 +121,7 @@
 		i, j := rng.IntN(3), 0
 		for j = rng.IntN(5); j == i; j = rng.IntN(5) {
 		}
-		one := func(change func(l *standin.Link)) {
+		one := func(change func(l *fake.Link)) {
 			for k := range 5 {
 				if k != i {
 					r.Mesh.Set(i, k, change)
@@ -146,13 +146,13 @@
 			time.Sleep(2 * time.Second)
 			r.Cut(i, false)
 		case 3:
-			r.Mesh.Set(i, j, func(l *standin.Link) { l.Cut = true })
+			r.Mesh.Set(i, j, func(l *fake.Link) { l.Cut = true })
 			time.Sleep(2 * time.Second)
-			r.Mesh.Set(i, j, func(l *standin.Link) { l.Cut = false })
+			r.Mesh.Set(i, j, func(l *fake.Link) { l.Cut = false })
 		case 4:
-			one(func(l *standin.Link) { l.Loss = 0.3; l.Twice = 0.2 })
+			one(func(l *fake.Link) { l.Loss = 0.3; l.Twice = 0.2 })
 			time.Sleep(2 * time.Second)
-			one(func(l *standin.Link) { l.Loss, l.Twice = 0, 0 })
+			one(func(l *fake.Link) { l.Loss, l.Twice = 0, 0 })
 		}
 	}
 }
--- a/internal/lab/ownerlate.go
+++ b/internal/lab/ownerlate.go
@@ -9,8 +9,8 @@
 	"syscall"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/owners"
-	"croftlock/internal/standin"
 )
 
 // PlantedEnv has croftlab run as the program, with a fault that an experiment has to find.
@@ -114,11 +114,11 @@
 	if len(mine) == 0 {
 		return 0, 0, 0, nil, errors.New("the one that is to be late owns nothing")
 	}
-	links := func(change func(l *standin.Link, out bool)) {
+	links := func(change func(l *fake.Link, out bool)) {
 		for j := range 5 {
 			if j != victim {
-				r.Mesh.Set(victim, j, func(l *standin.Link) { change(l, true) })
-				r.Mesh.Set(j, victim, func(l *standin.Link) { change(l, false) })
+				r.Mesh.Set(victim, j, func(l *fake.Link) { change(l, true) })
+				r.Mesh.Set(j, victim, func(l *fake.Link) { change(l, false) })
 			}
 		}
 	}
@@ -132,20 +132,20 @@
 		time.Sleep(lasts)
 		r.Procs[victim].Signal(syscall.SIGCONT)
 	case "its datagrams held back for 30 s":
-		links(func(l *standin.Link, out bool) {
+		links(func(l *fake.Link, out bool) {
 			if out {
 				l.Delay = lasts
 			}
 		})
 		time.Sleep(600 * time.Millisecond) // a turn of each job is on its way for half a minute
-		links(func(l *standin.Link, out bool) { l.Delay = 0; l.Cut = true })
+		links(func(l *fake.Link, out bool) { l.Delay = 0; l.Cut = true })
 		time.Sleep(lasts / 2)
-		links(func(l *standin.Link, out bool) { l.Cut = false })
+		links(func(l *fake.Link, out bool) { l.Cut = false })
 		time.Sleep(lasts/2 + time.Second)
 	default:
-		links(func(l *standin.Link, out bool) { l.Cut = out == (how == "mute for 30 s") })
+		links(func(l *fake.Link, out bool) { l.Cut = out == (how == "mute for 30 s") })
 		time.Sleep(lasts)
-		links(func(l *standin.Link, out bool) { l.Cut = false })
+		links(func(l *fake.Link, out bool) { l.Cut = false })
 	}
 	time.Sleep(2 * time.Second)
 	if _, err := r.AllOwned(jobs); err != nil {
--- a/internal/lab/proc.go
+++ b/internal/lab/proc.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 // Env is what an experiment runs with.
@@ -29,7 +29,7 @@
 	Name      string
 	Discovery string
 	Pushed    bool // discovery is an agent to which lists are pushed
-	Known     standin.List
+	Known     fake.List
 	Settings  string // the operators' file; "": none
 	Cores     float64
 	Sockets   int
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -10,7 +10,7 @@
 	"os"
 	"runtime"
 
-	"croftlock/internal/line"
+	"croftlock/internal/lineproto"
 )
 
 // relayOptions are those of the program that croftlock's TLS is compared with: a plain relay with two goroutines a
@@ -58,12 +58,12 @@
 		c.Close()
 	}()
 	// The same work as the proxy's: whole lines, and what the host's mean.
-	pass(c, up, func(text []byte) { line.ParseHost(text) })
+	pass(c, up, func(text []byte) { lineproto.ParseHost(text) })
 }
 
 // pass hands lines on until either side ends.
 func pass(to io.Writer, from io.Reader, look func(text []byte)) {
-	in := bufio.NewReaderSize(from, line.Max)
+	in := bufio.NewReaderSize(from, lineproto.Max)
 	for {
 		text, err := in.ReadSlice('\n')
 		if err != nil {
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -11,15 +11,15 @@
 	"syscall"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/members"
 	"croftlock/internal/membership/virtual"
 	"croftlock/internal/owners"
-	"croftlock/internal/standin"
 )
 
 // Rig is several processes of the program with faults between them.
 type Rig struct {
-	Mesh  *standin.Mesh
+	Mesh  *fake.Mesh
 	Procs []*Process
 	env   *Env
 	dir   string
@@ -46,7 +46,7 @@
 	if o.Level == "" {
 		o.Level = "info"
 	}
-	setup := Setup{Discovery: "127.0.0.1:1", Known: standin.List{Rev: 1, All: true, Targets: []standin.Entry{{UID: "s0", Endpoint: "127.0.0.1:1", State: "up", Weight: 1}}}}
+	setup := Setup{Discovery: "127.0.0.1:1", Known: fake.List{Rev: 1, All: true, Targets: []fake.Entry{{UID: "s0", Endpoint: "127.0.0.1:1", State: "up", Weight: 1}}}}
 	if o.Fleet != nil {
 		o.Discovery = o.Fleet.discovery
 	}
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	r := &Rig{env: e, dir: dir, Procs: make([]*Process, n), admin: make([]string, n)}
-	if r.Mesh, err = standin.NewMesh(n, o.Seed); err != nil {
+	if r.Mesh, err = fake.NewMesh(n, o.Seed); err != nil {
 		return nil, err
 	}
 	for i := range n {
@@ -228,8 +228,8 @@
 func (r *Rig) Cut(i int, on bool) {
 	for j := range r.Procs {
 		if i != j {
-			r.Mesh.Set(i, j, func(l *standin.Link) { l.Cut = on })
-			r.Mesh.Set(j, i, func(l *standin.Link) { l.Cut = on })
+			r.Mesh.Set(i, j, func(l *fake.Link) { l.Cut = on })
+			r.Mesh.Set(j, i, func(l *fake.Link) { l.Cut = on })
 		}
 	}
 }
--- a/internal/lab/rigplan.go
+++ b/internal/lab/rigplan.go
@@ -9,9 +9,9 @@
 
 	"golang.org/x/sys/unix"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/membership/virtual"
 	"croftlock/internal/settings"
-	"croftlock/internal/standin"
 )
 
 // ReadPlan reads a plan: S-expressions as virtual.Fault prints them, times in milliseconds.
@@ -97,13 +97,13 @@
 func (r *Rig) effect(p virtual.Fault) (begin, end func() error, err error) {
 	n := len(r.Procs)
 	nothing := func() error { return nil }
-	links := func(which func(i, j int) bool, change func(l *standin.Link, on bool)) (func() error, func() error) {
+	links := func(which func(i, j int) bool, change func(l *fake.Link, on bool)) (func() error, func() error) {
 		set := func(on bool) func() error {
 			return func() error {
 				for i := range n {
 					for j := range n {
 						if i != j && which(i, j) {
-							r.Mesh.Set(i, j, func(l *standin.Link) { change(l, on) })
+							r.Mesh.Set(i, j, func(l *fake.Link) { change(l, on) })
 						}
 					}
 				}
@@ -112,7 +112,7 @@
 		}
 		return set(true), set(false)
 	}
-	cut := func(l *standin.Link, on bool) { l.Cut = on }
+	cut := func(l *fake.Link, on bool) { l.Cut = on }
 	part := func(on bool) float64 {
 		if on {
 			return p.Part
@@ -146,13 +146,13 @@
 	case "mute":
 		begin, end = links(func(i, j int) bool { return i == p.A }, cut)
 	case "loss":
-		begin, end = links(all, func(l *standin.Link, on bool) { l.Loss = part(on) })
+		begin, end = links(all, func(l *fake.Link, on bool) { l.Loss = part(on) })
 	case "twice":
-		begin, end = links(all, func(l *standin.Link, on bool) { l.Twice = part(on) })
+		begin, end = links(all, func(l *fake.Link, on bool) { l.Twice = part(on) })
 	case "garbage":
-		begin, end = links(all, func(l *standin.Link, on bool) { l.Garbage = part(on) })
+		begin, end = links(all, func(l *fake.Link, on bool) { l.Garbage = part(on) })
 	case "slow":
-		begin, end = links(all, func(l *standin.Link, on bool) {
+		begin, end = links(all, func(l *fake.Link, on bool) {
 			if l.Jitter = 0; on {
 				l.Jitter = 100 * time.Millisecond
 			}
--- a/internal/lab/rigsee.go
+++ b/internal/lab/rigsee.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/membership"
-	"croftlock/internal/standin"
 )
 
 // Sees is how one process holds another; "" where it does not answer.
@@ -76,8 +76,8 @@
 	Level    string // of the log; "": info
 	Fleet    *fleet // whose hosts they serve; nil: none that answers
 	// Discovery is another way to say which hosts; nil: as Fleet has it.
-	Discovery *standin.Discovery
+	Discovery *fake.Discovery
 	// Discoveries are one for each process, in place of one for all: what each hears can differ.
-	Discoveries []*standin.Discovery
+	Discoveries []*fake.Discovery
 	Env         []string
 }
--- a/internal/lab/rules.go
+++ b/internal/lab/rules.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/rules"
-	"croftlock/internal/standin"
 )
 
 const agreeWithin = time.Second
@@ -91,7 +91,7 @@
 		if down.Load() {
 			continue
 		}
-		c, ans, _ := standin.Open(r.Procs[i].Addr, "lab", "", time.Second)
+		c, ans, _ := fake.Open(r.Procs[i].Addr, "lab", "", time.Second)
 		a.mu.Lock()
 		if ans.Kind == "NONE" && !down.Load() {
 			a.silent++
--- a/internal/lab/tls.go
+++ b/internal/lab/tls.go
@@ -11,16 +11,16 @@
 	"time"
 
 	"croftlock/internal/certs"
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 // fleet are stand-in servers behind TLS with the files that a proxy needs for them.
 type fleet struct {
 	dir       string
-	pki       *standin.Pki
-	servers   []*standin.Server
+	pki       *fake.Pki
+	servers   []*fake.Server
 	shown     []atomic.Pointer[tls.Certificate]
-	discovery *standin.Discovery
+	discovery *fake.Discovery
 }
 
 // newFleet makes n servers, behind TLS or plain. They ask for the proxy's certificate.
@@ -30,10 +30,10 @@
 		return nil, err
 	}
 	f := &fleet{dir: dir, shown: make([]atomic.Pointer[tls.Certificate], n)}
-	if f.pki, err = standin.NewPki("s1.lab"); err != nil {
+	if f.pki, err = fake.NewPki("s1.lab"); err != nil {
 		return nil, err
 	}
-	if _, err = standin.SaveTrust(dir, f.pki.Trusted); err != nil {
+	if _, err = fake.SaveTrust(dir, f.pki.Trusted); err != nil {
 		return nil, err
 	}
 	if _, err = f.pki.Trusted.SaveClient(dir, certs.Spec{Name: "proxy"}); err != nil {
@@ -48,17 +48,17 @@
 			}
 			config = f.config(i)
 		}
-		s, err := standin.NewServer(uid, "a", config)
+		s, err := fake.NewServer(uid, "a", config)
 		if err != nil {
 			return nil, err
 		}
 		f.servers = append(f.servers, s)
 	}
-	var entries []standin.Entry
+	var entries []fake.Entry
 	for _, s := range f.servers {
 		entries = append(entries, s.Entry())
 	}
-	f.discovery, err = standin.NewDiscovery(entries...)
+	f.discovery, err = fake.NewDiscovery(entries...)
 	return f, err
 }
 
@@ -66,14 +66,14 @@
 func (f *fleet) config(i int) *tls.Config {
 	pool := f.pki.Trusted.Pool()
 	pool.AddCert(f.pki.Other.Root.Cert)
-	return standin.Config(func() *tls.Certificate { return f.shown[i].Load() }, func() *x509.CertPool { return pool })
+	return fake.Config(func() *tls.Certificate { return f.shown[i].Load() }, func() *x509.CertPool { return pool })
 }
 
 // renew gives server i a new certificate by an authority.
-func (f *fleet) renew(i int, by *standin.Authority) error {
+func (f *fleet) renew(i int, by *fake.Authority) error {
 	p, err := by.Issue(certs.Spec{Hosts: []string{fmt.Sprintf("s%d.lab", i+1)}})
 	if err == nil {
-		f.shown[i].Store(standin.TLS(p))
+		f.shown[i].Store(fake.TLS(p))
 	}
 	return err
 }
--- a/internal/lab/tlsbad.go
+++ b/internal/lab/tlsbad.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"croftlock/internal/certs"
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 // tlsBad has a proxy meet every bad server, each in a process of its own, and then faults of its own.
@@ -23,7 +23,7 @@
 		ok                         bool
 		err                        error
 	}
-	faults := standin.Faults()
+	faults := fake.Faults()
 	own := []string{"own-certificate-expired", "own-revocation-list-ran-out"}
 	rows := make([]row, len(faults)+len(own))
 	turns := make(chan struct{}, 3)
@@ -43,7 +43,7 @@
 			}
 			x.kind = own[i-len(faults)]
 			x.want = []string{"own_certificate_expired", "own_trust_unusable"}[i-len(faults)]
-			sound := standin.Fault{Kind: x.kind, Raw: func(net.Conn, *tls.Config) {}} // nobody is to come
+			sound := fake.Fault{Kind: x.kind, Raw: func(net.Conn, *tls.Config) {}} // nobody is to come
 			x.answer, x.reason, x.came, x.bytes, x.took, x.err = meet(e, sound, x.kind, x.want)
 			x.ok = x.err == nil && x.bytes == 0 && x.came == 0 && x.answer != "UP" && x.answer != "NONE" && x.reason == x.want
 		}()
@@ -74,16 +74,16 @@
 }
 
 // meet has a proxy of its own meet one bad server.
-func meet(e *Env, f standin.Fault, own, want string) (answer, reason string, came, bytes int64, took time.Duration, err error) {
+func meet(e *Env, f fake.Fault, own, want string) (answer, reason string, came, bytes int64, took time.Duration, err error) {
 	dir, err := os.MkdirTemp(e.Dir, "bad")
 	if err != nil {
 		return
 	}
-	pki, err := standin.NewPki("s1.lab")
+	pki, err := fake.NewPki("s1.lab")
 	if err != nil {
 		return
 	}
-	if _, err = standin.SaveTrust(dir, pki.Trusted); err != nil {
+	if _, err = fake.SaveTrust(dir, pki.Trusted); err != nil {
 		return
 	}
 	until := time.Now().Add(time.Hour)
@@ -112,12 +112,12 @@
 	if err = os.WriteFile(path, []byte(text), 0o644); err != nil {
 		return
 	}
-	bad, err := standin.NewBad(f, pki)
+	bad, err := fake.NewBad(f, pki)
 	if err != nil {
 		return
 	}
 	defer bad.Close()
-	d, err := standin.NewDiscovery(standin.Entry{UID: "s1", Endpoint: bad.Addr(), Zone: "a", Model: "type-a"})
+	d, err := fake.NewDiscovery(fake.Entry{UID: "s1", Endpoint: bad.Addr(), Zone: "a", Model: "type-a"})
 	if err != nil {
 		return
 	}
@@ -127,7 +127,7 @@
 		return
 	}
 	defer p.Stop()
-	c, a, e2 := standin.Open(p.Addr, class, "", 2*time.Second)
+	c, a, e2 := fake.Open(p.Addr, class, "", 2*time.Second)
 	if c != nil {
 		c.Close()
 	}
--- a/internal/lab/tlscost.go
+++ b/internal/lab/tlscost.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 	"time"
 
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 // tlsCost measures what TLS to servers costs the proxy: to open a connection, to carry a line, to hold it.
@@ -103,7 +103,7 @@
 	}
 	defer p.Kill()
 	once := func() (time.Duration, error) {
-		c, a, err := standin.Open(p.Addr, class, "", 2*time.Second)
+		c, a, err := fake.Open(p.Addr, class, "", 2*time.Second)
 		if c == nil {
 			return 0, fmt.Errorf("no connection: %s %v", a.Text, err)
 		}
@@ -133,9 +133,9 @@
 	const idle = 300
 	time.Sleep(200 * time.Millisecond)
 	before, fds := p.Memory(), p.Descriptors()
-	var clients []*standin.Client
+	var clients []*fake.Client
 	for range idle {
-		c, a, err := standin.Open(p.Addr, class, "", 2*time.Second)
+		c, a, err := fake.Open(p.Addr, class, "", 2*time.Second)
 		if c == nil {
 			return m, fmt.Errorf("no connection: %s %v", a.Text, err)
 		}
--- a/internal/lab/tlshandshake.go
+++ b/internal/lab/tlshandshake.go
@@ -10,13 +10,13 @@
 	"time"
 
 	"croftlock/internal/certs"
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 	"croftlock/internal/tlslink"
 )
 
 // handshakeParts measures each side of a handshake apart, without a network: what a side computes between two waits.
 func handshakeParts(r *Report) error {
-	pki, err := standin.NewPki("s1.lab")
+	pki, err := fake.NewPki("s1.lab")
 	if err != nil {
 		return err
 	}
@@ -62,7 +62,7 @@
 }
 
 // verification is what looking at a chain takes by itself: Go's, and again once this proxy remembers it.
-func verification(r *Report, pki *standin.Pki) error {
+func verification(r *Report, pki *fake.Pki) error {
 	leaf, err := pki.Trusted.Issue(certs.Spec{Hosts: []string{"s1.lab"}})
 	if err != nil {
 		return err
@@ -72,7 +72,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	trust, err := standin.SaveTrust(dir, pki.Trusted)
+	trust, err := fake.SaveTrust(dir, pki.Trusted)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/tlsrotation.go
+++ b/internal/lab/tlsrotation.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"croftlock/internal/certs"
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 // tlsRotation replaces everything that can be replaced, while 200 connections a second are opened and 400 stand.
@@ -36,13 +36,13 @@
 	old, other := f.pki.Trusted, f.pki.Other
 	trust := filepath.Join(f.dir, "trust.pem")
 	both := append(certs.Bundle(old.Root.Cert), certs.Bundle(other.Root.Cert)...)
-	client := func(by *standin.Authority) func() error {
+	client := func(by *fake.Authority) func() error {
 		return func() error {
 			_, err := by.SaveClient(f.dir, certs.Spec{Name: "proxy"})
 			return err
 		}
 	}
-	servers := func(by *standin.Authority) func() error {
+	servers := func(by *fake.Authority) func() error {
 		return func() error {
 			for i := range f.servers {
 				if err := f.renew(i, by); err != nil {
@@ -100,7 +100,7 @@
 	}()
 	t := newTally()
 	arrivals(rate, length, func(int) {
-		client, a, _ := standin.Open(p.Addr, class, "", wait)
+		client, a, _ := fake.Open(p.Addr, class, "", wait)
 		t.add(a, wait)
 		if client != nil {
 			if _, _, err := client.Ask("M", 5*time.Second); err != nil {
--- a/internal/lab/tlsstorm.go
+++ b/internal/lab/tlsstorm.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"croftlock/internal/certs"
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 const (
@@ -99,7 +99,7 @@
 	if held {
 		// In the midst of it the bundle grows and the proxy's certificate is replaced.
 		time.Sleep(300 * time.Millisecond)
-		if _, err := standin.SaveTrust(f.dir, f.pki.Trusted, f.pki.Other); err != nil {
+		if _, err := fake.SaveTrust(f.dir, f.pki.Trusted, f.pki.Other); err != nil {
 			return err
 		}
 		if _, err := f.pki.Trusted.SaveClient(f.dir, certs.Spec{Name: "proxy"}); err != nil {
@@ -173,9 +173,9 @@
 }
 
 // inASecond is the most handshakes that any second held, a resumed one counted as half, as the budget does.
-func inASecond(list []standin.Shake) float64 {
+func inASecond(list []fake.Shake) float64 {
 	sort.Slice(list, func(i, j int) bool { return list[i].At.Before(list[j].At) })
-	weight := func(h standin.Shake) float64 {
+	weight := func(h fake.Shake) float64 {
 		if h.Resumed {
 			return 0.5
 		}
--- a/internal/line/line.go
+++ b/internal/lineproto/lineproto.go
@@ -1,6 +1,6 @@
-// Package line speaks the platform's protocol: lines of text that end with CRLF. It parses and writes them and
+// Package lineproto speaks the platform's protocol: lines of text that end with CRLF. It parses and writes them and
 // holds the connections on both sides that carry them. It decides nothing.
-package line
+package lineproto
 
 import (
 	"bytes"
--- a/internal/line/report.go
+++ b/internal/lineproto/report.go
@@ -1,4 +1,4 @@
-package line
+package lineproto
 
 import (
 	"math"
--- a/internal/byhand/book.go
+++ b/internal/maintenance/book.go
@@ -1,6 +1,6 @@
-// Package byhand owns which upstream hosts the operators have taken out, and how a host is taken that comes back. It has no
+// Package maintenance owns which upstream hosts the operators have taken out, and how a host is taken that comes back. It has no
 // I/O and no clock of its own: bans are by uid, hold until they are called back, and outlive the host's place in the list.
-package byhand
+package maintenance
 
 import (
 	"hash/fnv"
--- a/internal/byhand/book_test.go
+++ b/internal/maintenance/book_test.go
@@ -1,4 +1,4 @@
-package byhand
+package maintenance
 
 import (
 	"fmt"
--- a/internal/figures/figures.go
+++ b/internal/metrics/metrics.go
@@ -1,7 +1,7 @@
-// Package figures owns what the proxy counts for its operators: how each request ended, and the attempts that were written
+// Package metrics owns what the proxy counts for its operators: how each request ended, and the attempts that were written
 // whole. It has no clock and no I/O; the core calls it at the one place where each thing ends or is written, and the
 // operators' front asks for the text.
-package figures
+package metrics
 
 import (
 	"strconv"
--- a/internal/figures/figures_test.go
+++ b/internal/metrics/metrics_test.go
@@ -1,4 +1,4 @@
-package figures
+package metrics
 
 import "testing"
 
--- a/internal/node/floors.go
+++ b/internal/node/floors.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"croftlock/brain"
-	"croftlock/internal/floors"
 	"croftlock/internal/members"
 	"croftlock/internal/membership"
 	"croftlock/internal/netio"
 	"croftlock/internal/proxy"
+	"croftlock/internal/watermark"
 )
 
 // lay begins to tell the other members of hosts that drain or are gone, and to go by what they tell, where the operators want it.
@@ -21,7 +21,7 @@
 		r.floors.Close()
 	}
 	m := r.members
-	r.floors = &floors.Link{Way: memberWay{m}, Clock: loopClock{r.loop}, Rand: rand.New(rand.NewPCG(rand.Uint64(), 1)), Within: r.flooring.Within, Anew: r.watch.Fetch, Changed: r.core.Refloor,
+	r.floors = &watermark.Link{Way: memberWay{m}, Clock: loopClock{r.loop}, Rand: rand.New(rand.NewPCG(rand.Uint64(), 1)), Within: r.flooring.Within, Anew: r.watch.Fetch, Changed: r.core.Refloor,
 		Source: func() uint32 {
 			name := r.flooring.Source
 			if addr, _ := r.watch.Source(); name == "" {
@@ -30,7 +30,7 @@
 			return membership.ID(name)
 		}}
 	r.floors.Run()
-	m.Attach(floors.Whose, r.floors.Take)
+	m.Attach(watermark.Whose, r.floors.Take)
 	_, rev := r.watch.Source()
 	r.core.SetFloors(floorSide{r.floors}, rev)
 }
@@ -53,14 +53,14 @@
 }
 
 // floorSide gives the core what others' lists say.
-type floorSide struct{ *floors.Link }
+type floorSide struct{ *watermark.Link }
 
 // Listed is proxy.Floors'.
 func (s floorSide) Listed(ch proxy.Change) []string {
-	states := map[brain.State]floors.State{brain.Ready: floors.Up, brain.Draining: floors.Draining, brain.Departed: floors.Gone}
-	all := make([]floors.Listed, 0, len(ch.Hosts))
+	states := map[brain.State]watermark.State{brain.Ready: watermark.Up, brain.Draining: watermark.Draining, brain.Departed: watermark.Gone}
+	all := make([]watermark.Listed, 0, len(ch.Hosts))
 	for _, e := range ch.Hosts {
-		all = append(all, floors.Listed{Host: e.ID, Boot: e.Since / 1e6, State: states[e.State]})
+		all = append(all, watermark.Listed{Host: e.ID, Boot: e.Since / 1e6, State: states[e.State]})
 	}
 	return s.List(ch.Version, ch.Kind == brain.ListFull || ch.Kind == brain.ListCached, all)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,9 +17,8 @@
 	"croftlock/brain"
 	"croftlock/internal/admin"
 	"croftlock/internal/cluster"
-	"croftlock/internal/floors"
-	"croftlock/internal/handover"
-	"croftlock/internal/line"
+	"croftlock/internal/hotrestart"
+	"croftlock/internal/lineproto"
 	"croftlock/internal/logging"
 	"croftlock/internal/members"
 	"croftlock/internal/netio"
@@ -29,11 +28,12 @@
 	"croftlock/internal/proxy"
 	"croftlock/internal/settings"
 	"croftlock/internal/tlslink"
+	"croftlock/internal/watermark"
 )
 
 // Schema is every section that the operators' file may have.
 func Schema() settings.Schema {
-	return settings.Schema{logging.Section(), tlslink.Section(), members.Section(), owners.Section(), floors.Section()}
+	return settings.Schema{logging.Section(), tlslink.Section(), members.Section(), owners.Section(), watermark.Section()}
 }
 
 // Check reads what the operators' file refers to and tells what of it can't be used.
@@ -57,7 +57,7 @@
 	if err := file.Value("owners").(owners.Options).Check(member); err != nil {
 		faults = append(faults, fmt.Errorf("%s: owners: %w", file.Path, err))
 	}
-	if file.Value("floors").(floors.Options).On && !member.On {
+	if file.Value("floors").(watermark.Options).On && !member.On {
 		faults = append(faults, fmt.Errorf("%s: floors need membership: (membership (on on) …)", file.Path))
 	}
 	return faults
@@ -93,7 +93,7 @@
 	}
 	dialer := netio.NewDialer(loop, cfg.Dialers())
 	opt := proxy.Options{Settings: cfg.Settings, Sessions: cfg.Sessions(), DelayInLoad: cfg.DelayInLoad, Wall: time.Now}
-	open := line.Plain(dialer)
+	open := lineproto.Plain(dialer)
 	link, err := secure(loop, file, &opt)
 	if err != nil {
 		return err
@@ -105,13 +105,13 @@
 	if cfg.InAnswers {
 		behind = cfg.Reports
 	}
-	core := proxy.New(loop, line.NewHosts(loop, open, behind), opt)
+	core := proxy.New(loop, lineproto.NewHosts(loop, open, behind), opt)
 	if n := cfg.Probers(); n > 0 {
-		core.SetProber(line.NewProbes(loop, open, cfg.Reports, n))
+		core.SetProber(lineproto.NewProbes(loop, open, cfg.Reports, n))
 	}
 	r := &replacing{cfg: cfg, loop: loop, core: core}
-	var old *handover.Partner
-	var handed *handover.Handed
+	var old *hotrestart.Partner
+	var handed *hotrestart.Handed
 	if r.dir = os.Getenv("TMPDIR"); cfg.Admin == "" {
 		r.dir = "" // nobody can ask whether a new process is ready, so none can take another's place
 	}
@@ -119,13 +119,13 @@
 		if old, handed, err = predecessor(cfg, r.dir, loop.Now()); err != nil {
 			return err
 		}
-		r.store = handover.NewStore(loop, r.dir)
+		r.store = hotrestart.NewStore(loop, r.dir)
 		core.SetKeeper(r)
 	}
 	if handed != nil {
 		core.Inherit(handed.Kept)
 	} else {
-		handed = &handover.Handed{Kept: &proxy.Kept{}, Listener: -1, Datagram: -1}
+		handed = &hotrestart.Handed{Kept: &proxy.Kept{}, Listener: -1, Datagram: -1}
 	}
 	list := known(cfg, handed)
 	r.watch = cluster.NewClient(loop, dialer, cfg.Discovery, cfg.Settings.Peers, list.Version, r.news)
@@ -154,14 +154,14 @@
 			r.peers = told
 		}
 	}
-	r.owning, r.flooring = file.Value("owners").(owners.Options), file.Value("floors").(floors.Options)
+	r.owning, r.flooring = file.Value("owners").(owners.Options), file.Value("floors").(watermark.Options)
 	if err := r.join(file.Value("membership").(members.Options), old == nil); err != nil {
 		return err
 	}
 	if r.on, err = listen(cfg.Listen, handed.Listener, r.dir != ""); err != nil {
 		return fmt.Errorf("listen: %v", err)
 	}
-	r.front = line.NewFront(loop, core, r.on, cfg.Newcomers())
+	r.front = lineproto.NewFront(loop, core, r.on, cfg.Newcomers())
 	core.SetNewcomers(r.front)
 	if cfg.Admin != "" {
 		_, err := patiently(func() (*admin.Front, error) { return admin.Listen(loop, core, cfg.Admin, cfg.Callers()) }, inUse)
@@ -218,7 +218,7 @@
 }
 
 // through opens connections by TLS.
-func through(k *tlslink.Link) line.Opener {
+func through(k *tlslink.Link) lineproto.Opener {
 	return func(to proxy.Target, within time.Duration, limit int, h netio.Handler,
 		done func(*netio.Conn, *netio.Error)) func() {
 		return k.Dial(tlslink.Host(to), within, limit, h, done)
--- a/internal/node/predecessor.go
+++ b/internal/node/predecessor.go
@@ -4,22 +4,22 @@
 	"errors"
 	"log/slog"
 
-	"croftlock/internal/handover"
+	"croftlock/internal/hotrestart"
 	"croftlock/internal/platform"
 	"croftlock/internal/proxy"
 )
 
 // predecessor asks the process that serves, if there is one, and else reads what one before has kept.
-func predecessor(cfg *platform.Config, dir string, now int64) (*handover.Partner, *handover.Handed, error) {
+func predecessor(cfg *platform.Config, dir string, now int64) (*hotrestart.Partner, *hotrestart.Handed, error) {
 	type answer struct {
-		p *handover.Partner
-		h *handover.Handed
+		p *hotrestart.Partner
+		h *hotrestart.Handed
 	}
 	a, err := patiently(func() (answer, error) {
-		p, h, err := handover.Ask(dir, cfg.Listen, now)
+		p, h, err := hotrestart.Ask(dir, cfg.Listen, now)
 		return answer{p, h}, err
-	}, func(err error) bool { return errors.Is(err, handover.ErrBusy) })
-	if errors.Is(err, handover.ErrBusy) {
+	}, func(err error) bool { return errors.Is(err, hotrestart.ErrBusy) })
+	if errors.Is(err, hotrestart.ErrBusy) {
 		return nil, nil, err
 	}
 	if err != nil {
@@ -28,18 +28,18 @@
 	if a.p != nil {
 		return a.p, a.h, nil
 	}
-	k, err := handover.Read(dir, now)
+	k, err := hotrestart.Read(dir, now)
 	if err != nil {
 		slog.Warn("state_passed_over", "reason", err)
 	}
 	if k == nil {
 		return nil, nil, nil
 	}
-	return nil, &handover.Handed{Kept: k, Listener: -1, Datagram: -1}, nil
+	return nil, &hotrestart.Handed{Kept: k, Listener: -1, Datagram: -1}, nil
 }
 
 // known is the list to start from: what another process held, where it is the same service's and newer.
-func known(cfg *platform.Config, h *handover.Handed) proxy.Change {
+func known(cfg *platform.Config, h *hotrestart.Handed) proxy.Change {
 	if h == nil || h.Kept.Discovery != cfg.Discovery || h.Kept.Rev <= cfg.Known.Version {
 		return cfg.Known
 	}
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -10,15 +10,15 @@
 
 	"croftlock/brain"
 	"croftlock/internal/cluster"
-	"croftlock/internal/floors"
-	"croftlock/internal/handover"
-	"croftlock/internal/line"
+	"croftlock/internal/hotrestart"
+	"croftlock/internal/lineproto"
 	"croftlock/internal/members"
 	"croftlock/internal/netio"
 	"croftlock/internal/owners"
 	"croftlock/internal/peers"
 	"croftlock/internal/platform"
 	"croftlock/internal/proxy"
+	"croftlock/internal/watermark"
 )
 
 const (
@@ -54,24 +54,24 @@
 	loop   *netio.Loop
 	core   *proxy.Core
 	watch  *cluster.Client
-	front  *line.Front
+	front  *lineproto.Front
 	on     *netio.Listener
 	peers  *peers.Link // nil: there are none
-	store  *handover.Store
-	door   *handover.Door
-	dirty  bool              // the list has changed since it was written
-	with   *handover.Partner // nil: this is the only process
-	older  bool              // and it is the one to stay no longer
-	handed bool              // the other one accepts
-	waits  bool              // this one does not accept yet
-	gave   brain.Memory      // what the other one was told as it took over
+	store  *hotrestart.Store
+	door   *hotrestart.Door
+	dirty  bool                // the list has changed since it was written
+	with   *hotrestart.Partner // nil: this is the only process
+	older  bool                // and it is the one to stay no longer
+	handed bool                // the other one accepts
+	waits  bool                // this one does not accept yet
+	gave   brain.Memory        // what the other one was told as it took over
 
 	members *members.Shell // nil: off, or another process's still
 	owners  *owners.Shell  // the same
 	owning  owners.Options
 
-	floors   *floors.Link // the same
-	flooring floors.Options
+	floors   *watermark.Link // the same
+	flooring watermark.Options
 	began    time.Time
 	joining  members.Options
 }
@@ -145,7 +145,7 @@
 		r.door.Close()
 	}
 	var err error
-	r.door, err = handover.Offer(r.loop, r.dir, r.welcome, func(p *handover.Partner) {
+	r.door, err = hotrestart.Offer(r.loop, r.dir, r.welcome, func(p *hotrestart.Partner) {
 		r.with, r.older = p, true
 		debug.SetMemoryLimit(r.cfg.MemoryLimit() / 2)
 		p.Run(r.loop, partner{r, p})
@@ -155,7 +155,7 @@
 	}
 }
 
-func (r *replacing) welcome(listen string) (*handover.Handed, error) {
+func (r *replacing) welcome(listen string) (*hotrestart.Handed, error) {
 	switch {
 	case r.with != nil:
 		return nil, errors.New("two processes are at it")
@@ -164,7 +164,7 @@
 	case !r.core.Ready():
 		return nil, errors.New("this one is leaving")
 	}
-	h := &handover.Handed{Kept: r.keep(false), Listener: r.on.Fd(), Datagram: -1}
+	h := &hotrestart.Handed{Kept: r.keep(false), Listener: r.on.Fd(), Datagram: -1}
 	if r.peers != nil {
 		h.Datagram = r.peers.Fd()
 	}
@@ -196,7 +196,7 @@
 }
 
 // begin has a new process take over, once it has heard from discovery itself or has waited long enough.
-func (r *replacing) begin(p *handover.Partner) {
+func (r *replacing) begin(p *hotrestart.Partner) {
 	r.with, r.waits = p, true
 	r.core.HandOver(true)
 	debug.SetMemoryLimit(r.cfg.MemoryLimit() / 2)
@@ -237,5 +237,5 @@
 // partner hears the other process. What a former partner had still to say counts for nothing.
 type partner struct {
 	*replacing
-	of *handover.Partner
+	of *hotrestart.Partner
 }
--- a/internal/owners/owners.go
+++ b/internal/owners/owners.go
@@ -11,13 +11,13 @@
 	"sync"
 	"time"
 
-	"croftlock/internal/allowance"
+	"croftlock/internal/fragment"
 	"croftlock/internal/group"
 	"croftlock/internal/jobs"
 	"croftlock/internal/members"
 	"croftlock/internal/netio"
 	"croftlock/internal/ownership"
-	"croftlock/internal/parcel"
+	"croftlock/internal/quota"
 	"croftlock/internal/rules"
 )
 
@@ -49,7 +49,7 @@
 	leaving []func() // to be called once this process has left
 	left    bool
 
-	box       *parcel.Box
+	box       *fragment.Box
 	table     *ownership.Table
 	fence     *ownership.Fence
 	core      *ownership.Core
@@ -68,7 +68,7 @@
 	gate      *rules.Gate
 	ruled     *rules.Member
 	ruleTags  map[uint64]uint64
-	purse     *allowance.Purse
+	purse     *quota.Purse
 	purseTags map[uint64]uint64
 	pursedAt  int64
 	swapped   func() // called on the loop once this process acts by another version
@@ -91,7 +91,7 @@
 		began: time.Now(), apply: apply, table: ownership.NewTable(), fence: &ownership.Fence{}, handles: map[string]jobs.Job{}, owned: map[string]uint64{},
 		asks: map[uint64]chan string{}, paceTags: map[uint64]uint64{}, ruleTags: map[uint64]uint64{}, purseTags: map[uint64]uint64{}, voter: slices.Contains(o.Voters, name)}
 	s.fence.Forget = Planted == "forget"
-	s.box = parcel.New(m.Room(), uint32(s.life), boxSide{s})
+	s.box = fragment.New(m.Room(), uint32(s.life), boxSide{s})
 	if o.Hosts {
 		s.handles["hosts"] = &jobs.Hosts{Apply: func(out []string) { l.Post(func() { s.apply(out) }) }}
 	}
--- a/internal/owners/rules.go
+++ b/internal/owners/rules.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"croftlock/internal/allowance"
+	"croftlock/internal/quota"
 	"croftlock/internal/rules"
 	"croftlock/internal/settings"
 )
@@ -56,11 +56,11 @@
 	if s.gate == nil {
 		return
 	}
-	s.purse = &allowance.Purse{Now: s.now, Lapse: int64(lapse), Base: base, Limits: s.gate.Limits, Accounts: s.gate.Limited, Ask: func(shard int, tag uint64, body []byte) {
+	s.purse = &quota.Purse{Now: s.now, Lapse: int64(lapse), Base: base, Limits: s.gate.Limits, Accounts: s.gate.Limited, Ask: func(shard int, tag uint64, body []byte) {
 		s.post(func() { s.askAs(limitsJob(shard), s.purseTags, tag, body) })
 	}}
-	for shard := range allowance.Shards {
-		s.handles[limitsJob(shard)] = &allowance.Bank{Lapse: int64(lapse), Base: base, Limits: s.gate.Limits}
+	for shard := range quota.Shards {
+		s.handles[limitsJob(shard)] = &quota.Bank{Lapse: int64(lapse), Base: base, Limits: s.gate.Limits}
 	}
 }
 
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -229,5 +229,3 @@
 	}
 	c.draining = false
 }
-
-// The coordinator.
--- a/internal/ownership/jobs.go
+++ b/internal/ownership/jobs.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"sort"
 
+	"croftlock/internal/encoding"
 	"croftlock/internal/group"
-	"croftlock/internal/pack"
 )
 
 // takeJobs takes the list of what this process is to own.
-func (c *Core) takeJobs(from uint32, r pack.Reader) error {
+func (c *Core) takeJobs(from uint32, r encoding.Reader) error {
 	life, epoch, list := r.Uint(), r.Uint(), r.Uint()
 	type row struct {
 		job                 string
@@ -196,7 +196,7 @@
 	if s.told == c.table.Version+1 && (!s.behind || c.now-s.toldAt < 200*ms) {
 		return
 	}
-	var w pack.Writer
+	var w encoding.Writer
 	n := 0
 	for _, row := range c.table.Rows() {
 		if row.Owner == s.name && row.Life == s.life {
--- a/internal/ownership/keep.go
+++ b/internal/ownership/keep.go
@@ -4,8 +4,8 @@
 	"errors"
 	"fmt"
 
+	"croftlock/internal/encoding"
 	"croftlock/internal/group"
-	"croftlock/internal/pack"
 )
 
 // keep asks the coordinator for another lease.
@@ -36,7 +36,7 @@
 		}
 	}
 	c.asked[c.seq] = c.now
-	var w pack.Writer
+	var w encoding.Writer
 	c.send(c.leader, w.Uint(msgKeep).Text(c.cfg.Name).Uint(c.cfg.Life).Uint(c.seq).Bool(c.fit()).Uint(c.epoch).Uint(c.list).Data)
 }
 
@@ -100,7 +100,7 @@
 	if !c.Holds(now, job, token) {
 		return errors.New("ownership: this process does not own the job")
 	}
-	var w pack.Writer
+	var w encoding.Writer
 	c.send(c.leader, w.Uint(msgNote).Text(job).Uint(token).Uint(number).Bytes(left).Data)
 	return nil
 }
@@ -109,7 +109,7 @@
 func (c *Core) Do(now Time, to uint32, job string, m Mark, body []byte) {
 	c.now = max(c.now, now)
 	defer c.drain()
-	var w pack.Writer
+	var w encoding.Writer
 	c.send(to, w.Uint(msgEffect).Text(job).Uint(m.Token).Uint(m.Number).Bytes(body).Data)
 }
 
@@ -117,7 +117,7 @@
 func (c *Core) Ask(now Time, job string, tag uint64, body []byte) {
 	c.now = max(c.now, now)
 	defer c.drain()
-	var w pack.Writer
+	var w encoding.Writer
 	if h := c.held[job]; h != nil && !h.released && c.now < c.until {
 		c.fx.Asked(group.Peer(c.cfg.Name), job, tag, body)
 		return
@@ -131,7 +131,7 @@
 func (c *Core) Answer(now Time, to uint32, tag uint64, body []byte) {
 	c.now = max(c.now, now)
 	defer c.drain()
-	var w pack.Writer
+	var w encoding.Writer
 	c.send(to, w.Uint(msgAnswer).Uint(tag).Bytes(body).Data)
 }
 
@@ -139,7 +139,7 @@
 func (c *Core) Move(now Time, job, to string, tag uint64) {
 	c.now = max(c.now, now)
 	defer c.drain()
-	var w pack.Writer
+	var w encoding.Writer
 	c.send(c.leader, w.Uint(msgMove).Text(job).Text(to).Uint(tag).Data)
 }
 
--- a/internal/ownership/lapse.go
+++ b/internal/ownership/lapse.go
@@ -1,7 +1,7 @@
 package ownership
 
 import (
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 // lapse stops everything once the lease has ended.
@@ -36,6 +36,6 @@
 	if c.leader == 0 {
 		return
 	}
-	var w pack.Writer
+	var w encoding.Writer
 	c.send(c.leader, w.Uint(msgReleased).Text(c.cfg.Name).Uint(c.cfg.Life).Bool(c.fit()).Text(job).Uint(h.token).Uint(h.raise).Uint(h.number).Bytes(h.left).Text(h.why).Data)
 }
--- a/internal/ownership/lead.go
+++ b/internal/ownership/lead.go
@@ -3,8 +3,8 @@
 import (
 	"sort"
 
+	"croftlock/internal/encoding"
 	"croftlock/internal/group"
-	"croftlock/internal/pack"
 )
 
 // lead is the coordinator's turn.
@@ -121,7 +121,7 @@
 		}
 	}
 	if p.note != nil {
-		var w pack.Writer
+		var w encoding.Writer
 		c.send(p.note.peer, w.Uint(msgNoted).Text(p.job).Uint(p.note.token).Uint(p.note.number).Bool(ok).Data)
 		return
 	}
@@ -134,7 +134,7 @@
 func (c *Core) takeKeep(from uint32, name string, life, seq uint64, able bool, epoch, list uint64) {
 	if c.leads == 0 {
 		if c.group != nil {
-			var w pack.Writer
+			var w encoding.Writer
 			c.send(from, w.Uint(msgElse).Uint(uint64(c.group.Leader())).Data)
 		}
 		return
@@ -182,7 +182,7 @@
 			continue
 		}
 		s.keptAt = max(s.keptAt, k.at)
-		var w pack.Writer
+		var w encoding.Writer
 		c.send(group.Peer(k.name), w.Uint(msgKept).Uint(k.seq).Uint(k.life).Uint(c.leads).Bool(s.offers == nil).Data)
 		c.tellList(s)
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -14,7 +14,7 @@
 	"fmt"
 	"sort"
 
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 // Time is nanoseconds on the caller's monotonic clock.
@@ -121,7 +121,7 @@
 }
 
 func (t *Table) apply(cmd []byte) bool {
-	r := pack.Reader{Data: cmd}
+	r := encoding.Reader{Data: cmd}
 	kind, job, token, wall := r.Uint(), r.Text(mostName), r.Uint(), int64(r.Uint())
 	if kind == cmdSure && r.Err() == nil {
 		was := t.unsure
@@ -192,7 +192,7 @@
 
 // Snapshot is the whole table.
 func (t *Table) Snapshot() []byte {
-	var w pack.Writer
+	var w encoding.Writer
 	w.Uint(1).Uint(t.Version).Bool(t.unsure).Uint(uint64(len(t.names)))
 	for _, n := range t.names {
 		r := t.rows[n]
@@ -203,7 +203,7 @@
 
 // Restore takes a snapshot in the table's place. One that is torn, or of a later version, changes nothing.
 func (t *Table) Restore(data []byte) error {
-	r := pack.Reader{Data: data}
+	r := encoding.Reader{Data: data}
 	if v := r.Uint(); v != 1 {
 		return fmt.Errorf("ownership: a table of version %d, only 1 is known", v)
 	}
--- a/internal/ownership/quorum.go
+++ b/internal/ownership/quorum.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"sort"
 
+	"croftlock/internal/encoding"
 	"croftlock/internal/group"
-	"croftlock/internal/pack"
 )
 
 // Quorum is a Group of voters without disks, after PaxosLease: a fixed set of them grants the lead for a time, from memory. A voter that has
@@ -197,7 +197,7 @@
 	q.counter++
 	q.trying, q.tryAt = q.counter<<voterBits|q.number(), q.now
 	q.promises, q.fetchOf = map[uint32]promise{}, 0
-	var w pack.Writer
+	var w encoding.Writer
 	q.all(w.Uint(quorumPrepare).Text(q.cfg.Group).Uint(q.trying).Data)
 }
 
@@ -216,6 +216,6 @@
 		b, epoch = q.ballot, q.leads
 	}
 	q.renewAt = q.now + q.cfg.Lease/5
-	var w pack.Writer
+	var w encoding.Writer
 	q.all(w.Uint(quorumPropose).Text(q.cfg.Group).Uint(b).Uint(epoch).Uint(q.round).Data)
 }
--- a/internal/ownership/quorumlog.go
+++ b/internal/ownership/quorumlog.go
@@ -1,13 +1,13 @@
 package ownership
 
 import (
+	"croftlock/internal/encoding"
 	"croftlock/internal/group"
-	"croftlock/internal/pack"
 )
 
 // push sends a voter the whole state.
 func (q *Quorum) push(to uint32) {
-	var w pack.Writer
+	var w encoding.Writer
 	q.send(to, w.Uint(quorumState).Text(q.cfg.Group).Uint(q.leads).Uint(q.leads).Uint(q.done).Bytes(q.snapshot()).Data)
 }
 
@@ -29,7 +29,7 @@
 // sendCommands sends a voter what it has not said it has, as far as fits a message or two: one that is overtaken or lost is made good by
 // the next.
 func (q *Quorum) sendCommands(to uint32, have uint64) {
-	var some pack.Writer
+	var some encoding.Writer
 	n := 0
 	for _, c := range q.log {
 		if c.version > have && (n == 0 || len(some.Data)+len(c.data) < 4096) {
@@ -37,7 +37,7 @@
 			n++
 		}
 	}
-	var w pack.Writer
+	var w encoding.Writer
 	w.Uint(quorumCommand).Text(q.cfg.Group).Uint(q.leads).Uint(uint64(n))
 	w.Data = append(w.Data, some.Data...)
 	q.send(to, w.Data)
@@ -66,7 +66,7 @@
 }
 
 func (q *Quorum) snapshot() []byte {
-	var w pack.Writer
+	var w encoding.Writer
 	w.Uint(uint64(len(q.kinds)))
 	for _, k := range q.kinds {
 		w.Uint(uint64(k)).Bytes(q.machines[k].Snapshot())
@@ -75,7 +75,7 @@
 }
 
 func (q *Quorum) restore(data []byte) bool {
-	r := pack.Reader{Data: data}
+	r := encoding.Reader{Data: data}
 	for n := r.Count(256); n > 0; n-- {
 		k, state := byte(r.Uint()), r.Bytes(1<<18)
 		if r.Err() != nil {
@@ -150,7 +150,7 @@
 	b := q.leads
 	q.follow()
 	if b != 0 {
-		var w pack.Writer
+		var w encoding.Writer
 		q.all(w.Uint(quorumFree).Text(q.cfg.Group).Uint(b).Data)
 	}
 }
--- a/internal/ownership/quorumreceive.go
+++ b/internal/ownership/quorumreceive.go
@@ -3,14 +3,14 @@
 import (
 	"errors"
 
+	"croftlock/internal/encoding"
 	"croftlock/internal/group"
-	"croftlock/internal/pack"
 )
 
 // Receive takes another voter's message.
 func (q *Quorum) Receive(now Time, from uint32, msg []byte) error {
 	q.now = max(q.now, now)
-	r := pack.Reader{Data: msg}
+	r := encoding.Reader{Data: msg}
 	kind, of := r.Uint(), r.Text(mostName)
 	voter := false
 	for _, v := range q.cfg.Voters {
@@ -20,7 +20,7 @@
 		return errors.New("ownership: a message of another group, or of no voter, or torn")
 	}
 	b := r.Uint()
-	var w pack.Writer
+	var w encoding.Writer
 	switch kind {
 	case quorumPrepare:
 		if r.Err() != nil || q.abstains() || b <= q.promised {
@@ -133,7 +133,7 @@
 }
 
 func (q *Quorum) have(to uint32) {
-	var w pack.Writer
+	var w encoding.Writer
 	q.send(to, w.Uint(quorumHave).Text(q.cfg.Group).Uint(q.state.epoch).Uint(q.state.version).Data)
 }
 
@@ -166,7 +166,7 @@
 		return
 	}
 	q.fetchOf = whose
-	var w pack.Writer
+	var w encoding.Writer
 	q.send(whose, w.Uint(quorumFetch).Text(q.cfg.Group).Uint(q.trying).Data)
 }
 
--- a/internal/ownership/receive.go
+++ b/internal/ownership/receive.go
@@ -4,8 +4,8 @@
 	"errors"
 	"fmt"
 
+	"croftlock/internal/encoding"
 	"croftlock/internal/group"
-	"croftlock/internal/pack"
 )
 
 var errTorn = errors.New("ownership: a message is torn, or of no known kind")
@@ -18,7 +18,7 @@
 }
 
 func (c *Core) receive(from uint32, msg []byte) error {
-	r := pack.Reader{Data: msg}
+	r := encoding.Reader{Data: msg}
 	switch kind := r.Uint(); kind {
 	case msgKeep:
 		name, life, seq, able, epoch, list := r.Text(mostName), r.Uint(), r.Uint(), r.Bool(), r.Uint(), r.Uint()
@@ -95,7 +95,7 @@
 		case Old:
 			c.fx.Tell("effect_refused", "job", job, "token", m.Token, "seen", highest.Token, "from", fmt.Sprintf("%08x", from))
 		}
-		var w pack.Writer
+		var w encoding.Writer
 		c.send(from, w.Uint(msgAck).Text(job).Uint(m.Token).Uint(m.Number).Uint(uint64(v)).Uint(highest.Token).Uint(highest.Number).Data)
 	case msgAck:
 		job, m, v, highest := r.Text(mostName), Mark{r.Uint(), r.Uint()}, Verdict(r.Uint()), Mark{r.Uint(), r.Uint()}
@@ -113,7 +113,7 @@
 		if r.Err() != nil {
 			return errTorn
 		}
-		var w pack.Writer
+		var w encoding.Writer
 		c.send(from, w.Uint(msgMoved).Uint(tag).Text(c.move(job, to)).Data)
 	case msgMoved:
 		tag, answer := r.Uint(), r.Text(200)
@@ -159,7 +159,7 @@
 	c.leader, c.heardAt = from, c.now
 	c.until = max(c.until, at+c.cfg.Lease-c.cfg.Lease/drift)
 	if offer {
-		var w pack.Writer
+		var w encoding.Writer
 		w.Uint(msgOffer).Text(c.cfg.Name).Uint(c.cfg.Life).Uint(uint64(len(c.cfg.Jobs)))
 		for _, j := range c.cfg.Jobs {
 			w.Text(j)
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"croftlock/internal/encoding"
 	"croftlock/internal/group"
-	"croftlock/internal/pack"
 )
 
 type envelope struct {
@@ -115,7 +115,7 @@
 		if e.to == 3 || len(e.data) == 0 {
 			return false
 		}
-		r := pack.Reader{Data: e.data}
+		r := encoding.Reader{Data: e.data}
 		kind, _, b := r.Uint(), r.Text(mostName), r.Uint()
 		q := w.voters[e.to]
 		switch kind {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"croftlock/brain"
-	"croftlock/internal/figures"
+	"croftlock/internal/metrics"
 	"croftlock/internal/netio"
 )
 
@@ -15,7 +15,7 @@
 		return
 	}
 	r.core.counts.Refused++
-	r.core.figures.Ended(r.ask.Class, figures.Refused)
+	r.core.figures.Ended(r.ask.Class, metrics.Refused)
 	if tracing() {
 		slog.Debug("refused", "request", r.ask.ID, "attempts", r.attempts, "after_ms", after.Milliseconds(),
 			"left_ms", (r.deadline-r.core.loop.Now())/1e6)
@@ -24,7 +24,7 @@
 }
 
 // fail is the final answer that promises nothing.
-func (r *Request) fail(how figures.End) {
+func (r *Request) fail(how metrics.End) {
 	if r.answered {
 		return
 	}
@@ -51,7 +51,7 @@
 		return
 	}
 	slog.Error("abandoned", "request", r.ask.ID, "attempts", r.attempts)
-	r.fail(figures.Abandoned)
+	r.fail(metrics.Abandoned)
 	r.gone()
 }
 
@@ -121,7 +121,7 @@
 		return
 	}
 	// It left before its answer: nothing is owed, but the attempt must not go on for nobody.
-	r.core.figures.Ended(r.ask.Class, figures.ClientLeft)
+	r.core.figures.Ended(r.ask.Class, metrics.ClientLeft)
 	r.answered = true
 	r.overdue.Stop()
 	r.gone()
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"croftlock/brain"
-	"croftlock/internal/byhand"
 	"croftlock/internal/expiry"
-	"croftlock/internal/figures"
+	"croftlock/internal/maintenance"
+	"croftlock/internal/metrics"
 	"croftlock/internal/namespace"
 	"croftlock/internal/netio"
 	"croftlock/internal/rules"
@@ -71,12 +71,12 @@
 	tenants   map[string]int
 
 	hosts    map[string]*host
-	hand     *byhand.Book  // the hosts that operators have taken out
-	floors   Floors        // nil: every proxy goes by its own list alone
-	pacer    Pacer         // nil: clients leave as it suits this proxy
-	turns    []func() bool // clients that wait for it
+	hand     *maintenance.Book // the hosts that operators have taken out
+	floors   Floors            // nil: every proxy goes by its own list alone
+	pacer    Pacer             // nil: clients leave as it suits this proxy
+	turns    []func() bool     // clients that wait for it
 	asking   bool
-	figures  *figures.Table
+	figures  *metrics.Table
 	requests map[string]*Request
 
 	// The module is single-threaded and its effects must not call it: they are kept in effects while it runs, and
@@ -138,7 +138,7 @@
 	for i, k := range opt.Settings.Classes {
 		c.classes[k.Name], names[i] = i, k.Name
 	}
-	c.hand, c.figures = byhand.New(), figures.New(names)
+	c.hand, c.figures = maintenance.New(), metrics.New(names)
 	for i, t := range opt.Settings.Tenants {
 		c.tenants[t.Name] = i
 	}
@@ -172,7 +172,7 @@
 func (c *Core) Admit(class string) bool {
 	if c.sessions+c.elsewhere >= c.opt.Sessions {
 		c.counts.TurnedAway++
-		c.ended(class, figures.TurnedAway)
+		c.ended(class, metrics.TurnedAway)
 		return false
 	}
 	c.sessions++
@@ -180,7 +180,7 @@
 }
 
 // ended counts the end of a request that was not taken.
-func (c *Core) ended(class string, e figures.End) {
+func (c *Core) ended(class string, e metrics.End) {
 	if i, known := c.classes[class]; known {
 		c.figures.Ended(i, e)
 	}
--- a/internal/proxy/effects.go
+++ b/internal/proxy/effects.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"croftlock/brain"
-	"croftlock/internal/figures"
+	"croftlock/internal/metrics"
 	"croftlock/internal/namespace"
 )
 
@@ -33,7 +33,7 @@
 func (e *effects) Fail(id string) {
 	e.later(func() {
 		if r := e.requests[id]; r != nil {
-			r.fail(figures.Failed)
+			r.fail(metrics.Failed)
 		}
 	})
 }
--- a/internal/proxy/hand.go
+++ b/internal/proxy/hand.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"croftlock/brain"
-	"croftlock/internal/byhand"
-	"croftlock/internal/figures"
+	"croftlock/internal/maintenance"
+	"croftlock/internal/metrics"
 )
 
 // counting is the state that counts for a listed host: one that operators have taken out takes nothing, whatever
@@ -54,7 +54,7 @@
 
 // SuspendForFleet takes the list of hosts that are out for the whole fleet, whole: a host that is no longer on it comes back.
 func (c *Core) SuspendForFleet(ids []string) {
-	bans := map[string]byhand.Ban{}
+	bans := map[string]maintenance.Ban{}
 	for _, id := range c.hand.IDs() {
 		bans[id] = c.hand.Ban(id)
 	}
@@ -66,7 +66,7 @@
 }
 
 // treat has a host that is out, or no longer, treated so. ban is the one that ends.
-func (c *Core) treat(id string, out bool, ban byhand.Ban) {
+func (c *Core) treat(id string, out bool, ban maintenance.Ban) {
 	now := c.loop.Now()
 	h := c.hosts[id]
 	if h == nil || h.listed.State == brain.Departed {
@@ -78,7 +78,7 @@
 	if !out {
 		var guess bool
 		if e.Since, guess = ban.Start(e.Since, now); guess {
-			c.loop.After(time.Duration(byhand.Doubt), func() { c.certain(h, e.Since) })
+			c.loop.After(time.Duration(maintenance.Doubt), func() { c.certain(h, e.Since) })
 		}
 	}
 	c.tell(nil, h.pool, func(now brain.Time, m Decider) { m.Members(now, brain.ListByHand, 0, []brain.Entry{e}) })
@@ -92,7 +92,7 @@
 
 // leaveHost moves a client off a host that is out, in its turn. The host is restarted next, which would cut it off.
 func (c *Core) leaveHost(h *host, r *Request) {
-	c.loop.After(byhand.Leave(r.ask.ID), func() {
+	c.loop.After(maintenance.Leave(r.ask.ID), func() {
 		c.paced(func() bool {
 			_, there := h.up[r]
 			if there = there && c.hand.Out(h.id); there {
@@ -118,7 +118,7 @@
 // Figures is the text of all figures.
 func (c *Core) Figures() []byte {
 	open, pending := c.standing()
-	n := figures.Now{Concurrent: open + pending}
+	n := metrics.Now{Concurrent: open + pending}
 	now := c.loop.Now()
 	for id, h := range c.hosts {
 		if h.state == brain.Departed {
--- a/internal/proxy/kept.go
+++ b/internal/proxy/kept.go
@@ -5,7 +5,7 @@
 	"math"
 
 	"croftlock/brain"
-	"croftlock/internal/byhand"
+	"croftlock/internal/maintenance"
 )
 
 // Kept is what one process of a proxy leaves to the next: what operators have said, the list, and what the module knows.
@@ -13,8 +13,8 @@
 	Discovery string // who gave the list; revisions of another service mean nothing
 	Rev       int64
 	Hosts     []HostEntry
-	Out       []byhand.Ban // the hosts out by hand
-	Known     []string     // every host that a call may name
+	Out       []maintenance.Ban // the hosts out by hand
+	Known     []string          // every host that a call may name
 	Memory    brain.Memory
 }
 
--- a/internal/proxy/open.go
+++ b/internal/proxy/open.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"croftlock/brain"
-	"croftlock/internal/figures"
+	"croftlock/internal/metrics"
 )
 
 // Open takes a client's request, and owes it one answer from here on. It gives nil where that is given already.
@@ -19,14 +19,14 @@
 	if !known || !shares && len(c.tenants) > 0 || c.requests[o.ID] != nil {
 		// Without a class there is no deadline and no rule to serve it by; an id that is in use belongs to another's
 		// request; and what the settings do not name, no host can read either.
-		c.ended(o.Class, figures.Unknown)
+		c.ended(o.Class, metrics.Unknown)
 		c.Rejected(fmt.Errorf("class %q known=%t tenant %q known=%t", o.Class, known, o.Tenant, shares))
 		d.Fail()
 		return nil
 	}
 	if c.leaving {
 		c.counts.Refused++
-		c.figures.Ended(class, figures.Leaving)
+		c.figures.Ended(class, metrics.Leaving)
 		d.Refuse(c.ComeBack())
 		return nil
 	}
@@ -38,7 +38,7 @@
 		}
 		if verdict.Refused {
 			c.counts.Refused++
-			c.figures.Ended(class, figures.Refused)
+			c.figures.Ended(class, metrics.Refused)
 			d.Refuse(verdict.Advice)
 			return nil
 		}
--- a/internal/proxy/paced_test.go
+++ b/internal/proxy/paced_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"croftlock/internal/byhand"
+	"croftlock/internal/maintenance"
 	"croftlock/internal/netio"
 )
 
@@ -58,7 +58,7 @@
 
 // TestFleetsListAndOwnCalls: a host is out while either word holds.
 func TestFleetsListAndOwnCalls(t *testing.T) {
-	b := byhand.New()
+	b := maintenance.New()
 	at := time.Now().UnixNano()
 	for i, c := range []struct {
 		do   func() any
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -4,7 +4,7 @@
 	"log/slog"
 
 	"croftlock/brain"
-	"croftlock/internal/figures"
+	"croftlock/internal/metrics"
 	"croftlock/internal/namespace"
 	"croftlock/internal/netio"
 )
@@ -174,7 +174,7 @@
 		return
 	}
 	if r.mayRun && c.opt.Settings.Classes[r.ask.Class].Effect != brain.Safe {
-		r.fail(figures.Failed)
+		r.fail(metrics.Failed)
 		return
 	}
 	r.pool, r.base = to, r.attempts
--- a/internal/proxy/repeat.go
+++ b/internal/proxy/repeat.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"croftlock/brain"
-	"croftlock/internal/figures"
+	"croftlock/internal/metrics"
 	"croftlock/internal/netio"
 )
 
@@ -36,7 +36,7 @@
 	c := r.class()
 	harmless := c.Effect == brain.Safe || c.Effect == brain.Keyed && c.Scope == brain.ScopeAll
 	if r.mayRun && !harmless {
-		r.fail(figures.Failed)
+		r.fail(metrics.Failed)
 		return
 	}
 	r.refuse(after)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"croftlock/brain"
-	"croftlock/internal/figures"
+	"croftlock/internal/metrics"
 	"croftlock/internal/netio"
 )
 
@@ -131,12 +131,12 @@
 	h := c.hosts[server]
 	if h == nil {
 		slog.Warn("adopt_failed", "host", server, "reason", "not in the list")
-		r.fail(figures.Failed)
+		r.fail(metrics.Failed)
 		return
 	}
 	r.adopted, r.pool = true, h.pool
 	if c.loop.Now() >= r.deadline {
-		r.fail(figures.Failed)
+		r.fail(metrics.Failed)
 		return
 	}
 	r.start(h, 0, r.deadline)
@@ -186,7 +186,7 @@
 			return
 		}
 		slog.Warn("adopt_failed", "host", a.host.id, "status", int(status))
-		r.fail(figures.Failed)
+		r.fail(metrics.Failed)
 		return
 	}
 	closed := r.answered || a.up
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -4,7 +4,7 @@
 	"log/slog"
 
 	"croftlock/brain"
-	"croftlock/internal/figures"
+	"croftlock/internal/metrics"
 	"croftlock/internal/netio"
 )
 
@@ -48,9 +48,9 @@
 		c.leaveHost(a.host, r) // it was on its way before the operators' word
 	}
 	c.counts.Served++
-	how := figures.Stood
+	how := metrics.Stood
 	if r.adopted {
-		how = figures.Adopted
+		how = metrics.Adopted
 	}
 	c.figures.Ended(r.ask.Class, how)
 	r.down.Serve(m)
--- a/internal/allowance/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -1,4 +1,4 @@
-package allowance
+package quota
 
 import (
 	"maps"
--- a/internal/allowance/message.go
+++ b/internal/quota/message.go
@@ -1,7 +1,7 @@
-// Package allowance owns how much of an account's limits each proxy may use now. An account's rate of new connections and its open ones belong to all
+// Package quota owns how much of an account's limits each proxy may use now. An account's rate of new connections and its open ones belong to all
 // proxies together: the account's owner hands out permits and places in small batches that lapse, following demand, and a proxy that hears no owner keeps
 // to its fair share. It does no I/O and reads no clock.
-package allowance
+package quota
 
 import (
 	"hash/fnv"
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 // Time is nanoseconds on the caller's monotonic clock.
@@ -58,7 +58,7 @@
 }
 
 func write(lines []line) []byte {
-	var w pack.Writer
+	var w encoding.Writer
 	w.Uint(uint64(len(lines)))
 	for _, l := range lines {
 		w.Text(l.account).Uint(l.permits).Uint(l.held).Uint(l.places)
@@ -67,7 +67,7 @@
 }
 
 func read(data []byte) ([]line, error) {
-	r := pack.Reader{Data: data}
+	r := encoding.Reader{Data: data}
 	var out []line
 	for n := r.Count(mostAsked); n > 0; n-- {
 		l := line{account: r.Text(400), permits: r.Uint(), held: r.Uint(), places: r.Uint()}
--- a/internal/rules/right.go
+++ b/internal/rules/right.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 	"time"
 
-	"croftlock/internal/allowance"
 	"croftlock/internal/namespace"
+	"croftlock/internal/quota"
 )
 
 // A right is counted from before it was asked for, on the asker's monotonic clock, less a part for clocks that run apart: one in a hundred
@@ -25,7 +25,7 @@
 	refuse map[[2]string]uint32
 	out    map[string]struct{}
 	book   *namespace.Compiled // nil: one pool, and nobody's routes
-	limits map[string]allowance.Limit
+	limits map[string]quota.Limit
 	names  []string // of limits, sorted
 }
 
@@ -43,9 +43,9 @@
 		if c.book, err = namespace.Compile(v.Book); err != nil {
 			panic(err) // it was compiled when it was checked
 		}
-		c.limits = map[string]allowance.Limit{}
+		c.limits = map[string]quota.Limit{}
 		for _, a := range v.Book.Accounts { // by name
-			if l := (allowance.Limit{Rate: float64(a.Rate.AtMost), Standing: int(a.Standing.AtMost)}); l != (allowance.Limit{}) {
+			if l := (quota.Limit{Rate: float64(a.Rate.AtMost), Standing: int(a.Standing.AtMost)}); l != (quota.Limit{}) {
 				c.limits[a.Name], c.names = l, append(c.names, a.Name)
 			}
 		}
@@ -120,11 +120,11 @@
 }
 
 // Limits are an account's by the version that this process acts by, or acted by last, and Limited names all accounts that have some.
-func (g *Gate) Limits(account string) allowance.Limit {
+func (g *Gate) Limits(account string) quota.Limit {
 	if a := g.p.Load(); a != nil {
 		return a.limits[account]
 	}
-	return allowance.Limit{}
+	return quota.Limit{}
 }
 
 // Limited names the accounts that have limits, sorted.
--- a/internal/tlslink/bench_test.go
+++ b/internal/tlslink/bench_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"croftlock/internal/certs"
+	"croftlock/internal/fake"
 	"croftlock/internal/netio"
-	"croftlock/internal/standin"
 )
 
 const name = "s1.test"
@@ -20,7 +20,7 @@
 type bench struct {
 	t    *testing.T
 	dir  string
-	pki  *standin.Pki
+	pki  *fake.Pki
 	opt  Options
 	loop *netio.Loop
 	link *Link
@@ -29,13 +29,13 @@
 
 func newBench(t *testing.T, change func(b *bench)) *bench {
 	t.Helper()
-	pki, err := standin.NewPki(name)
+	pki, err := fake.NewPki(name)
 	if err != nil {
 		t.Fatal(err)
 	}
 	b := &bench{t: t, dir: t.TempDir(), pki: pki, opt: Defaults(), loop: netio.NewLoop()}
 	b.opt.On, b.opt.Pattern = true, "{uid}.test"
-	trust, err := standin.SaveTrust(b.dir, pki.Trusted)
+	trust, err := fake.SaveTrust(b.dir, pki.Trusted)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -158,7 +158,7 @@
 }
 
 // server is a catalogue server that shows what the pki has for it.
-func (b *bench) server(config *tls.Config) *standin.Server {
+func (b *bench) server(config *tls.Config) *fake.Server {
 	b.t.Helper()
 	if config == nil {
 		var err error
@@ -166,7 +166,7 @@
 			b.t.Fatal(err)
 		}
 	}
-	s, err := standin.NewServer("s1", "a", config)
+	s, err := fake.NewServer("s1", "a", config)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/internal/tlslink/faults_test.go
+++ b/internal/tlslink/faults_test.go
@@ -10,14 +10,14 @@
 	"time"
 
 	"croftlock/internal/certs"
+	"croftlock/internal/fake"
 	"croftlock/internal/netio"
-	"croftlock/internal/standin"
 )
 
 // Every fault ends as a connection that never stood, with its reason, and no byte of a request reaches the server; where
 // the handshake is sound the connection breaks afterwards.
 func TestFaults(t *testing.T) {
-	for _, f := range standin.Faults() {
+	for _, f := range fake.Faults() {
 		t.Run(f.Kind, func(t *testing.T) {
 			b := newBench(t, func(b *bench) {
 				crl, err := b.pki.CRL(time.Now().Add(time.Hour))
@@ -29,7 +29,7 @@
 					b.opt.MinVersion = "1.2"
 				}
 			})
-			bad, err := standin.NewBad(f, b.pki)
+			bad, err := fake.NewBad(f, b.pki)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -128,7 +128,7 @@
 		t.Fatal(err)
 	}
 	key, _ := pair.KeyPEM(nil)
-	foreign, _ := standin.ForeignCRL(b.pki)
+	foreign, _ := fake.ForeignCRL(b.pki)
 	leaf, _ := b.pki.Trusted.Issue(certs.Spec{Hosts: []string{name}})
 	leafKey, _ := leaf.KeyPEM(nil)
 	crypted, _ := pair.KeyPEM([]byte("secret words"))
@@ -137,7 +137,7 @@
 		want   string
 	}{
 		"no such file":       {func(o *Options) { o.Trust = []string{"/nowhere"} }, "no such file"},
-		"half a bundle":      {func(o *Options) { o.Trust = []string{b.file("half", standin.HalfPEM(b.pki.Trusted.Root.Cert))} }, "half written"},
+		"half a bundle":      {func(o *Options) { o.Trust = []string{b.file("half", fake.HalfPEM(b.pki.Trusted.Root.Cert))} }, "half written"},
 		"empty bundle":       {func(o *Options) { o.Trust = []string{b.file("empty", nil)} }, "no certificate in it"},
 		"a leaf for trust":   {func(o *Options) { o.Trust = []string{b.file("leaf", leaf.PEM())} }, "no authority's"},
 		"key in the bundle":  {func(o *Options) { o.Trust = []string{b.file("mixed", append(pair.PEM(), key...))} }, "expected CERTIFICATE only"},
--- a/internal/tlslink/link_test.go
+++ b/internal/tlslink/link_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/fake"
 	"croftlock/internal/handshake"
 	"croftlock/internal/netio"
-	"croftlock/internal/standin"
 )
 
 const open = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=c,d=2000\r\n"
@@ -197,7 +197,7 @@
 // A drop while the handshake is out leaves nothing behind, and done is not called.
 func TestDrop(t *testing.T) {
 	b := newBench(t, nil)
-	bad, err := standin.NewBad(standin.Fault{Kind: "silent", Raw: func(c net.Conn, _ *tls.Config) { io.Copy(io.Discard, c) }}, b.pki)
+	bad, err := fake.NewBad(fake.Fault{Kind: "silent", Raw: func(c net.Conn, _ *tls.Config) { io.Copy(io.Discard, c) }}, b.pki)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/tlslink/rotation_test.go
+++ b/internal/tlslink/rotation_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"croftlock/internal/certs"
-	"croftlock/internal/standin"
+	"croftlock/internal/fake"
 )
 
 // Replacements as they happen: whole, in place and half written, in the wrong order. What can't be used changes nothing
@@ -83,7 +83,7 @@
 	if resumed() || !resumed() {
 		t.Fatal("sessions are not reused")
 	}
-	standin.SaveTrust(b.dir, b.pki.Trusted, b.pki.Other)
+	fake.SaveTrust(b.dir, b.pki.Trusted, b.pki.Other)
 	m, err := Load(b.opt, 2)
 	if err != nil {
 		t.Fatal(err)
@@ -113,7 +113,7 @@
 	c := b.dial(s.Addr(), 5*time.Second)
 	c.write(open)
 	c.read(up)
-	standin.SaveTrust(b.dir, b.pki.Other)
+	fake.SaveTrust(b.dir, b.pki.Other)
 	m, err := Load(b.opt, 2)
 	if err != nil {
 		t.Fatal(err)
@@ -188,12 +188,12 @@
 }
 
 func FuzzRevocationLists(f *testing.F) {
-	pki, err := standin.NewPki(name)
+	pki, err := fake.NewPki(name)
 	if err != nil {
 		f.Fatal(err)
 	}
 	good, _ := pki.CRL(time.Now().Add(time.Hour))
-	foreign, _ := standin.ForeignCRL(pki)
+	foreign, _ := fake.ForeignCRL(pki)
 	f.Add(good)
 	f.Add(foreign)
 	f.Add(good[:len(good)/2])
--- a/internal/floors/codec.go
+++ b/internal/watermark/codec.go
@@ -1,10 +1,10 @@
-package floors
+package watermark
 
 import (
 	"errors"
 	"math"
 
-	"croftlock/internal/pack"
+	"croftlock/internal/encoding"
 )
 
 // Kinds of datagrams.
@@ -28,8 +28,8 @@
 	floors []Floor
 }
 
-func start(kind uint64, source uint32) *pack.Writer {
-	var w pack.Writer
+func start(kind uint64, source uint32) *encoding.Writer {
+	var w encoding.Writer
 	return w.Uint(kind).Uint(uint64(source))
 }
 
@@ -43,7 +43,7 @@
 	head := start(kindTell, source).Data
 	data := head
 	for _, f := range all {
-		var w pack.Writer
+		var w encoding.Writer
 		w.Uint(uint64(f.State)).Text(f.Host).Uint(uint64(max(0, f.Boot))).Uint(uint64(f.Rev)).Uint(uint64(max(0, f.Left) / unit))
 		if len(f.Host) > mostHost || len(head)+len(w.Data) > room {
 			continue
@@ -62,7 +62,7 @@
 
 // read reads a datagram; one that is torn says nothing at all.
 func read(data []byte) (m message, err error) {
-	r := pack.Reader{Data: data}
+	r := encoding.Reader{Data: data}
 	kind, source := r.Uint(), r.Uint()
 	m = message{kind: kind, source: uint32(source)}
 	good := r.Err() == nil && source <= math.MaxUint32
--- a/internal/floors/link.go
+++ b/internal/watermark/link.go
@@ -1,4 +1,4 @@
-package floors
+package watermark
 
 import (
 	"log/slog"
--- a/internal/floors/floors.go
+++ b/internal/watermark/watermark.go
@@ -1,7 +1,7 @@
-// Package floors owns what proxies tell one another of upstream hosts that drain or are gone: a floor under each one's list. A proxy whose own
+// Package watermark owns what proxies tell one another of upstream hosts that drain or are gone: a floor under each one's list. A proxy whose own
 // list lags places nothing at a host of which another's newer list says so. A floor only ever takes a host out; hearing of one makes none usable.
 // What is decided here is plain code over values, with time passed in; Link sends and takes the datagrams.
-package floors
+package watermark
 
 import (
 	"cmp"
