--- /dev/null
+++ b/internal/node/layers_test.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// layers are the packages of this module from the bottom up. A package imports from its own layer and those below it.
+var layers = []struct {
+	name     string
+	packages []string
+}{
+	{"primitives", []string{"certs", "encoding", "fleetlog", "logging", "settings"}},
+	{"sockets", []string{"netio"}},
+	{"decisions", []string{"brain", "consensus", "estimate", "expiry", "fragment", "group", "handshake", "jobs", "ledger", "maintenance", "membership", "metrics",
+		"namespace", "ownership", "quota", "rules", "watermark"}},
+	{"core", []string{"proxy"}},
+	{"fronts and clients", []string{"admin", "cluster", "consensus/disk", "hotrestart", "lineproto", "members", "owners", "peers", "platform", "tlslink", "voter", "wire"}},
+	{"wiring", []string{"command", "fake", "lab", "membership/virtual", "node", "ownership/virtual"}},
+	{"programs", []string{"cmd/benchlink", "cmd/croftlab", "cmd/croftlock", "cmd/croftlock-voter"}},
+}
+
+// decides is the layer whose packages do no I/O.
+const decides = "decisions"
+
+// doesIO tells whether a package of the standard library reaches outside the process. net/netip holds values alone.
+func doesIO(path string) bool {
+	first, _, _ := strings.Cut(path, "/")
+	return (first == "net" || first == "os") && path != "net/netip"
+}
+
+// importsOf gives the imports of a folder's files that are no tests.
+func importsOf(t *testing.T, dir string) (imports []string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ImportsOnly)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, i := range f.Imports {
+			path, _ := strconv.Unquote(i.Path.Value)
+			imports = append(imports, path)
+		}
+	}
+	return imports
+}
+
+// folders are those below the module's root that hold Go files, named as in layers.
+func folders(t *testing.T, root string) (out []string) {
+	t.Helper()
+	err := filepath.WalkDir(root, func(path string, e fs.DirEntry, err error) error {
+		if err != nil || !e.IsDir() {
+			return err
+		}
+		rel, _ := filepath.Rel(root, path)
+		if strings.HasPrefix(rel, ".") && rel != "." || rel == "journal" || e.Name() == "testdata" {
+			return filepath.SkipDir
+		}
+		if len(importsOf(t, path)) > 0 {
+			out = append(out, strings.TrimPrefix(filepath.ToSlash(rel), "internal/"))
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// TestLayers: arrows point downward only, every package stands in a layer, and what decides does no I/O.
+func TestLayers(t *testing.T) {
+	root := filepath.Join("..", "..")
+	level := map[string]int{}
+	for i, l := range layers {
+		for _, p := range l.packages {
+			level[p] = i
+		}
+	}
+	seen := folders(t, root)
+	for p := range level {
+		if !slices.Contains(seen, p) {
+			t.Errorf("%s is in a layer, and there is no such package", p)
+		}
+	}
+	for _, p := range seen {
+		own, known := level[p]
+		if !known {
+			t.Errorf("%s is in no layer", p)
+			continue
+		}
+		dir := filepath.Join(root, "internal", p)
+		if p == "brain" || strings.HasPrefix(p, "cmd/") {
+			dir = filepath.Join(root, p)
+		}
+		for _, path := range importsOf(t, dir) {
+			if layers[own].name == decides && doesIO(path) {
+				t.Errorf("%s decides, and imports %s", p, path)
+			}
+			local, here := strings.CutPrefix(path, "croftlock/")
+			local = strings.TrimPrefix(local, "internal/")
+			if here && level[local] > own {
+				t.Errorf("%s (%s) imports %s (%s)", p, layers[own].name, local, layers[level[local]].name)
+			}
+		}
+	}
+}
+
+// TestGlossary: a newcomer finds each package's concept in the glossary.
+func TestGlossary(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "glossary.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, l := range layers {
+		for _, p := range l.packages {
+			name, _, _ := strings.Cut(p, "/")
+			if name != "cmd" && !strings.Contains(string(page), "`internal/"+name+"`") && !strings.Contains(string(page), "`"+name) {
+				t.Errorf("docs/glossary.md does not name %s", p)
+			}
+		}
+	}
+}
