Changes of namespaces and accounts share one step; experiments configure proxies by typed values

The configuration that experiments write was a tree of map[string]any; lab/config.go names its fields, units and defaults.

--- a/internal/lab/proc.go
+++ b/internal/lab/proc.go
@@ -76,44 +76,12 @@
 
 // Proxy starts a croftlock process and waits until it is ready.
 func (e *Env) Proxy(s Setup) (*Process, error) {
-	if s.Cores == 0 {
-		s.Cores = 1
-	}
-	if s.Sockets == 0 {
-		s.Sockets = 4096
-	}
-	if s.MemoryMB == 0 {
-		s.MemoryMB = 192
-	}
-	if s.Connect == 0 {
-		s.Connect = 250 * time.Millisecond
-	}
-	if s.Deadline == 0 {
-		s.Deadline = 2 * time.Second
-	}
+	s.setDefaults()
 	dir, err := os.MkdirTemp(e.Dir, "proxy")
 	if err != nil {
 		return nil, err
 	}
-	if s.Listen == "" {
-		s.Listen = "127.0.0.1:0"
-	}
-	mode := "subscribe"
-	if s.Pushed {
-		mode = "automatic"
-	}
-	config := map[string]any{
-		"name": s.Name, "listen": s.Listen, "admin_addr": s.Admin, "discovery": s.Discovery, "seed": "1f",
-		"limits":      map[string]any{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
-		"known":       s.Known,
-		"peer_listen": s.PeerListen, "peers": s.Peers,
-		"settings": map[string]any{"me": s.Me, "peers_total": max(1, len(s.Peers)), "discovery": mode,
-			"bounds":   map[string]any{"may_tell": len(s.Peers) > 0, "try_limit": 5, "connect_timeout": int64(s.Connect), "retry_after": true, "max_retry_after": int64(time.Second)},
-			"contract": map[string]any{"must_ask_in": int64(10 * time.Second)},
-			"lanes": []any{map[string]any{"name": class, "on_time": int64(800 * time.Millisecond), "deadline": int64(s.Deadline),
-				"semantics": "read_like"}}},
-	}
-	data, err := json.Marshal(config)
+	data, err := json.Marshal(s.config())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rules/change.go
+++ b/internal/rules/change.go
@@ -163,6 +163,14 @@
 	return slices.BinarySearchFunc(all, name, func(s namespace.Space, name string) int { return cmp.Compare(s.Account, name) })
 }
 
+// without gives the entries less the one at i, where it is there, and the number of the version that changed that one last.
+func without[T any](all []T, i int, there bool, number func(T) uint64) (rest []T, changed uint64) {
+	if !there {
+		return all, 0
+	}
+	return slices.Delete(slices.Clone(all), i, i+1), number(all[i])
+}
+
 func (n *Version) changeSpace(was *Version, c *Change) error {
 	var s namespace.Space
 	if err := decoding().Unmarshal(c.Body, &s); err != nil {
@@ -175,14 +183,11 @@
 		return err
 	}
 	i, is := space(n.Book.Spaces, c.Part)
-	changed := uint64(0)
-	if is {
-		changed = n.Book.Spaces[i].Number
-		n.Book.Spaces = slices.Delete(n.Book.Spaces, i, i+1)
-	}
+	spaces, changed := without(n.Book.Spaces, i, is, func(s namespace.Space) uint64 { return s.Number })
 	if err := stale(c.Against, changed, was.Number); err != nil {
 		return err
 	}
+	n.Book.Spaces = spaces
 	if s.Number = n.Number; len(s.Guards)+len(s.Routes)+len(s.Defaults) > 0 {
 		n.Book.Spaces = slices.Insert(n.Book.Spaces, i, s)
 	}
@@ -198,52 +203,12 @@
 		return fmt.Errorf("a change of account %q that holds %q; those at the top are changed with the rules", c.Part, a.Name)
 	}
 	i, is := account(n.Book.Accounts, a.Name)
-	changed := uint64(0)
-	if is {
-		changed = n.Book.Accounts[i].Number
-		n.Book.Accounts = slices.Delete(n.Book.Accounts, i, i+1)
-	}
+	accounts, changed := without(n.Book.Accounts, i, is, func(a namespace.Account) uint64 { return a.Number })
 	if err := stale(c.Against, changed, was.Number); err != nil {
 		return err
 	}
+	n.Book.Accounts = accounts
 	a.Number = n.Number
 	n.Book.Accounts = slices.Insert(n.Book.Accounts, i, a)
 	return nil
 }
-
-func (n *Version) dropAccount(was *Version, c *Change) error {
-	i, is := account(n.Book.Accounts, c.Part)
-	if !is || namespace.Parent(c.Part) == "" {
-		return fmt.Errorf("there is no account %s below another", c.Part)
-	}
-	if err := stale(c.Against, n.Book.Accounts[i].Number, was.Number); err != nil {
-		return err
-	}
-	n.Book.Accounts = slices.DeleteFunc(n.Book.Accounts, func(a namespace.Account) bool { return namespace.Under(a.Name, c.Part) })
-	n.Book.Spaces = slices.DeleteFunc(n.Book.Spaces, func(s namespace.Space) bool { return namespace.Under(s.Account, c.Part) })
-	return nil
-}
-
-func (n *Version) rollback(was *Version, c *Change, read func(uint64) *Version) error {
-	if c.Against != was.Number {
-		return stale(c.Against, was.Number, was.Number)
-	}
-	var number uint64
-	if err := decoding().Unmarshal(c.Body, &number); err != nil {
-		return err
-	}
-	old := read(number)
-	if old == nil {
-		return fmt.Errorf("version %d is not kept any more", number)
-	}
-	back := old.next()
-	back.Number, back.Root = n.Number, n.Number
-	for i := range back.Book.Spaces {
-		back.Book.Spaces[i].Number = n.Number
-	}
-	for i := range back.Book.Accounts {
-		back.Book.Accounts[i].Number = n.Number
-	}
-	*n = *back
-	return nil
-}
