--- a/internal/encoding/encoding.go
+++ b/internal/encoding/encoding.go
@@ -9,7 +9,7 @@
 )
 
 // ErrTorn says that a record ends before it should, or holds a length beyond what its field may have.
-var ErrTorn = errors.New("pack: the record is torn")
+var ErrTorn = errors.New("encoding: the record is torn")
 
 // Writer appends to Data.
 type Writer struct{ Data []byte }
--- a/internal/fragment/fragment.go
+++ b/internal/fragment/fragment.go
@@ -37,10 +37,10 @@
 )
 
 // ErrMalformed says that a datagram is no part of a message.
-var ErrMalformed = errors.New("parcel: malformed datagram")
+var ErrMalformed = errors.New("fragment: malformed datagram")
 
 // ErrLong says that a message is too long.
-var ErrLong = errors.New("parcel: message over 200 KiB")
+var ErrLong = errors.New("fragment: message over 200 KiB")
 
 // Effects is what a Box can do. What is passed is valid during the call only.
 type Effects interface {
@@ -73,8 +73,8 @@
 	whole []uint64 // life and seq of messages that came whole, the latest last
 }
 
-// Box is one process's end.
-type Box struct {
+// Transport is one process's end.
+type Transport struct {
 	fx    Effects
 	life  uint32
 	seq   uint32
@@ -87,11 +87,11 @@
 }
 
 // New makes one. datagram is the longest that may be sent, in bytes; life tells this process's messages from an earlier one's.
-func New(datagram int, life uint32, fx Effects) *Box {
-	return &Box{fx: fx, life: life, piece: max(16, datagram-pieceHead), peers: map[uint32]*peer{}}
+func New(datagram int, life uint32, fx Effects) *Transport {
+	return &Transport{fx: fx, life: life, piece: max(16, datagram-pieceHead), peers: map[uint32]*peer{}}
 }
 
-func (b *Box) peer(id uint32) *peer {
+func (b *Transport) peer(id uint32) *peer {
 	p := b.peers[id]
 	if p == nil {
 		p = &peer{}
@@ -105,7 +105,7 @@
 }
 
 // Send sends a message to a peer.
-func (b *Box) Send(now Time, to uint32, data []byte) error {
+func (b *Transport) Send(now Time, to uint32, data []byte) error {
 	if len(data) <= b.piece+pieceHead-wholeHead {
 		b.buf = append(b.buf[:0], First, kindWhole)
 		b.fx.Datagram(to, append(b.buf, data...))
@@ -128,7 +128,7 @@
 }
 
 // sendSome sends the next pieces that are not known to have arrived.
-func (b *Box) sendSome(now Time, to uint32, o *outgoing) {
+func (b *Transport) sendSome(now Time, to uint32, o *outgoing) {
 	o.sentAt = now
 	n := len(o.taken)
 	for sent, looked := 0, 0; sent < burst && looked < n; looked++ {
@@ -149,7 +149,7 @@
 }
 
 // Tick is to be called every 20 to 100 ms.
-func (b *Box) Tick(now Time) {
+func (b *Transport) Tick(now Time) {
 	for _, id := range b.order {
 		p := b.peers[id]
 		kept := p.out[:0]
--- a/internal/fragment/fragment_test.go
+++ b/internal/fragment/fragment_test.go
@@ -10,7 +10,7 @@
 type wire struct {
 	rng   *rand.Rand
 	loss  float64
-	ends  [2]*Box
+	ends  [2]*Transport
 	queue []sent
 	got   [2][][]byte
 	most  int
--- a/internal/fragment/receive.go
+++ b/internal/fragment/receive.go
@@ -5,7 +5,7 @@
 )
 
 // Receive takes a datagram from a peer.
-func (b *Box) Receive(now Time, from uint32, data []byte) error {
+func (b *Transport) Receive(now Time, from uint32, data []byte) error {
 	if len(data) < wholeHead || data[0] != First {
 		b.Malformed++
 		return ErrMalformed
@@ -27,7 +27,7 @@
 	return nil
 }
 
-func (b *Box) takePiece(from uint32, data []byte) bool {
+func (b *Transport) takePiece(from uint32, data []byte) bool {
 	if len(data) <= pieceHead {
 		return false
 	}
@@ -99,7 +99,7 @@
 }
 
 // tell tells a sender which pieces have come; nil: all.
-func (b *Box) tell(to uint32, life, seq uint32, have []bool) {
+func (b *Transport) tell(to uint32, life, seq uint32, have []bool) {
 	d := append(b.buf[:0], First, kindTaken)
 	d = binary.BigEndian.AppendUint32(d, life)
 	d = binary.BigEndian.AppendUint32(d, seq)
@@ -114,7 +114,7 @@
 	b.fx.Datagram(to, b.buf)
 }
 
-func (b *Box) takeTaken(now Time, from uint32, data []byte) bool {
+func (b *Transport) takeTaken(now Time, from uint32, data []byte) bool {
 	if len(data) < 10 {
 		return false
 	}
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -114,12 +114,12 @@
 	old, young := &side{told: make(chan string, 9), kept: sample()}, &side{told: make(chan string, 9)}
 	partners := make(chan *Partner, 1)
 	busy := false
-	door, err := Offer(l, dir, func(listen string) (*Handed, error) {
+	door, err := Offer(l, dir, func(listen string) (*Handoff, error) {
 		if busy || listen != "x:1" {
 			return nil, errors.New("not now")
 		}
 		busy = true
-		return &Handed{Kept: sample(), Listener: int(file.Fd()), Datagram: -1}, nil
+		return &Handoff{Kept: sample(), Listener: int(file.Fd()), Datagram: -1}, nil
 	}, func(p *Partner) { p.Run(l, old); partners <- p })
 	if err != nil {
 		t.Fatal(err)
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -22,8 +22,8 @@
 // ErrBusy says that the process which serves has a partner already.
 var ErrBusy = errors.New("another process of this proxy is being replaced")
 
-// Handed is what an old process hands over.
-type Handed struct {
+// Handoff is what an old process hands over.
+type Handoff struct {
 	Kept     *proxy.Kept
 	Listener int // descriptors, the receiver's to close
 	Datagram int // under 0: none
--- a/internal/hotrestart/offer.go
+++ b/internal/hotrestart/offer.go
@@ -14,7 +14,7 @@
 
 // Ask asks the process that serves at listen, and keeps its things in dir, to hand over. It gives nil without an error where
 // there is none that answers.
-func Ask(dir, listen string, now int64) (*Partner, *Handed, error) {
+func Ask(dir, listen string, now int64) (*Partner, *Handoff, error) {
 	path, clean := short(dir)
 	defer clean()
 	c, err := net.DialTimeout("unix", path, askWithin)
@@ -38,7 +38,7 @@
 	default:
 		if err = m.Kept.Valid(now); err == nil {
 			conn.SetReadDeadline(time.Time{})
-			h := &Handed{Kept: m.Kept, Listener: fds[0], Datagram: -1}
+			h := &Handoff{Kept: m.Kept, Listener: fds[0], Datagram: -1}
 			if m.Datagram {
 				h.Datagram = fds[1]
 			}
@@ -63,13 +63,13 @@
 	return fmt.Sprintf("/proc/self/fd/%d/%s", f.Fd(), door), func() { f.Close() }
 }
 
-// Door is where the next process asks.
-type Door struct{ listener *net.UnixListener }
+// Endpoint is where the next process asks.
+type Endpoint struct{ listener *net.UnixListener }
 
 // Offer takes over the place in dir where the next process asks. welcome is called on the loop when one does, with the address
 // that clients use at it; it answers with what is handed over, or with why not, and what it hands over stays this
 // process's as well. come is called on the loop with the partner.
-func Offer(l *netio.Loop, dir string, welcome func(listen string) (*Handed, error), come func(*Partner)) (*Door, error) {
+func Offer(l *netio.Loop, dir string, welcome func(listen string) (*Handoff, error), come func(*Partner)) (*Endpoint, error) {
 	path, clean := short(dir)
 	defer clean()
 	// Another process may stand there still, and must not be cut off before this one is in its place.
@@ -88,16 +88,16 @@
 		ln.Close()
 		return nil, err
 	}
-	d := &Door{ln}
+	d := &Endpoint{ln}
 	go d.serve(l, welcome, come)
 	return d, nil
 }
 
 // Close ends the offer.
-func (d *Door) Close() { d.listener.Close() }
+func (d *Endpoint) Close() { d.listener.Close() }
 
 // serve takes one caller after the other: there is never more than one that matters.
-func (d *Door) serve(l *netio.Loop, welcome func(string) (*Handed, error), come func(*Partner)) {
+func (d *Endpoint) serve(l *netio.Loop, welcome func(string) (*Handoff, error), come func(*Partner)) {
 	for {
 		c, err := d.listener.AcceptUnix()
 		if errors.Is(err, net.ErrClosed) {
@@ -111,7 +111,7 @@
 	}
 }
 
-func (d *Door) answer(l *netio.Loop, c *net.UnixConn, welcome func(string) (*Handed, error), come func(*Partner)) {
+func (d *Endpoint) answer(l *netio.Loop, c *net.UnixConn, welcome func(string) (*Handoff, error), come func(*Partner)) {
 	c.SetReadDeadline(time.Now().Add(askWithin))
 	m, fds, err := receive(c)
 	closeAll(fds)
@@ -120,7 +120,7 @@
 		return
 	}
 	type answer struct {
-		handed *Handed
+		handed *Handoff
 		err    error
 	}
 	got := make(chan answer, 1)
--- a/internal/jobs/pot.go
+++ b/internal/jobs/bucket.go
@@ -1,14 +1,14 @@
 package jobs
 
-// Pot is what an owner has to hand out of a rate.
-type Pot struct {
+// Bucket is what an owner has to hand out of a rate.
+type Bucket struct {
 	Has float64
 	At  Time // when it was filled last; nothing comes before
 }
 
 // Fill adds what has become due. Of the rate so much is kept back as those use that are alone, each by its own share of one in base; and no more is saved
 // than comes in a quarter of a second.
-func (p *Pot) Fill(now Time, rate float64, base, alone int) {
+func (p *Bucket) Fill(now Time, rate float64, base, alone int) {
 	if now <= p.At {
 		return
 	}
@@ -18,7 +18,7 @@
 }
 
 // Take takes whole ones, as many as wanted and there.
-func (p *Pot) Take(want uint64) uint64 {
+func (p *Bucket) Take(want uint64) uint64 {
 	n := uint64(max(0, min(float64(want), p.Has)))
 	p.Has -= float64(n)
 	return n
--- a/internal/jobs/moves.go
+++ b/internal/jobs/moves.go
@@ -15,14 +15,14 @@
 
 	owner  Owner
 	began  Time
-	pot    Pot
+	pot    Bucket
 	number uint64
 	asked  map[uint32]Time
 }
 
 // Start begins with nothing to hand out: an earlier owner's permits may be in use until they lapse, and so may each proxy's own share.
 func (m *Moves) Start(now Time, o Owner, _, number uint64, _ []byte) error {
-	m.owner, m.began, m.pot, m.number, m.asked = o, now+permitFor, Pot{At: now + permitFor}, number, map[uint32]Time{}
+	m.owner, m.began, m.pot, m.number, m.asked = o, now+permitFor, Bucket{At: now + permitFor}, number, map[uint32]Time{}
 	return nil
 }
 
--- a/internal/maintenance/book.go
+++ b/internal/maintenance/book.go
@@ -45,8 +45,8 @@
 	return time.Duration(h.Sum32()%1000) * leaveOver / 1000
 }
 
-// Book is the bans, and the uids that a call may name.
-type Book struct {
+// Registry is the bans, and the uids that a call may name.
+type Registry struct {
 	banned map[string]int64 // since when
 	fleet  map[string]int64 // and those that are out for the whole fleet, by its owner's list
 	known  map[string]bool
@@ -54,12 +54,12 @@
 }
 
 // New makes an empty book.
-func New() *Book {
-	return &Book{banned: map[string]int64{}, fleet: map[string]int64{}, known: map[string]bool{}}
+func New() *Registry {
+	return &Registry{banned: map[string]int64{}, fleet: map[string]int64{}, known: map[string]bool{}}
 }
 
 // Listed notes that a list has named a host.
-func (b *Book) Listed(id string) {
+func (b *Registry) Listed(id string) {
 	if b.known[id] {
 		return
 	}
@@ -75,10 +75,10 @@
 }
 
 // Known tells whether a list has ever named the host.
-func (b *Book) Known(id string) bool { return b.known[id] }
+func (b *Registry) Known(id string) bool { return b.known[id] }
 
 // Set bans a host or ends its ban, and tells whether that changed anything.
-func (b *Book) Set(id string, out bool, now int64) bool {
+func (b *Registry) Set(id string, out bool, now int64) bool {
 	if _, is := b.banned[id]; is == out {
 		return false
 	}
@@ -93,7 +93,7 @@
 
 // SetFleet takes the list of hosts that are out for the whole fleet, and gives those of which that changes whether they are out. A host is out
 // while either word holds: a call at this proxy does not end the fleet's.
-func (b *Book) SetFleet(ids []string, now int64) (changed []string) {
+func (b *Registry) SetFleet(ids []string, now int64) (changed []string) {
 	next := map[string]int64{}
 	for _, id := range ids {
 		since, was := b.fleet[id]
@@ -120,17 +120,17 @@
 }
 
 // IDs is every uid that a call may name, the oldest first.
-func (b *Book) IDs() []string { return slices.Clone(b.order) }
+func (b *Registry) IDs() []string { return slices.Clone(b.order) }
 
 // Out tells whether a host is banned.
-func (b *Book) Out(id string) bool {
+func (b *Registry) Out(id string) bool {
 	_, out := b.banned[id]
 	_, fleet := b.fleet[id]
 	return out || fleet
 }
 
 // Ban is a host's ban, the earlier where there are two.
-func (b *Book) Ban(id string) Ban {
+func (b *Registry) Ban(id string) Ban {
 	since, own := b.banned[id]
 	if at, fleet := b.fleet[id]; fleet && (!own || at < since) {
 		since = at
@@ -139,7 +139,7 @@
 }
 
 // All is every ban that was set at this proxy, sorted.
-func (b *Book) All() []Ban {
+func (b *Registry) All() []Ban {
 	out := make([]Ban, 0, len(b.banned))
 	for id, since := range b.banned {
 		out = append(out, Ban{id, since})
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -19,8 +19,8 @@
 // turn is how often membership is given the chance to act.
 const turn = 50 * time.Millisecond
 
-// Shell is one process's membership at work. It belongs to the loop.
-type Shell struct {
+// Agent is one process's membership at work. It belongs to the loop.
+type Agent struct {
 	loop   *netio.Loop
 	core   *membership.Core
 	link   *peers.Link
@@ -37,7 +37,7 @@
 
 // Attach has what another package's like at a member sends taken, with who sent it: others use this way between members, its seal too.
 // nil ends that.
-func (s *Shell) Attach(whose byte, take func(peer uint32, data []byte)) {
+func (s *Agent) Attach(whose byte, take func(peer uint32, data []byte)) {
 	if s.others == nil {
 		s.others = map[byte]func(uint32, []byte){}
 	}
@@ -45,7 +45,7 @@
 }
 
 // Room is how many bytes of an attached package's a datagram can carry.
-func (s *Shell) Room() int {
+func (s *Agent) Room() int {
 	if s.seal != nil {
 		return membership.Room(membership.SealLen)
 	}
@@ -53,21 +53,21 @@
 }
 
 // Carry sends an attached package's data to a member; nowhere, where its address is not known.
-func (s *Shell) Carry(peer uint32, whose byte, data []byte) {
+func (s *Agent) Carry(peer uint32, whose byte, data []byte) {
 	if !s.closed {
 		s.core.Carry(s.loop.Now(), peer, whose, data)
 	}
 }
 
 // Other is the core's.
-func (s *Shell) Other(from uint32, whose byte, data []byte) {
+func (s *Agent) Other(from uint32, whose byte, data []byte) {
 	if take := s.others[whose]; take != nil {
 		take(from, append([]byte(nil), data...))
 	}
 }
 
 // View is the members as this process sees them, itself left out.
-func (s *Shell) View() []ViewMember {
+func (s *Agent) View() []ViewMember {
 	var out []ViewMember
 	for _, m := range s.core.View() {
 		out = append(out, ViewMember{m.Name, m.ID, m.State.String(), uint64(m.Life), m.Unheard})
@@ -85,7 +85,7 @@
 }
 
 // Base is how many members the fleet is meant to have.
-func (s *Shell) Base() int { return s.core.Base() }
+func (s *Agent) Base() int { return s.core.Base() }
 
 // Platform is the platform's own way between its proxies, for a section without addresses; whoever reads from it calls Take.
 type Platform struct {
@@ -94,12 +94,12 @@
 }
 
 // Start begins. life is when this process began.
-func Start(l *netio.Loop, o Options, name string, life time.Time, on Platform) (*Shell, error) {
+func Start(l *netio.Loop, o Options, name string, life time.Time, on Platform) (*Agent, error) {
 	seal, err := o.seal()
 	if err != nil {
 		return nil, err
 	}
-	s := &Shell{loop: l, seal: seal, name: name}
+	s := &Agent{loop: l, seal: seal, name: name}
 	slots, own := len(o.Peers), slices.Index(o.Peers, o.Listen)
 	cfg := membership.Config{Name: name, Fleet: o.Fleet, Life: membership.NewLife(life.UnixMilli()), Base: o.Base, Seed: uint64(life.UnixNano())}
 	for _, a := range o.Seeds {
@@ -142,7 +142,7 @@
 	return s, nil
 }
 
-func (s *Shell) turn() {
+func (s *Agent) turn() {
 	if s.closed {
 		return
 	}
@@ -151,7 +151,7 @@
 }
 
 // Take takes a datagram from the platform's way between proxies, if it is one of these; a nil Shell takes none.
-func (s *Shell) Take(from int, data []byte) bool {
+func (s *Agent) Take(from int, data []byte) bool {
 	if s == nil || !s.shared || !membership.Ours(data) {
 		return false
 	}
@@ -159,16 +159,16 @@
 	return true
 }
 
-func (s *Shell) take(from int, data []byte) {
+func (s *Agent) take(from int, data []byte) {
 	s.open(from, data, func(data []byte) error { return s.core.Receive(s.loop.Now(), from, data) })
 }
 
-func (s *Shell) takeFrom(from netip.AddrPort, data []byte) {
+func (s *Agent) takeFrom(from netip.AddrPort, data []byte) {
 	s.open(from, data, func(data []byte) error { return s.core.ReceiveFrom(s.loop.Now(), from, data) })
 }
 
 // open takes a datagram out of its seal. The first of each kind of trouble is told; the rest is counted.
-func (s *Shell) open(from any, data []byte, take func([]byte) error) {
+func (s *Agent) open(from any, data []byte, take func([]byte) error) {
 	if s.closed {
 		return
 	}
@@ -189,7 +189,7 @@
 }
 
 // Send is the core's.
-func (s *Shell) Send(slot int, data []byte) {
+func (s *Agent) Send(slot int, data []byte) {
 	if s.seal != nil {
 		data = s.seal.Close(data)
 	}
@@ -201,12 +201,12 @@
 }
 
 // Changed is the core's.
-func (s *Shell) Changed(c membership.Change) {
+func (s *Agent) Changed(c membership.Change) {
 	slog.Info("member", "id", fmt.Sprintf("%08x", c.ID), "name", c.Name, "from", c.From, "to", c.To, "life", c.Life.Start(), "version", c.Version, "reason", c.Reason)
 }
 
 // Leave tells the others that this process ends in order, and ends.
-func (s *Shell) Leave() {
+func (s *Agent) Leave() {
 	if s != nil && !s.closed {
 		s.core.Leave(s.loop.Now())
 		s.Yield()
@@ -214,7 +214,7 @@
 }
 
 // Yield ends without a word: another process goes on as this member.
-func (s *Shell) Yield() {
+func (s *Agent) Yield() {
 	if s == nil || s.closed {
 		return
 	}
--- a/internal/members/report.go
+++ b/internal/members/report.go
@@ -49,7 +49,7 @@
 	Unheard []string `json:"does_not_hear"`
 }
 
-func (s *Shell) report() Report {
+func (s *Agent) report() Report {
 	now := s.loop.Now()
 	n := s.core.Counts()
 	r := Report{Name: s.name, Version: s.core.Version(), Digest: fmt.Sprintf("%08x", s.core.Digest()), Quorum: s.core.Quorum(), Life: s.core.Life().Start(),
@@ -85,7 +85,7 @@
 }
 
 // serve answers whoever connects to the Unix socket with one report. It runs beside the loop, which gives the report.
-func (s *Shell) serve(path string) error {
+func (s *Agent) serve(path string) error {
 	l, err := Door(path)
 	if err != nil {
 		return err
--- a/internal/node/floors.go
+++ b/internal/node/floors.go
@@ -40,7 +40,7 @@
 func (c loopClock) After(d time.Duration, f func()) { c.Loop.After(d, f) }
 
 // memberWay is the way between members.
-type memberWay struct{ *members.Shell }
+type memberWay struct{ *members.Agent }
 
 // Others are the members that may be there: one that does not answer may hear all the same.
 func (w memberWay) Others() (out []uint32) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,7 +111,7 @@
 	}
 	r := &replacing{cfg: cfg, loop: loop, core: core}
 	var old *hotrestart.Partner
-	var handed *hotrestart.Handed
+	var handed *hotrestart.Handoff
 	if r.dir = os.Getenv("TMPDIR"); cfg.Admin == "" {
 		r.dir = "" // nobody can ask whether a new process is ready, so none can take another's place
 	}
@@ -125,7 +125,7 @@
 	if handed != nil {
 		core.Inherit(handed.Kept)
 	} else {
-		handed = &hotrestart.Handed{Kept: &proxy.Kept{}, Listener: -1, Datagram: -1}
+		handed = &hotrestart.Handoff{Kept: &proxy.Kept{}, Listener: -1, Datagram: -1}
 	}
 	list := known(cfg, handed)
 	r.watch = cluster.NewClient(loop, dialer, cfg.Discovery, cfg.Settings.Peers, list.Version, r.news)
--- a/internal/node/predecessor.go
+++ b/internal/node/predecessor.go
@@ -10,10 +10,10 @@
 )
 
 // predecessor asks the process that serves, if there is one, and else reads what one before has kept.
-func predecessor(cfg *platform.Config, dir string, now int64) (*hotrestart.Partner, *hotrestart.Handed, error) {
+func predecessor(cfg *platform.Config, dir string, now int64) (*hotrestart.Partner, *hotrestart.Handoff, error) {
 	type answer struct {
 		p *hotrestart.Partner
-		h *hotrestart.Handed
+		h *hotrestart.Handoff
 	}
 	a, err := patiently(func() (answer, error) {
 		p, h, err := hotrestart.Ask(dir, cfg.Listen, now)
@@ -35,11 +35,11 @@
 	if k == nil {
 		return nil, nil, nil
 	}
-	return nil, &hotrestart.Handed{Kept: k, Listener: -1, Datagram: -1}, nil
+	return nil, &hotrestart.Handoff{Kept: k, Listener: -1, Datagram: -1}, nil
 }
 
 // known is the list to start from: what another process held, where it is the same service's and newer.
-func known(cfg *platform.Config, h *hotrestart.Handed) proxy.Change {
+func known(cfg *platform.Config, h *hotrestart.Handoff) proxy.Change {
 	if h == nil || h.Kept.Discovery != cfg.Discovery || h.Kept.Rev <= cfg.Known.Version {
 		return cfg.Known
 	}
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -58,7 +58,7 @@
 	on     *netio.Listener
 	peers  *peers.Link // nil: there are none
 	store  *hotrestart.Store
-	door   *hotrestart.Door
+	door   *hotrestart.Endpoint
 	dirty  bool                // the list has changed since it was written
 	with   *hotrestart.Partner // nil: this is the only process
 	older  bool                // and it is the one to stay no longer
@@ -66,8 +66,8 @@
 	waits  bool                // this one does not accept yet
 	gave   brain.Memory        // what the other one was told as it took over
 
-	members *members.Shell // nil: off, or another process's still
-	owners  *owners.Shell  // the same
+	members *members.Agent // nil: off, or another process's still
+	owners  *owners.Agent  // the same
 	owning  owners.Options
 
 	floors   *watermark.Link // the same
@@ -155,7 +155,7 @@
 	}
 }
 
-func (r *replacing) welcome(listen string) (*hotrestart.Handed, error) {
+func (r *replacing) welcome(listen string) (*hotrestart.Handoff, error) {
 	switch {
 	case r.with != nil:
 		return nil, errors.New("two processes are at it")
@@ -164,7 +164,7 @@
 	case !r.core.Ready():
 		return nil, errors.New("this one is leaving")
 	}
-	h := &hotrestart.Handed{Kept: r.keep(false), Listener: r.on.Fd(), Datagram: -1}
+	h := &hotrestart.Handoff{Kept: r.keep(false), Listener: r.on.Fd(), Datagram: -1}
 	if r.peers != nil {
 		h.Datagram = r.peers.Fd()
 	}
--- a/internal/owners/leave.go
+++ b/internal/owners/leave.go
@@ -5,7 +5,7 @@
 )
 
 // Leave gives all jobs and the lead back, and calls done once others have them or a short time has passed.
-func (s *Shell) Leave(done func()) {
+func (s *Agent) Leave(done func()) {
 	if s == nil {
 		done()
 		return
@@ -55,7 +55,7 @@
 }
 
 // Yield ends this process's part, and lets go of the store.
-func (s *Shell) Yield() {
+func (s *Agent) Yield() {
 	if s == nil {
 		return
 	}
--- a/internal/owners/owners.go
+++ b/internal/owners/owners.go
@@ -32,13 +32,13 @@
 	leaveWithin = 200 * time.Millisecond
 )
 
-// Shell is one process's part at work. Its exported methods belong to the loop, the rest to its own goroutine.
-type Shell struct {
+// Agent is one process's part at work. Its exported methods belong to the loop, the rest to its own goroutine.
+type Agent struct {
 	o       Options
 	name    string
 	life    uint64
 	loop    *netio.Loop
-	members *members.Shell
+	members *members.Agent
 	in      chan func()
 	quit    chan struct{}
 	over    chan struct{}
@@ -49,7 +49,7 @@
 	leaving []func() // to be called once this process has left
 	left    bool
 
-	box       *fragment.Box
+	box       *fragment.Transport
 	table     *ownership.Table
 	fence     *ownership.Fence
 	core      *ownership.Core
@@ -65,12 +65,12 @@
 	hard      map[string]int
 	pace      *jobs.Pace
 	paceTags  map[uint64]uint64
-	gate      *rules.Gate
+	gate      *rules.Enforcer
 	ruled     *rules.Member
 	ruleTags  map[uint64]uint64
-	purse     *quota.Purse
+	quota     *quota.Share
 	purseTags map[uint64]uint64
-	pursedAt  int64
+	quotaAt   int64
 	swapped   func() // called on the loop once this process acts by another version
 	asks      map[uint64]chan string
 	tags      uint64
@@ -83,11 +83,11 @@
 }
 
 // Start begins. apply carries out, on the loop, which hosts are out for the whole fleet.
-func Start(l *netio.Loop, o Options, name string, m *members.Shell, apply func(out []string)) (*Shell, error) {
+func Start(l *netio.Loop, o Options, name string, m *members.Agent, apply func(out []string)) (*Agent, error) {
 	if m == nil {
 		return nil, errors.New("owners: membership is off")
 	}
-	s := &Shell{o: o, name: name, life: uint64(time.Now().UnixMilli()), loop: l, members: m, in: make(chan func(), backlog), quit: make(chan struct{}), over: make(chan struct{}),
+	s := &Agent{o: o, name: name, life: uint64(time.Now().UnixMilli()), loop: l, members: m, in: make(chan func(), backlog), quit: make(chan struct{}), over: make(chan struct{}),
 		began: time.Now(), apply: apply, table: ownership.NewTable(), fence: &ownership.Fence{}, handles: map[string]jobs.Job{}, owned: map[string]uint64{},
 		asks: map[uint64]chan string{}, paceTags: map[uint64]uint64{}, ruleTags: map[uint64]uint64{}, purseTags: map[uint64]uint64{}, voter: slices.Contains(o.Voters, name)}
 	s.fence.Forget = Planted == "forget"
@@ -134,10 +134,10 @@
 	return s, nil
 }
 
-func (s *Shell) now() int64 { return int64(time.Since(s.began)) + 1 }
+func (s *Agent) now() int64 { return int64(time.Since(s.began)) + 1 }
 
 // post has something done on the own goroutine; what it is late for is dropped, as a datagram may be.
-func (s *Shell) post(f func()) {
+func (s *Agent) post(f func()) {
 	select {
 	case s.in <- f:
 	default:
@@ -145,7 +145,7 @@
 }
 
 // run is the goroutine beside the loop: it may wait for a disk.
-func (s *Shell) run() {
+func (s *Agent) run() {
 	defer close(s.over)
 	s.open()
 	t := time.NewTicker(turn)
@@ -166,7 +166,7 @@
 }
 
 // look tells the goroutine who is there, from the loop.
-func (s *Shell) look() {
+func (s *Agent) look() {
 	select {
 	case <-s.quit:
 		return
@@ -197,7 +197,7 @@
 	s.loop.After(250*time.Millisecond, s.look)
 }
 
-func (s *Shell) turn() {
+func (s *Agent) turn() {
 	now := s.now()
 	if s.raft != nil {
 		if err := s.raft.Stopped(); err != nil {
@@ -220,9 +220,9 @@
 	if s.ruled != nil {
 		s.ruled.Step(now)
 	}
-	if s.purse != nil && now-s.pursedAt >= int64(lapse)/4 {
-		s.pursedAt = now
-		s.purse.Step()
+	if s.quota != nil && now-s.quotaAt >= int64(lapse)/4 {
+		s.quotaAt = now
+		s.quota.Step()
 	}
 	for _, n := range s.names {
 		if token, owns := s.owned[n]; owns && s.core.Holds(now, n, token) {
@@ -232,7 +232,7 @@
 }
 
 // guard runs a job's code: one that panics is given back, and the others go on.
-func (s *Shell) guard(name string, token uint64, f func(j jobs.Job)) {
+func (s *Agent) guard(name string, token uint64, f func(j jobs.Job)) {
 	defer func() {
 		if p := recover(); p != nil {
 			s.counts.Panics++
--- a/internal/owners/owners_test.go
+++ b/internal/owners/owners_test.go
@@ -88,7 +88,7 @@
 }
 
 // alone is one process, its own only voter.
-func alone(t *testing.T, o Options) (*Shell, *netio.Loop) {
+func alone(t *testing.T, o Options) (*Agent, *netio.Loop) {
 	t.Helper()
 	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
@@ -100,7 +100,7 @@
 	go l.Run()
 	t.Cleanup(l.Stop)
 	type made struct {
-		s   *Shell
+		s   *Agent
 		err error
 	}
 	got := make(chan made, 1)
--- a/internal/owners/pace.go
+++ b/internal/owners/pace.go
@@ -1,7 +1,7 @@
 package owners
 
 // May tells how many of so many clients may be sent away now; then hears.
-func (s *Shell) May(want int, then func(n int)) {
+func (s *Agent) May(want int, then func(n int)) {
 	if s == nil || s.pace == nil {
 		then(want)
 		return
@@ -13,12 +13,12 @@
 }
 
 // Paced tells whether moves are bounded.
-func (s *Shell) Paced() bool { return s != nil && s.pace != nil }
+func (s *Agent) Paced() bool { return s != nil && s.pace != nil }
 
-func (s *Shell) askPermits(tag uint64, body []byte) { s.askAs("moves", s.paceTags, tag, body) }
+func (s *Agent) askPermits(tag uint64, body []byte) { s.askAs("moves", s.paceTags, tag, body) }
 
 // askAs asks a job's owner under a tag of this process's own, and notes for which of the asker's it stands.
-func (s *Shell) askAs(job string, tags map[uint64]uint64, tag uint64, body []byte) {
+func (s *Agent) askAs(job string, tags map[uint64]uint64, tag uint64, body []byte) {
 	s.tags++
 	tags[s.tags] = tag
 	for t := range tags {
--- a/internal/owners/report.go
+++ b/internal/owners/report.go
@@ -34,7 +34,7 @@
 	Why    string `json:"why"`
 }
 
-func (s *Shell) report(r *Reply) {
+func (s *Agent) report(r *Reply) {
 	r.Name, r.Kind, r.Store = s.name, "memory", s.broken
 	counts := s.counts
 	r.Counts = &counts
--- a/internal/owners/rules.go
+++ b/internal/owners/rules.go
@@ -15,7 +15,7 @@
 type Rules struct {
 	On     bool
 	Within time.Duration // from the moment that any proxy acts on a newer rule none acts on one that it contradicts for longer
-	Cut    string        // what a proxy does whose right to act has lapsed: refuse or keep
+	Cut    string        // what a proxy does whose lease has lapsed: refuse or keep
 	Most   int           // entries that this proxy takes
 }
 
@@ -28,12 +28,12 @@
 }
 
 // begin makes the keeper's and the member's parts; it is called before there is a goroutine.
-func (r Rules) begin(s *Shell) {
+func (r Rules) begin(s *Agent) {
 	if !r.On {
 		return
 	}
 	within := int64(r.Within)
-	s.gate = &rules.Gate{Now: s.now, Keep: r.Cut == "keep", Wait: r.Within}
+	s.gate = &rules.Enforcer{Now: s.now, Keep: r.Cut == "keep", Wait: r.Within}
 	s.ruled = &rules.Member{Within: within, Most: r.Most, Gate: s.gate,
 		Ask: func(tag uint64, body []byte) { s.askAs("rules", s.ruleTags, tag, body) },
 		Swapped: func(n uint64, h rules.Hash) {
@@ -45,45 +45,45 @@
 	if Planted == "lapse" {
 		s.ruled.Within *= 10 // what experiments have to find
 	}
-	s.handles["rules"] = &rules.Keeper{Within: within, Told: s.ruled.Told, Wall: func() int64 { return time.Now().UnixMilli() }}
+	s.handles["rules"] = &rules.Coordinator{Within: within, Told: s.ruled.Told, Wall: func() int64 { return time.Now().UnixMilli() }}
 }
 
 // lapse is how long what an account's owner hands out holds.
 const lapse = time.Second
 
 // beginLimits makes the parts that keep accounts to their limits over the fleet.
-func (s *Shell) beginLimits(base int) {
+func (s *Agent) beginLimits(base int) {
 	if s.gate == nil {
 		return
 	}
-	s.purse = &quota.Purse{Now: s.now, Lapse: int64(lapse), Base: base, Limits: s.gate.Limits, Accounts: s.gate.Limited, Ask: func(shard int, tag uint64, body []byte) {
+	s.quota = &quota.Share{Now: s.now, Lapse: int64(lapse), Base: base, Limits: s.gate.Limits, Accounts: s.gate.Limited, Ask: func(shard int, tag uint64, body []byte) {
 		s.post(func() { s.askAs(limitsJob(shard), s.purseTags, tag, body) })
 	}}
 	for shard := range quota.Shards {
-		s.handles[limitsJob(shard)] = &quota.Bank{Lapse: int64(lapse), Base: base, Limits: s.gate.Limits}
+		s.handles[limitsJob(shard)] = &quota.Issuer{Lapse: int64(lapse), Base: base, Limits: s.gate.Limits}
 	}
 }
 
 func limitsJob(shard int) string { return fmt.Sprintf("limits%d", shard) }
 
 // Bounded tells whether an account has limits over the fleet.
-func (s *Shell) Bounded(account string) bool { return s.gate.Bounded(account) }
+func (s *Agent) Bounded(account string) bool { return s.gate.Bounded(account) }
 
 // Take asks for one more connection of an account; then is called on the loop.
-func (s *Shell) Take(account string, spread float64, then func(over string, advice time.Duration)) {
-	s.loop.After(takeWithin, s.purse.Try) // whoever has waited long enough is told so
-	s.purse.Take(account, spread, func(over string, advice time.Duration) { s.loop.Post(func() { then(over, advice) }) })
+func (s *Agent) Take(account string, spread float64, then func(over string, advice time.Duration)) {
+	s.loop.After(takeWithin, s.quota.Try) // whoever has waited long enough is told so
+	s.quota.Take(account, spread, func(over string, advice time.Duration) { s.loop.Post(func() { then(over, advice) }) })
 }
 
 // takeWithin is a little longer than a request waits for an owner's word.
 const takeWithin = 110 * time.Millisecond
 
 // Hold counts a connection that is open already, and Release the end of one.
-func (s *Shell) Hold(account string)    { s.purse.Hold(account) }
-func (s *Shell) Release(account string) { s.purse.Release(account) }
+func (s *Agent) Hold(account string)    { s.quota.Hold(account) }
+func (s *Agent) Release(account string) { s.quota.Release(account) }
 
 // Gate is what requests are judged by; nil where there are no such rules.
-func (s *Shell) Gate() *rules.Gate {
+func (s *Agent) Gate() *rules.Enforcer {
 	if s == nil {
 		return nil
 	}
@@ -93,7 +93,7 @@
 const noRules = "refused: (owners (rules on)) is not set"
 
 // OnRules has f called on the loop each time that this process begins to act by another version, and once now.
-func (s *Shell) OnRules(f func()) {
+func (s *Agent) OnRules(f func()) {
 	s.post(func() {
 		s.swapped = func() { s.loop.Post(f) }
 		s.swapped()
@@ -101,7 +101,7 @@
 }
 
 // askRules brings an administrator's question to the keeper.
-func (s *Shell) askRules(q Request, tag uint64, ch chan string) {
+func (s *Agent) askRules(q Request, tag uint64, ch chan string) {
 	if s.gate == nil {
 		ch <- noRules
 		return
--- a/internal/owners/sides.go
+++ b/internal/owners/sides.go
@@ -9,7 +9,7 @@
 	"croftlock/internal/ownership"
 )
 
-type boxSide struct{ s *Shell }
+type boxSide struct{ s *Agent }
 
 func (b boxSide) Datagram(peer uint32, data []byte) {
 	d := append([]byte(nil), data...)
@@ -45,13 +45,13 @@
 	forCore  = 2
 )
 
-func (s *Shell) send(to uint32, whom byte, msg []byte) {
+func (s *Agent) send(to uint32, whom byte, msg []byte) {
 	if err := s.box.Send(s.now(), to, append([]byte{whom}, msg...)); err != nil {
 		slog.Error("owners_message", "bytes", len(msg), "reason", err)
 	}
 }
 
-type groupSide struct{ s *Shell }
+type groupSide struct{ s *Agent }
 
 func (g groupSide) Send(peer uint32, msg []byte) { g.s.send(peer, forGroup, msg) }
 func (g groupSide) Applied(_ byte, tag uint64, result []byte) {
@@ -66,7 +66,7 @@
 }
 func (g groupSide) Tell(event string, args ...any) { slog.Info(event, args...) }
 
-type coreSide struct{ s *Shell }
+type coreSide struct{ s *Agent }
 
 func (c coreSide) Send(peer uint32, msg []byte) { c.s.send(peer, forCore, msg) }
 
@@ -137,7 +137,7 @@
 	}
 	if t, asked := s.purseTags[tag]; asked {
 		delete(s.purseTags, tag)
-		s.purse.Answered(t, body)
+		s.quota.Answered(t, body)
 		return
 	}
 	if ch := s.asks[tag]; ch != nil {
@@ -157,7 +157,7 @@
 
 // ownerSide is what a job may do while it is owned here.
 type ownerSide struct {
-	s     *Shell
+	s     *Agent
 	job   string
 	token uint64
 }
--- a/internal/owners/door.go
+++ b/internal/owners/socket.go
@@ -38,7 +38,7 @@
 func (d *door) close() { d.l.Close() }
 
 // serve answers at a Unix socket that only its owner may use.
-func serve(path string, s *Shell) (*door, error) {
+func serve(path string, s *Agent) (*door, error) {
 	l, err := members.Door(path)
 	if err != nil {
 		return nil, err
@@ -66,7 +66,7 @@
 
 // await waits for an owner's answer. What was asked is lost where its owner ends, or another is just taking over: a question about rules is asked
 // again, since twice is as once.
-func (s *Shell) await(tag uint64, ch chan string, q Request) (string, bool) {
+func (s *Agent) await(tag uint64, ch chan string, q Request) (string, bool) {
 	again := time.NewTicker(askAgain)
 	defer again.Stop()
 	late := time.After(askWithin)
@@ -87,7 +87,7 @@
 	}
 }
 
-func (s *Shell) answer(c net.Conn) {
+func (s *Agent) answer(c net.Conn) {
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(askWithin + time.Second))
 	var q Request
@@ -99,7 +99,7 @@
 }
 
 // on has something done on the goroutine, and waits for it.
-func (s *Shell) on(f func()) bool {
+func (s *Agent) on(f func()) bool {
 	done := make(chan struct{})
 	select {
 	case s.in <- func() { f(); close(done) }:
@@ -118,7 +118,7 @@
 	}
 }
 
-func (s *Shell) carryOut(q Request) (r Reply) {
+func (s *Agent) carryOut(q Request) (r Reply) {
 	late := Reply{Error: "this proxy is too busy, or its disk hangs: ask again"}
 	switch q.Do {
 	case "owners", "status":
--- a/internal/owners/voter.go
+++ b/internal/owners/voter.go
@@ -37,7 +37,7 @@
 var errNoVoters = errors.New("this program keeps no votes on a disk: croftlock-voter does; or leave dir out, and voters go by memory")
 
 // open opens the group, or says why it can't.
-func (s *Shell) open() {
+func (s *Agent) open() {
 	s.group, s.raft, s.broken = nil, nil, ""
 	seed := uint64(time.Now().UnixNano())
 	machines := map[byte]group.Machine{ownership.Machine: s.table}
@@ -71,7 +71,7 @@
 // epochBegan is 2020 in hundredths of a second: epochs are counted from there, so that tokens have room.
 const epochBegan = 157783680000
 
-func (s *Shell) openDisk(seed uint64, machines map[byte]group.Machine) (Voter, *group.StoreError) {
+func (s *Agent) openDisk(seed uint64, machines map[byte]group.Machine) (Voter, *group.StoreError) {
 	if OpenVoter == nil {
 		return nil, &group.StoreError{Err: errNoVoters}
 	}
@@ -79,7 +79,7 @@
 }
 
 // fail stops this voter's part. A store without room is tried again; any other waits for a restart.
-func (s *Shell) fail(err *group.StoreError) {
+func (s *Agent) fail(err *group.StoreError) {
 	s.broken = err.Error()
 	byItself := err.ByItself
 	s.again = time.Time{}
--- a/internal/proxy/allowed_test.go
+++ b/internal/proxy/allowed_test.go
@@ -35,7 +35,7 @@
 func limited(t *testing.T) (*world, *counter) {
 	w := newWorld(t)
 	c := &counter{held: map[string]int{}}
-	gate := &rules.Gate{Now: func() int64 { return w.now }}
+	gate := &rules.Enforcer{Now: func() int64 { return w.now }}
 	rules.ActBy(gate, &rules.Version{Number: 1, Book: &namespace.Book{Accounts: []namespace.Account{{Name: "a", Tenants: []string{"t"}}}}}, w.now+1e12)
 	w.core.SetAllowance(c)
 	w.core.SetRules(gate)
@@ -97,7 +97,7 @@
 	w := newWorld(t)
 	_, u := w.serve("r")
 	c := &counter{held: map[string]int{}}
-	gate := &rules.Gate{Now: func() int64 { return w.now }, Keep: true}
+	gate := &rules.Enforcer{Now: func() int64 { return w.now }, Keep: true}
 	w.core.SetAllowance(c)
 	w.core.SetRules(gate)
 	if c.held["a"] != 0 {
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -60,10 +60,10 @@
 	opt       Options
 	starter   Starter
 	discovery Discovery
-	peers     Peers       // nil: there are none, or the settings forbid it
-	prober    Prober      // nil: the settings do not permit probes
-	gate      *rules.Gate // nil: no rules that the fleet agrees on
-	allow     Allowance   // nil: no limits that hold over the fleet
+	peers     Peers           // nil: there are none, or the settings forbid it
+	prober    Prober          // nil: the settings do not permit probes
+	gate      *rules.Enforcer // nil: no rules that the fleet agrees on
+	allow     Allowance       // nil: no limits that hold over the fleet
 	make      func(fx brain.Effects) (Decider, error)
 	main      *pool // the only one where no rules split the hosts
 	pools     map[string]*pool
@@ -71,10 +71,10 @@
 	tenants   map[string]int
 
 	hosts    map[string]*host
-	hand     *maintenance.Book // the hosts that operators have taken out
-	floors   Floors            // nil: every proxy goes by its own list alone
-	pacer    Pacer             // nil: clients leave as it suits this proxy
-	turns    []func() bool     // clients that wait for it
+	hand     *maintenance.Registry // the hosts that operators have taken out
+	floors   Watermarks            // nil: every proxy goes by its own list alone
+	pacer    Pacer                 // nil: clients leave as it suits this proxy
+	turns    []func() bool         // clients that wait for it
 	asking   bool
 	figures  *metrics.Table
 	requests map[string]*Request
--- a/internal/proxy/floors.go
+++ b/internal/proxy/floors.go
@@ -6,8 +6,8 @@
 	"croftlock/brain"
 )
 
-// Floors is what other proxies' newer lists say of hosts that drain or are gone.
-type Floors interface {
+// Watermarks is what other proxies' newer lists say of hosts that drain or are gone.
+type Watermarks interface {
 	// Listed takes the own list's news, before they take effect, and names hosts of which that ends or begins what others' say.
 	Listed(ch Change) []string
 	// Out tells whether a host that the own list calls usable gets nothing new; since is when it started, as the list has it.
@@ -16,7 +16,7 @@
 
 // SetFloors has hosts get nothing new of which another proxy's newer list says that they drain or are gone. rev is that of the own list; under 0:
 // there is none yet.
-func (c *Core) SetFloors(f Floors, rev int64) {
+func (c *Core) SetFloors(f Watermarks, rev int64) {
 	if c.floors = f; f == nil || rev < 0 {
 		return
 	}
--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -107,7 +107,7 @@
 		t.Fatal(err)
 	}
 	w.core.SetPeers(deaf{})
-	gate := &rules.Gate{Now: func() int64 { return w.now }}
+	gate := &rules.Enforcer{Now: func() int64 { return w.now }}
 	rules.ActBy(gate, &rules.Version{Number: 1, Book: &namespace.Book{Accounts: []namespace.Account{{Name: "a", Tenants: []string{"t1"}}}}}, w.now+1e13)
 	w.core.SetAllowance(w)
 	w.core.SetRules(gate)
--- a/internal/proxy/pools_test.go
+++ b/internal/proxy/pools_test.go
@@ -18,7 +18,7 @@
 type poolWorld struct {
 	*world
 	t      *rapid.T
-	gate   *rules.Gate
+	gate   *rules.Enforcer
 	hosts  map[string]HostEntry
 	owner  map[string]string // pool by host, as the rules have it now
 	pools  map[string]string // by tenant
@@ -62,7 +62,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &poolWorld{world: &world{now: 1e18}, t: t, hosts: map[string]HostEntry{}, owner: map[string]string{}, tenant: map[string]string{}, starts: map[string]int{}}
 		w.loop = netio.NewLoopAt(func() int64 { return w.now })
-		w.gate = &rules.Gate{Now: func() int64 { return w.now }, Keep: true}
+		w.gate = &rules.Enforcer{Now: func() int64 { return w.now }, Keep: true}
 		for i, id := range []string{"A", "B", "C", "D"} {
 			w.hosts[id] = HostEntry{Endpoint: "at-" + id, Entry: brain.Entry{ID: id, Weight: 1, Kind: []string{"m1", "m2"}[i%2]}}
 		}
@@ -161,7 +161,7 @@
 	for effect, want := range map[brain.Effect]string{brain.Keyed: "fail r", brain.Safe: "start at-B"} {
 		w := &world{t: t, now: 1e18}
 		w.loop = netio.NewLoopAt(func() int64 { return w.now })
-		gate := &rules.Gate{Now: func() int64 { return w.now }}
+		gate := &rules.Enforcer{Now: func() int64 { return w.now }}
 		cfg := brain.Config{Peers: 1, Tick: 2e6, MaxAttempts: 5, ConnectTimeout: 250e6, WarmUp: 10e9, FallMultiple: 4, Fall: 2e9, QuarantineInit: -1, QuarantineMax: -1,
 			Classes: []brain.Class{{Name: "c", Aim: 800e6, Deadline: 4800e6, Effect: effect, Window: 9e9}}, Tenants: []brain.Tenant{{Name: "t"}}}
 		w.core = New(w.loop, w, Options{Sessions: 10, Settings: cfg})
@@ -190,7 +190,7 @@
 func TestAConnectionFollowsItsHost(t *testing.T) {
 	w := &poolWorld{world: &world{t: t, now: 1e18}, hosts: map[string]HostEntry{"A": {Entry: brain.Entry{ID: "A", Kind: "m1", Weight: 1}, Endpoint: "at-A"}}, owner: map[string]string{}, tenant: map[string]string{"r": "t1"}, starts: map[string]int{}}
 	w.loop = netio.NewLoopAt(func() int64 { return w.now })
-	w.gate = &rules.Gate{Now: func() int64 { return w.now }}
+	w.gate = &rules.Enforcer{Now: func() int64 { return w.now }}
 	modules := 0
 	w.core = New(w.loop, w, Options{Sessions: 10, Settings: brain.Config{MaxAttempts: 5, ConnectTimeout: 250e6, Classes: []brain.Class{{Name: "c", Deadline: 4800e6}}, Tenants: []brain.Tenant{{Name: "t1"}}}})
 	w.on = func(e string) {
--- a/internal/proxy/rules.go
+++ b/internal/proxy/rules.go
@@ -10,7 +10,7 @@
 )
 
 // SetRules gives the core the rules on which the fleet agrees. It is called before clients come.
-func (c *Core) SetRules(g *rules.Gate) {
+func (c *Core) SetRules(g *rules.Enforcer) {
 	c.gate = g
 	c.Repool()
 }
--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -3,7 +3,7 @@
 import "slices"
 
 // Step asks each shard for what its accounts want here, some times in a lapse. One that wants nothing says so: nothing is then kept back for it.
-func (p *Purse) Step() {
+func (p *Share) Step() {
 	for shard := range Shards {
 		p.ask(shard, false)
 	}
@@ -11,7 +11,7 @@
 }
 
 // ask asks a shard's owner; one that is asked at once is so only if no such question is on its way.
-func (p *Purse) ask(shard int, atOnce bool) {
+func (p *Share) ask(shard int, atOnce bool) {
 	p.mu.Lock()
 	now := p.Now()
 	if p.out == nil {
@@ -62,12 +62,12 @@
 }
 
 // Answered takes what was given. It lapses counted from when it was asked for.
-func (p *Purse) Answered(tag uint64, body []byte) {
+func (p *Share) Answered(tag uint64, body []byte) {
 	p.answered(tag, body)
 	p.Try()
 }
 
-func (p *Purse) answered(tag uint64, body []byte) {
+func (p *Share) answered(tag uint64, body []byte) {
 	lines, err := read(body)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -18,8 +18,8 @@
 type fleet struct {
 	now     Time
 	limits  map[string]Limit
-	p       []*Purse
-	bank    [Shards]*Bank
+	p       []*Share
+	bank    [Shards]*Issuer
 	cut     map[int]bool // neither reaches the owner nor hears it
 	late    []func()
 	rng     *rand.Rand
@@ -58,7 +58,7 @@
 	f := &fleet{now: 100 * sec, limits: limits, cut: map[int]bool{}, rng: rand.New(rand.NewPCG(seed, 1)), taken: map[string][]Time{}, open: map[string]int{}}
 	of := func(a string) Limit { return f.limits[a] }
 	for i := range n {
-		f.p = append(f.p, &Purse{Now: func() Time { return f.now }, Lapse: lapse, Base: n, Limits: of, Accounts: func() []string { return slices.Sorted(maps.Keys(f.limits)) }, Ask: func(shard int, tag uint64, body []byte) {
+		f.p = append(f.p, &Share{Now: func() Time { return f.now }, Lapse: lapse, Base: n, Limits: of, Accounts: func() []string { return slices.Sorted(maps.Keys(f.limits)) }, Ask: func(shard int, tag uint64, body []byte) {
 			if f.cut[i] || f.gone || f.rng.Float64() < f.loss {
 				return
 			}
@@ -76,7 +76,7 @@
 // owner begins another one, who knows nothing.
 func (f *fleet) owner() {
 	for s := range f.bank {
-		f.bank[s] = &Bank{Lapse: lapse, Base: len(f.p), Limits: func(a string) Limit { return f.limits[a] }}
+		f.bank[s] = &Issuer{Lapse: lapse, Base: len(f.p), Limits: func(a string) Limit { return f.limits[a] }}
 		f.bank[s].Start(f.now, side{f, s}, 1, 1, nil)
 	}
 }
--- a/internal/quota/bank.go
+++ b/internal/quota/issuer.go
@@ -5,8 +5,8 @@
 	"croftlock/internal/ownership"
 )
 
-// Bank is the owner's part of one shard. What it has handed out is forgotten with it: its successor waits until all of that has lapsed.
-type Bank struct {
+// Issuer is the owner's part of one shard. What it has handed out is forgotten with it: its successor waits until all of that has lapsed.
+type Issuer struct {
 	Lapse  Time // how long what is handed out holds
 	Base   int  // proxies of the fleet: a proxy that is not heard of keeps to one part of so many
 	Limits Limits
@@ -20,7 +20,7 @@
 
 // purseOf is what is out of one account.
 type purseOf struct {
-	pot    jobs.Pot
+	pot    jobs.Bucket
 	places map[uint32][]promise // how many may be open at each proxy
 }
 
@@ -48,20 +48,20 @@
 }
 
 // Start begins with nothing to hand out.
-func (b *Bank) Start(now Time, o jobs.Owner, _, number uint64, _ []byte) error {
+func (b *Issuer) Start(now Time, o jobs.Owner, _, number uint64, _ []byte) error {
 	b.owner, b.number, b.began = o, number, now+2*b.Lapse
 	b.asked, b.accounts = map[uint32]Time{}, map[string]*purseOf{}
 	return nil
 }
 
 // Stop ends the owner's part.
-func (b *Bank) Stop() (uint64, []byte) {
+func (b *Issuer) Stop() (uint64, []byte) {
 	b.owner = nil
 	b.number++
 	return b.number, nil
 }
 
-func (b *Bank) of(now Time, account string) *purseOf {
+func (b *Issuer) of(now Time, account string) *purseOf {
 	p := b.accounts[account]
 	if p == nil {
 		if len(b.accounts) >= 4*mostAsked {
@@ -71,14 +71,14 @@
 				}
 			}
 		}
-		p = &purseOf{pot: jobs.Pot{At: max(now, b.began)}, places: map[uint32][]promise{}}
+		p = &purseOf{pot: jobs.Bucket{At: max(now, b.began)}, places: map[uint32][]promise{}}
 		b.accounts[account] = p
 	}
 	return p
 }
 
 // free is how many more may be open: of those that are not heard of each holds what it was given last, or its share, whichever is more.
-func (b *Bank) free(now Time, p *purseOf, most int) int {
+func (b *Issuer) free(now Time, p *purseOf, most int) int {
 	share := most / max(1, b.Base)
 	left := most - max(0, b.Base-len(b.asked))*share
 	for peer, at := range b.asked {
@@ -92,7 +92,7 @@
 }
 
 // Asked hands out what a proxy wants, as far as there is room. Each account stands by itself: a proxy needs a permit and a place of every one above, too.
-func (b *Bank) Asked(now Time, from uint32, tag uint64, body []byte) {
+func (b *Issuer) Asked(now Time, from uint32, tag uint64, body []byte) {
 	lines, err := read(body)
 	if b.owner == nil || err != nil {
 		return
@@ -124,7 +124,7 @@
 }
 
 // Step forgets proxies that are gone from the fleet for good: what they held is closed.
-func (b *Bank) Step(now Time) {
+func (b *Issuer) Step(now Time) {
 	if b.owner == nil {
 		return
 	}
@@ -143,12 +143,12 @@
 }
 
 // Acked, Noted and Effect are the Job's: allowances are answers.
-func (b *Bank) Acked(Time, uint32, ownership.Mark, ownership.Verdict) {}
+func (b *Issuer) Acked(Time, uint32, ownership.Mark, ownership.Verdict) {}
 
 // Noted is the Job's.
-func (b *Bank) Noted(Time, uint64, bool) {}
+func (b *Issuer) Noted(Time, uint64, bool) {}
 
 // Effect is the Job's.
-func (b *Bank) Effect(Time, ownership.Mark, []byte) {}
+func (b *Issuer) Effect(Time, ownership.Mark, []byte) {}
 
-var _ jobs.Job = (*Bank)(nil)
+var _ jobs.Job = (*Issuer)(nil)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -114,7 +114,7 @@
 func TestAnAnswerLapsesByItself(t *testing.T) {
 	now := Time(0)
 	var tags []uint64
-	p := &Purse{Now: func() Time { return now }, Lapse: lapse, Base: 5, Accounts: func() []string { return []string{"a"} },
+	p := &Share{Now: func() Time { return now }, Lapse: lapse, Base: 5, Accounts: func() []string { return []string{"a"} },
 		Limits: func(string) Limit { return Limit{Rate: 40, Standing: 50} }, Ask: func(_ int, tag uint64, _ []byte) { tags = append(tags, tag) }}
 	asks := func() (tag uint64) {
 		tags = nil
--- a/internal/quota/purse.go
+++ b/internal/quota/share.go
@@ -17,8 +17,8 @@
 	mostWaiting = 1024
 )
 
-// Purse is a proxy's own part: what it may use now. It may be used by the loop and by the goroutine that asks.
-type Purse struct {
+// Share is a proxy's own part: what it may use now. It may be used by the loop and by the goroutine that asks.
+type Share struct {
 	Now    func() Time
 	Lapse  Time
 	Base   int
@@ -68,7 +68,7 @@
 	return n
 }
 
-func (p *Purse) of(account string) *use {
+func (p *Share) of(account string) *use {
 	if p.used == nil {
 		p.used, p.out = map[string]*use{}, map[uint64]Time{}
 	}
@@ -81,9 +81,9 @@
 }
 
 // aloneFrom is when this proxy goes by its own share of an account: some time after the owner has begun to keep that back, however late its words are.
-func (p *Purse) aloneFrom(account string) Time { return p.heard[Shard(account)] + 2*p.Lapse }
+func (p *Share) aloneFrom(account string) Time { return p.heard[Shard(account)] + 2*p.Lapse }
 
-func (p *Purse) alone(now Time, account string) bool { return now >= p.aloneFrom(account) }
+func (p *Share) alone(now Time, account string) bool { return now >= p.aloneFrom(account) }
 
 // waiter is a request that waits for an owner's word.
 type waiter struct {
@@ -95,7 +95,7 @@
 
 // Take asks for one more connection of an account, and then hears of what there is no room, "" if there is, and when to come again, spread by spread (0 to
 // 1). Where only a permit that the owner may have is missing it is asked at once, and then hears once that has come, patience later at the most.
-func (p *Purse) Take(account string, spread float64, then func(over string, advice time.Duration)) {
+func (p *Share) Take(account string, spread float64, then func(over string, advice time.Duration)) {
 	p.mu.Lock()
 	now := p.Now()
 	for _, a := range chain(account) {
@@ -119,7 +119,7 @@
 }
 
 // Try lets those that wait try again, and refuses those that have waited long enough. It is called with each answer and now and then.
-func (p *Purse) Try() {
+func (p *Share) Try() {
 	p.mu.Lock()
 	now := p.Now()
 	type word struct {
@@ -145,7 +145,7 @@
 }
 
 // take takes what one more connection needs, or says of what there is none.
-func (p *Purse) take(now Time, account string, spread float64) (over string, advice time.Duration) {
+func (p *Share) take(now Time, account string, spread float64) (over string, advice time.Duration) {
 	for _, a := range chain(account) {
 		u, limit := p.of(a), p.Limits(a)
 		if limit.Rate > 0 && !p.permit(now, a, u, limit.Rate) {
@@ -170,7 +170,7 @@
 }
 
 // permit tells whether a new connection has one: the owner's while it is heard, else from the own share, of which none is saved.
-func (p *Purse) permit(now Time, account string, u *use, rate float64) bool {
+func (p *Share) permit(now Time, account string, u *use, rate float64) bool {
 	if !p.alone(now, account) {
 		u.own, u.ownAt = 0, now
 		return u.left(now) > 0
@@ -181,7 +181,7 @@
 }
 
 // room is how many may be open here in all.
-func (p *Purse) room(now Time, account string, u *use, most int) int {
+func (p *Share) room(now Time, account string, u *use, most int) int {
 	if !p.alone(now, account) && now < u.until {
 		return u.places
 	}
@@ -189,12 +189,12 @@
 }
 
 // Hold counts a connection that is open already, whatever there is room for, and Release the end of one.
-func (p *Purse) Hold(account string) { p.count(account, 1) }
+func (p *Share) Hold(account string) { p.count(account, 1) }
 
 // Release counts the end of a connection.
-func (p *Purse) Release(account string) { p.count(account, -1) }
+func (p *Share) Release(account string) { p.count(account, -1) }
 
-func (p *Purse) count(account string, n int) {
+func (p *Share) count(account string, n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range chain(account) {
--- a/internal/rules/act.go
+++ b/internal/rules/act.go
@@ -1,4 +1,4 @@
 package rules
 
-// ActBy has a gate act by a version until a time, as a member does that has its right. It is for tests of what judges by a gate.
-func ActBy(g *Gate, v *Version, until Time) { g.p.Store(&acting{compile(v), until}) }
+// ActBy has an enforcer act by a version until a time, as a member does that has its lease. It is for tests of what judges by an enforcer.
+func ActBy(g *Enforcer, v *Version, until Time) { g.p.Store(&acting{compile(v), until}) }
--- a/internal/rules/ask.go
+++ b/internal/rules/ask.go
@@ -9,7 +9,7 @@
 	"croftlock/internal/namespace"
 )
 
-// Kinds of questions to the keeper.
+// Kinds of questions to the coordinator.
 const (
 	askKeep    = 'k'
 	askPut     = 'p'
@@ -20,7 +20,7 @@
 )
 
 // Asked takes a question.
-func (k *Keeper) Asked(now Time, from uint32, tag uint64, body []byte) {
+func (k *Coordinator) Asked(now Time, from uint32, tag uint64, body []byte) {
 	if k.owner == nil || len(body) == 0 {
 		return
 	}
@@ -56,12 +56,12 @@
 }
 
 // stands says how many may act by the active version, and who can't.
-func (k *Keeper) stands(now Time) string {
+func (k *Coordinator) stands(now Time) string {
 	n, all := 0, 0
 	var lapsed []string
 	for _, m := range k.owner.Members() {
 		all++
-		if r, has := k.rights[m.Peer]; has && r.until > now {
+		if r, has := k.leases[m.Peer]; has && r.until > now {
 			n++
 		} else {
 			lapsed = append(lapsed, m.Name)
@@ -75,7 +75,7 @@
 	return s
 }
 
-func (k *Keeper) show(now Time) string {
+func (k *Coordinator) show(now Time) string {
 	s := k.stands(now)
 	if k.staged != nil {
 		s += fmt.Sprintf("; version %d is on its way", k.staged.Number)
@@ -86,7 +86,7 @@
 	return s
 }
 
-func (k *Keeper) name(peer uint32) string {
+func (k *Coordinator) name(peer uint32) string {
 	for _, m := range k.owner.Members() {
 		if m.Peer == peer {
 			return m.Name
@@ -95,7 +95,7 @@
 	return fmt.Sprintf("%08x", peer)
 }
 
-// IsQuestion tells whether administrators may ask that; what members ask of the keeper is their own.
+// IsQuestion tells whether administrators may ask that; what members ask of the coordinator is their own.
 func IsQuestion(body []byte) bool {
 	return len(body) > 0 && (body[0] == askPut || body[0] == askShow || body[0] == askHistory || body[0] == askRead || body[0] == askStatus)
 }
--- a/internal/rules/trail.go
+++ b/internal/rules/audit.go
@@ -15,7 +15,7 @@
 	mostKept    = 31 << 10 // bytes of everything
 )
 
-// kept is what the group keeps of the rules: what one keeper leaves to the next.
+// kept is what the group keeps of the rules: what one coordinator leaves to the next.
 type kept struct {
 	_              struct{} `cbor:",toarray"`
 	Active, Staged []byte
@@ -30,7 +30,7 @@
 	ID     []byte
 	Who    string // "operators", or the account and label of the grant
 	What   string
-	Wall   int64 // Unix milliseconds, at the keeper
+	Wall   int64 // Unix milliseconds, at the coordinator
 	Hash   []byte
 }
 
@@ -62,7 +62,7 @@
 }
 
 // history writes the trail for people; about narrows it to what begins so, "" to all.
-func (k *Keeper) history(about string) string {
+func (k *Coordinator) history(about string) string {
 	var b strings.Builder
 	for _, e := range k.trail {
 		if about != "" && !strings.Contains(e.What+" ", about+" ") && !strings.Contains(e.What, about+"/") {
@@ -83,13 +83,13 @@
 }
 
 // turn notes a change that was refused: in memory alone, so that refusals push no change out of the trail.
-func (k *Keeper) turn(c *Change, who, why string) {
+func (k *Coordinator) turn(c *Change, who, why string) {
 	k.turned = append(k.turned, fmt.Sprintf("refused  %s  %s: %s", who, c.about(), why))
 	k.turned = k.turned[max(0, len(k.turned)-mostTrail):]
 }
 
 // read gives an earlier version, or the active one; nil: it is not kept any more.
-func (k *Keeper) read(number uint64) *Version {
+func (k *Coordinator) read(number uint64) *Version {
 	if number == k.active.Number {
 		return k.active
 	}
@@ -104,7 +104,7 @@
 }
 
 // passed is the past once next is active. Each version is kept as what is different from the one after it.
-func (k *Keeper) passed(next *Version) [][]byte {
+func (k *Coordinator) passed(next *Version) [][]byte {
 	past := k.past[:len(k.past):len(k.past)]
 	if !k.active.between() {
 		past = append(past, k.active.travel(next))
@@ -133,7 +133,7 @@
 }
 
 // left is what the group is to keep: as much of the past as there is room for.
-func (k *Keeper) left(active, staged *Version, trail []Entry, past [][]byte) []byte {
+func (k *Coordinator) left(active, staged *Version, trail []Entry, past [][]byte) []byte {
 	s := kept{Active: k.travels(active, nil), Trail: trail}
 	if staged != nil {
 		s.Staged = k.travels(staged, nil)
--- a/internal/rules/keeper.go
+++ b/internal/rules/coordinator.go
@@ -7,22 +7,22 @@
 	"croftlock/internal/ownership"
 )
 
-// right is what a member was given last.
-type right struct {
+// lease is what a member was given last.
+type lease struct {
 	number uint64
 	until  Time
 }
 
-// Keeper is the owner's part: it orders the versions and gives the right to act by the active one. A newer version becomes active once
-// everyone who may hold a right has it ready, or that right has lapsed.
-type Keeper struct {
+// Coordinator is the owner's part: it orders the versions and gives the lease to act by the active one. A newer version becomes active once
+// everyone who may hold a lease has it ready, or that lease has lapsed.
+type Coordinator struct {
 	Within Time
 	Told   func(now Time) // the receiver's part
 	Wall   func() int64   // Unix milliseconds; nil: 0
 
 	owner          jobs.Owner
 	number         uint64
-	blind          Time // until then an earlier keeper's rights may be held
+	blind          Time // until then an earlier coordinator's leases may be held
 	active, staged *Version
 	is, hash       Hash // of the one active, and of the one staged
 	since          Time // when staged came
@@ -30,7 +30,7 @@
 	past           [][]byte
 	noting         func(ok bool)
 	notedAt        Time // when the group was asked to keep it
-	rights         map[uint32]right
+	leases         map[uint32]lease
 	ready          map[uint32]Hash
 	faults         map[uint32]string
 	waiting        []*pending // changes that no version holds yet
@@ -40,12 +40,12 @@
 	turned         []string
 }
 
-// Start goes on from what the keeper before has left.
-func (k *Keeper) Start(now Time, o jobs.Owner, _, number uint64, left []byte) error {
+// Start goes on from what the coordinator before has left.
+func (k *Coordinator) Start(now Time, o jobs.Owner, _, number uint64, left []byte) error {
 	k.owner, k.number, k.blind, k.since = o, number, Lapsed(now, k.Within), now
 	k.active, k.staged, k.noting, k.waiting, k.made, k.trail, k.next, k.past, k.turned = &Version{}, nil, nil, nil, nil, nil, nil, nil, nil
 	k.is = k.active.Hash()
-	k.rights, k.ready, k.faults, k.spent = map[uint32]right{}, map[uint32]Hash{}, map[uint32]string{}, map[string]*tokens{}
+	k.leases, k.ready, k.faults, k.spent = map[uint32]lease{}, map[uint32]Hash{}, map[uint32]string{}, map[string]*tokens{}
 	if len(left) == 0 {
 		return nil
 	}
@@ -74,8 +74,8 @@
 	return nil
 }
 
-// Stop ends the keeper's part. Whoever waits for an answer gets none: it is not known.
-func (k *Keeper) Stop() (uint64, []byte) {
+// Stop ends the coordinator's part. Whoever waits for an answer gets none: it is not known.
+func (k *Coordinator) Stop() (uint64, []byte) {
 	left := k.left(k.active, k.staged, k.next, k.past)
 	k.owner = nil
 	k.number++
@@ -83,7 +83,7 @@
 }
 
 // note has a state kept by the group before anybody acts by it.
-func (k *Keeper) note(now Time, left []byte, then func(ok bool)) {
+func (k *Coordinator) note(now Time, left []byte, then func(ok bool)) {
 	k.number++
 	k.noting, k.notedAt = then, now
 	if err := k.owner.Note(k.number, left); err != nil {
@@ -93,7 +93,7 @@
 }
 
 // Noted tells whether the group keeps it.
-func (k *Keeper) Noted(now Time, number uint64, ok bool) {
+func (k *Coordinator) Noted(now Time, number uint64, ok bool) {
 	if then := k.noting; then != nil && number == k.number {
 		k.noting = nil
 		then(ok)
@@ -101,8 +101,8 @@
 	k.Step(now)
 }
 
-// keep takes a member's question for its right.
-func (k *Keeper) keep(now Time, from uint32, tag uint64, body []byte) {
+// keep takes a member's question for its lease.
+func (k *Coordinator) keep(now Time, from uint32, tag uint64, body []byte) {
 	var q keepAsk
 	if decoding().Unmarshal(body, &q) != nil {
 		return
@@ -127,13 +127,13 @@
 		}
 		a.Staged = k.travels(k.staged, base)
 	}
-	k.rights[from] = right{k.active.Number, Lapsed(now, k.Within)}
+	k.leases[from] = lease{k.active.Number, Lapsed(now, k.Within)}
 	k.owner.Answer(from, tag, marshal(a))
 	k.Step(now)
 }
 
 // travels is travel, made once for all that ask and for what the group keeps.
-func (k *Keeper) travels(v, base *Version) []byte {
+func (k *Coordinator) travels(v, base *Version) []byte {
 	key := [2]*Version{v, base}
 	if k.travelling[key] == nil {
 		if len(k.travelling) >= 4 { // the active one and the staged one, whole and different
@@ -148,7 +148,7 @@
 }
 
 // call has everybody ask at once.
-func (k *Keeper) call() {
+func (k *Coordinator) call() {
 	for _, m := range k.owner.Members() {
 		if m.Here {
 			k.owner.Do(m.Peer, k.number, []byte{1})
@@ -157,7 +157,7 @@
 }
 
 // Step makes the next version active once nobody can act by another one that does not have it, or gives it up.
-func (k *Keeper) Step(now Time) {
+func (k *Coordinator) Step(now Time) {
 	if then := k.noting; k.owner != nil && then != nil && now-k.notedAt > k.Within {
 		k.noting = nil // the word that it is kept may have been lost
 		then(false)
@@ -170,9 +170,9 @@
 		return
 	}
 	late := false
-	for peer, r := range k.rights {
+	for peer, r := range k.leases {
 		if r.until <= now {
-			delete(k.rights, peer)
+			delete(k.leases, peer)
 			continue
 		}
 		if f := k.faults[peer]; f != "" {
@@ -191,7 +191,7 @@
 }
 
 // Acked is the Job's: who has heard that there is something new asks by itself.
-func (k *Keeper) Acked(Time, uint32, ownership.Mark, ownership.Verdict) {}
+func (k *Coordinator) Acked(Time, uint32, ownership.Mark, ownership.Verdict) {}
 
 func marshal(x any) []byte {
 	data, err := encoding().Marshal(x)
--- a/internal/rules/grant.go
+++ b/internal/rules/grant.go
@@ -24,7 +24,7 @@
 
 // allowed says who asks for a change, and whether a grant of v allows it. It is asked when the change comes and again when a version is made of it:
 // a grant that was revoked in between allows nothing. The operators ask at their own socket, unsigned.
-func (k *Keeper) allowed(c *Change, v *Version) (who string, err error) {
+func (k *Coordinator) allowed(c *Change, v *Version) (who string, err error) {
 	if len(c.Key) == 0 {
 		return "operators", nil
 	}
--- a/internal/rules/group_test.go
+++ b/internal/rules/group_test.go
@@ -14,11 +14,11 @@
 	within = 1000 * ms
 )
 
-// group is a keeper and members whose messages a test may hold up; each has a clock of its own speed.
+// group is a coordinator and members whose messages a test may hold up; each has a clock of its own speed.
 type group struct {
 	t       *testing.T
 	now     Time
-	k       *Keeper
+	k       *Coordinator
 	m       map[uint32]*Member
 	rate    map[uint32]float64
 	cut     map[uint32]bool
@@ -83,7 +83,7 @@
 	g.keeper()
 	for i := uint32(1); i <= n; i++ {
 		g.rate[i] = 1
-		gate := &Gate{Now: func() Time { return g.clock(i) }, Wait: time.Second}
+		gate := &Enforcer{Now: func() Time { return g.clock(i) }, Wait: time.Second}
 		g.m[i] = &Member{Within: within, Gate: gate, Ask: func(tag uint64, body []byte) {
 			if !g.cut[i] {
 				g.k.Asked(g.now, i, tag, body)
@@ -94,9 +94,9 @@
 	return g
 }
 
-// keeper begins a new keeper with what the last one has left with the group.
+// keeper begins a new coordinator with what the last one has left with the group.
 func (g *group) keeper() {
-	g.k, g.notes = &Keeper{Within: within}, nil
+	g.k, g.notes = &Coordinator{Within: within}, nil
 	if err := g.k.Start(g.now, g, 1, 1, g.left); err != nil {
 		g.t.Fatal(err)
 	}
--- a/internal/rules/hands_test.go
+++ b/internal/rules/hands_test.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// A change whose keeper ends with it on its way is asked for once more at the next one: it hears that it is active, and not that it was made against
+// A change whose coordinator ends with it on its way is asked for once more at the next one: it hears that it is active, and not that it was made against
 // something older. Asking again costs nothing of what may be asked for.
 func TestTheSameOnceMoreAtAnotherKeeper(t *testing.T) {
 	g := begin(t, 3)
--- a/internal/rules/right.go
+++ b/internal/rules/lease.go
@@ -9,11 +9,11 @@
 	"croftlock/internal/quota"
 )
 
-// A right is counted from before it was asked for, on the asker's monotonic clock, less a part for clocks that run apart: one in a hundred
+// A lease is counted from before it was asked for, on the asker's monotonic clock, less a part for clocks that run apart: one in a hundred
 // each. Who gives it counts from when it was asked, and as much more.
 const drift = 50
 
-// Until is when a right that was asked for then ends at the one that acts by it.
+// Until is when a lease that was asked for then ends at the one that acts by it.
 func Until(asked, within Time) Time { return asked + within - within/drift }
 
 // Lapsed is when whoever gave it then may take it for ended.
@@ -69,11 +69,11 @@
 	until Time
 }
 
-// Gate is what a request is judged by: one value and one deadline, read without a lock.
-type Gate struct {
+// Enforcer is what a request is judged by: one value and one deadline, read without a lock.
+type Enforcer struct {
 	Now  func() Time
-	Keep bool          // a process whose right has lapsed goes by its last version, outside the promise; else it refuses
-	Wait time.Duration // advice to those whom a lapsed right refuses
+	Keep bool          // a process whose lease has lapsed goes by its last version, outside the promise; else it refuses
+	Wait time.Duration // advice to those whom a lapsed lease refuses
 	// Clock is the time of day for routes that hold for a part of it; nil: time.Now.
 	Clock func() time.Time
 
@@ -85,14 +85,14 @@
 	Refused bool
 	Advice  time.Duration
 	Version uint64 // by which it was given; 0: by none
-	Lapsed  bool   // the right to act by it had ended
+	Lapsed  bool   // the lease had ended
 
 	Account, Route string   // whose it is, and the route that decided, with its scope; "": none
 	Pools          []string // in the order in which they are to be tried; nil: there are no pools
 }
 
 // Judge says whether a request may be placed, and where.
-func (g *Gate) Judge(q namespace.Ask) (v Verdict) {
+func (g *Enforcer) Judge(q namespace.Ask) (v Verdict) {
 	a, v := g.look()
 	if a == nil || v.Refused {
 		return v
@@ -110,7 +110,7 @@
 }
 
 // minute is the minute of the day, UTC.
-func (g *Gate) minute() int {
+func (g *Enforcer) minute() int {
 	now := time.Now
 	if g.Clock != nil {
 		now = g.Clock
@@ -120,7 +120,7 @@
 }
 
 // Limits are an account's by the version that this process acts by, or acted by last, and Limited names all accounts that have some.
-func (g *Gate) Limits(account string) quota.Limit {
+func (g *Enforcer) Limits(account string) quota.Limit {
 	if a := g.p.Load(); a != nil {
 		return a.limits[account]
 	}
@@ -128,7 +128,7 @@
 }
 
 // Limited names the accounts that have limits, sorted.
-func (g *Gate) Limited() []string {
+func (g *Enforcer) Limited() []string {
 	if a := g.p.Load(); a != nil {
 		return a.names
 	}
@@ -136,7 +136,7 @@
 }
 
 // Bounded tells whether an account, or one above it, has limits.
-func (g *Gate) Bounded(account string) bool {
+func (g *Enforcer) Bounded(account string) bool {
 	a := g.p.Load()
 	if a == nil || len(a.limits) == 0 {
 		return false
@@ -150,7 +150,7 @@
 }
 
 // Account is a tenant's by the version that this process acts by, or acted by last; "": the operators'.
-func (g *Gate) Account(tenant string) string {
+func (g *Enforcer) Account(tenant string) string {
 	if a := g.p.Load(); a != nil && a.book != nil {
 		return a.book.Account(tenant)
 	}
@@ -158,7 +158,7 @@
 }
 
 // Pool is the pool that a host is in, and whether this process may know: a host that changes hands is in none, "", and without pools all are in one.
-func (g *Gate) Pool(host, kind, zone string) string {
+func (g *Enforcer) Pool(host, kind, zone string) string {
 	if a := g.p.Load(); a != nil && a.book != nil {
 		return a.book.Pool(host, kind, zone)
 	}
@@ -166,7 +166,7 @@
 }
 
 // Explain says what becomes of a request by the version that this process acts by, and why.
-func (g *Gate) Explain(q namespace.Ask) string {
+func (g *Enforcer) Explain(q namespace.Ask) string {
 	a, v := g.look()
 	switch {
 	case a == nil:
@@ -189,7 +189,7 @@
 }
 
 // Usable says whether a host may get something new.
-func (g *Gate) Usable(host string) bool {
+func (g *Enforcer) Usable(host string) bool {
 	a, v := g.look()
 	if a == nil || v.Refused {
 		return !v.Refused
@@ -198,7 +198,7 @@
 	return !out
 }
 
-func (g *Gate) look() (*acting, Verdict) {
+func (g *Enforcer) look() (*acting, Verdict) {
 	a := g.p.Load()
 	if a != nil && g.Now() < a.until {
 		return a, Verdict{Version: a.v.Number}
@@ -214,7 +214,7 @@
 }
 
 // Acting tells by which version this process acts, and for how much longer it may.
-func (g *Gate) Acting() (number uint64, left Time) {
+func (g *Enforcer) Acting() (number uint64, left Time) {
 	if a := g.p.Load(); a != nil {
 		return a.v.Number, max(0, a.until-g.Now())
 	}
--- a/internal/rules/member.go
+++ b/internal/rules/member.go
@@ -9,7 +9,7 @@
 	"croftlock/internal/ownership"
 )
 
-// keep is what a member says of itself with each question for a right, and what it gets.
+// keep is what a member says of itself with each question for a lease, and what it gets.
 type (
 	keepAsk struct {
 		_             struct{} `cbor:",toarray"`
@@ -27,12 +27,12 @@
 	}
 )
 
-// Member is a process's own part: it asks for its right again and again, and holds the next version ready. It belongs to one goroutine.
+// Member is a process's own part: it asks for its lease again and again, and holds the next version ready. It belongs to one goroutine.
 type Member struct {
 	Within Time // agree_within
 	Most   int  // entries that this process takes
-	Gate   *Gate
-	// Ask asks the keeper; its answer comes to Answered under the tag.
+	Gate   *Enforcer
+	// Ask asks the coordinator; its answer comes to Answered under the tag.
 	Ask func(tag uint64, body []byte)
 	// Swapped is told when the version that this process acts by changes.
 	Swapped func(number uint64, hash Hash)
@@ -48,7 +48,7 @@
 	faulty Hash // the version that can't be used here
 }
 
-// Step asks anew once a sixth of a right's time has passed.
+// Step asks anew once a sixth of a lease's time has passed.
 func (m *Member) Step(now Time) {
 	if now >= m.at+m.Within/6 || m.at == 0 {
 		m.ask(now)
@@ -78,7 +78,7 @@
 	m.Ask(m.tag, append([]byte{askKeep}, marshal(q)...))
 }
 
-// Answered takes a right, and the versions that came with it. It counts from before it was asked for.
+// Answered takes a lease, and the versions that came with it. It counts from before it was asked for.
 func (m *Member) Answered(now Time, tag uint64, body []byte) {
 	asked, was := m.out[tag]
 	var a keepAnswer
@@ -118,7 +118,7 @@
 	}
 }
 
-// take makes a version ready; one that can't be used here is told to the keeper, and is active nowhere.
+// take makes a version ready; one that can't be used here is told to the coordinator, and is active nowhere.
 func (m *Member) take(data []byte) bool {
 	if len(data) == 0 {
 		return false
@@ -151,7 +151,7 @@
 	return false
 }
 
-// named is the hash by which the keeper knows a version that can't be used here, also where it came as a difference.
+// named is the hash by which the coordinator knows a version that can't be used here, also where it came as a difference.
 func (m *Member) named(data []byte) Hash {
 	if data[0] == formDifferent {
 		var d different
@@ -165,14 +165,14 @@
 	return sha256.Sum256(data)
 }
 
-// Told takes the keeper's word that there is something new, and asks for it at once.
+// Told takes the coordinator's word that there is something new, and asks for it at once.
 func (m *Member) Told(now Time) { m.ask(now) }
 
 // Effect is the receiver's part of the job.
-func (k *Keeper) Effect(now Time, _ ownership.Mark, _ []byte) {
+func (k *Coordinator) Effect(now Time, _ ownership.Mark, _ []byte) {
 	if k.Told != nil {
 		k.Told(now)
 	}
 }
 
-var _ jobs.Job = (*Keeper)(nil)
+var _ jobs.Job = (*Coordinator)(nil)
--- a/internal/rules/queue.go
+++ b/internal/rules/queue.go
@@ -18,8 +18,8 @@
 
 const mostWaiting = 64
 
-// put takes a change. What is wrong with it by itself is answered at once, and takes nobody's time but the keeper's.
-func (k *Keeper) put(now Time, answer func(string), body []byte) {
+// put takes a change. What is wrong with it by itself is answered at once, and takes nobody's time but the coordinator's.
+func (k *Coordinator) put(now Time, answer func(string), body []byte) {
 	c := &Change{}
 	body, err := loosen(body)
 	if err != nil || len(body) > mostBytes+mostBytes/4 || decoding().Unmarshal(body, c) != nil || len(c.ID) > 16 || len(c.Part) > 2*mostName {
@@ -42,7 +42,7 @@
 		return
 	}
 	if k.staged != nil && named(k.next, c.ID) != nil {
-		k.made = append(k.made, &pending{Change: c, answer: answer}) // a keeper before this one has begun it
+		k.made = append(k.made, &pending{Change: c, answer: answer}) // a coordinator before this one has begun it
 		return
 	}
 	if !k.afford(now, c) {
@@ -83,7 +83,7 @@
 }
 
 // wasMade answers for a change that was made.
-func (k *Keeper) wasMade(now Time, e *Entry) string {
+func (k *Coordinator) wasMade(now Time, e *Entry) string {
 	s := k.stands(now)
 	if e.Number < k.active.Number {
 		s += fmt.Sprintf("; this change was made as version %d", e.Number)
@@ -108,9 +108,9 @@
 
 // stage makes one version of all changes that wait, so that one customer's change waits for nobody else's. Each is checked again: what was
 // revoked since, or changed by another, is refused.
-func (k *Keeper) stage(now Time) {
+func (k *Coordinator) stage(now Time) {
 	if k.active.between() {
-		k.settle(now, nil) // a keeper before this one has begun it
+		k.settle(now, nil) // a coordinator before this one has begun it
 		return
 	}
 	if len(k.waiting) == 0 {
@@ -157,7 +157,7 @@
 }
 
 // prepare has the group keep a version as the next one.
-func (k *Keeper) prepare(now Time, v *Version, trail []Entry, made []*pending) {
+func (k *Coordinator) prepare(now Time, v *Version, trail []Entry, made []*pending) {
 	k.made = made // they are on their way from here on
 	k.note(now, k.left(k.active, v, trail, k.past), func(ok bool) {
 		if !ok {
@@ -174,7 +174,7 @@
 }
 
 // activate makes the staged version the active one.
-func (k *Keeper) activate(now Time) {
+func (k *Coordinator) activate(now Time) {
 	v, past := k.staged, k.passed(k.staged)
 	k.note(now, k.left(v, nil, k.next, past), func(ok bool) {
 		if !ok {
@@ -195,7 +195,7 @@
 }
 
 // settle gives what changes hands to whom it belongs now, once nobody can act by what was before.
-func (k *Keeper) settle(now Time, made []*pending) {
+func (k *Coordinator) settle(now Time, made []*pending) {
 	v := k.active.next()
 	if err := v.tidy(); err == nil {
 		k.prepare(now, v, k.trail, made)
@@ -203,7 +203,7 @@
 }
 
 // drop gives the staged version up. Of several changes each is tried once more by itself, so that one that can't be used holds up no other.
-func (k *Keeper) drop(now Time, why string) {
+func (k *Coordinator) drop(now Time, why string) {
 	made := k.made
 	k.note(now, k.left(k.active, nil, k.trail, k.past), func(ok bool) {
 		if !ok {
@@ -222,7 +222,7 @@
 	})
 }
 
-func (k *Keeper) wall() int64 {
+func (k *Coordinator) wall() int64 {
 	if k.Wall == nil {
 		return 0
 	}
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// Cut off in each direction: nothing newer is active before its right has ended, and it acts by nothing after.
+// Cut off in each direction: nothing newer is active before its lease has ended, and it acts by nothing after.
 func TestOneThatIsCutOffActsByNothing(t *testing.T) {
 	for name, fault := range map[string]func(g *group, on bool){
 		"both ways": func(g *group, on bool) { g.cut[3] = on }, "hears nothing": func(g *group, on bool) { g.deaf[3] = on }} {
@@ -103,13 +103,13 @@
 	}
 }
 
-// A new keeper knows of no rights: it makes nothing active before those that its predecessor may have given have ended, and
+// A new coordinator knows of no leases: it makes nothing active before those that its predecessor may have given have ended, and
 // what the group keeps is not lost.
 func TestAKeeperThatIsLostBetweenReadyAndActive(t *testing.T) {
 	g := newGroup(t, 3)
 	g.cut[3] = true
 	g.put(refuseAll, 0)
-	g.run(200 * ms) // kept, and on its way: the one cut off may hold a right
+	g.run(200 * ms) // kept, and on its way: the one cut off may hold a lease
 	g.keeper()
 	began := g.now
 	for g.now < began+3*within && g.overlap() == 0 && !strings.Contains(g.k.show(g.now), "version 1 at") {
@@ -127,7 +127,7 @@
 	}
 }
 
-// An answer that was held up says nothing of now: a right counts from before it was asked for.
+// An answer that was held up says nothing of now: a lease counts from before it was asked for.
 func TestALateAnswerGivesNoRight(t *testing.T) {
 	g := newGroup(t, 2)
 	g.hold = true
@@ -142,7 +142,7 @@
 	}
 }
 
-// What the tests here look for is found where it is put in: a right that is counted for too long.
+// What the tests here look for is found where it is put in: a lease that is counted for too long.
 func TestARightThatIsTooLongIsFound(t *testing.T) {
 	g := newGroup(t, 3)
 	g.m[3].Within = 10 * within
@@ -173,7 +173,7 @@
 	}
 }
 
-// Without the group nothing changes, and nobody loses a right for it.
+// Without the group nothing changes, and nobody loses a lease for it.
 func TestNothingIsActiveThatTheGroupDoesNotKeep(t *testing.T) {
 	g := newGroup(t, 2)
 	g.noNotes = true
@@ -212,7 +212,7 @@
 		if v, err := Decode(data); err == nil && !bytes.Equal(v.Encode(), data) {
 			t.Fatalf("%x is read as %x", data, v.Encode())
 		}
-		g := &Keeper{Within: within}
+		g := &Coordinator{Within: within}
 		if g.Start(1, &group{t: t}, 1, 1, data) == nil && len(data) > 0 {
 			g.Asked(2, 0, 1, append([]byte{askPut}, data...))
 		}
--- a/internal/rules/status.go
+++ b/internal/rules/status.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// status says what operators ask for while something does not become active: who holds which right and for how long, who has the next version ready or
-// why not, and what the keeper waits for.
-func (k *Keeper) status(now Time) string {
+// status says what operators ask for while something does not become active: who holds which lease and for how long, who has the next version ready or
+// why not, and what the coordinator waits for.
+func (k *Coordinator) status(now Time) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "version %d is active, %d entries; %d earlier ones are kept\n", k.active.Number, k.active.Entries(), len(k.past))
 	if now < k.blind {
@@ -31,7 +31,7 @@
 	fmt.Fprintln(t, "process\tacts by\tfor\tnext version")
 	for _, m := range k.owner.Members() {
 		by, left := "none", "-"
-		if r, has := k.rights[m.Peer]; has && r.until > now {
+		if r, has := k.leases[m.Peer]; has && r.until > now {
 			by, left = fmt.Sprint(r.number), span(r.until-now).String()
 		} else if !m.Here {
 			by = "none: not there"
@@ -43,7 +43,7 @@
 }
 
 // ahead says what one process has said of the version that is on its way.
-func (k *Keeper) ahead(peer uint32) string {
+func (k *Coordinator) ahead(peer uint32) string {
 	switch {
 	case k.staged == nil:
 		return "-"
--- a/internal/rules/tokens.go
+++ b/internal/rules/tokens.go
@@ -3,7 +3,7 @@
 import "croftlock/internal/namespace"
 
 // usualChanges is how many changes a minute an account may ask for where nothing else is said. Those that are refused count: whoever
-// sends bad ones without end must not take the keeper's time from others.
+// sends bad ones without end must not take the coordinator's time from others.
 const usualChanges = 600
 
 // tokens is how many changes an account may still ask for.
@@ -13,7 +13,7 @@
 }
 
 // afford takes one from what a key, or the operators, may ask for in an account: nobody spends another's.
-func (k *Keeper) afford(now Time, c *Change) bool {
+func (k *Coordinator) afford(now Time, c *Change) bool {
 	most := float64(usualChanges)
 	if b := k.active.Book; b != nil {
 		for _, a := range b.Accounts {
--- a/internal/rules/travel_test.go
+++ b/internal/rules/travel_test.go
@@ -81,7 +81,7 @@
 }
 
 // A large version and changes of it among members, one of which is late and one of which has lost what it had: all act by the same, earlier
-// versions are read back through their differences, and a new keeper goes on from what was left.
+// versions are read back through their differences, and a new coordinator goes on from what was left.
 func TestLargeVersionsAmongMembers(t *testing.T) {
 	g := newGroup(t, 4)
 	v := large(75)
--- a/internal/watermark/codec.go
+++ b/internal/watermark/codec.go
@@ -25,7 +25,7 @@
 	kind   uint64
 	source uint32
 	rev    int64 // of an ask, the asker's own
-	floors []Floor
+	floors []Watermark
 }
 
 func start(kind uint64, source uint32) *encoding.Writer {
@@ -39,7 +39,7 @@
 }
 
 // tells writes floors into as few datagrams of at most room bytes as they need.
-func tells(source uint32, all []Floor, room int) (out [][]byte) {
+func tells(source uint32, all []Watermark, room int) (out [][]byte) {
 	head := start(kindTell, source).Data
 	data := head
 	for _, f := range all {
@@ -75,7 +75,7 @@
 		for good && len(r.Data) > 0 {
 			state, host, boot, rev, left := State(r.Uint()), r.Text(mostHost), r.Uint(), r.Uint(), r.Uint()
 			good = (state == Draining || state == Gone) && host != "" && boot <= math.MaxInt64 && rev < math.MaxInt64
-			m.floors = append(m.floors, Floor{host, int64(boot), int64(rev), state, Time(min(left, uint64(Life/unit))) * unit})
+			m.floors = append(m.floors, Watermark{host, int64(boot), int64(rev), state, Time(min(left, uint64(Life/unit))) * unit})
 		}
 	default:
 		good = false
--- a/internal/watermark/link.go
+++ b/internal/watermark/link.go
@@ -10,8 +10,8 @@
 // Whose marks this package's data among what members carry for one another.
 const Whose = 'f'
 
-// Way is how datagrams get to the other members.
-type Way interface {
+// Transport is how datagrams get to the other members.
+type Transport interface {
 	Carry(peer uint32, whose byte, data []byte)
 	Room() int        // bytes of one
 	Others() []uint32 // that may be there
@@ -39,7 +39,7 @@
 
 // Link sends and takes floors. It belongs to the loop.
 type Link struct {
-	Way    Way
+	Way    Transport
 	Clock  Clock
 	Rand   *rand.Rand
 	Source func() uint32 // whose numbering the own list has now
@@ -48,9 +48,9 @@
 	// Changed is told of hosts that are out now, or no longer.
 	Changed func(ids []string)
 
-	book    *Book
+	book    *Registry
 	source  uint32
-	pending []Floor // told after a short wait, unless another does
+	pending []Watermark // told after a short wait, unless another does
 	waits   bool
 	closed  bool
 	anewAt  Time
@@ -60,7 +60,7 @@
 
 // Run begins; it must be called once.
 func (l *Link) Run() {
-	l.book, l.source, l.backoff = NewBook(), l.Source(), l.Within
+	l.book, l.source, l.backoff = NewRegistry(), l.Source(), l.Within
 	l.asked = l.Clock.Now() - Time(l.Rand.Int64N(int64(askEvery)))
 	l.turn()
 }
@@ -94,7 +94,7 @@
 // tell tells all others what nobody has told meanwhile.
 func (l *Link) tell() {
 	l.waits = false
-	var left []Floor
+	var left []Watermark
 	for _, f := range l.pending {
 		if !l.book.wasTold(f) {
 			left = append(left, f)
@@ -107,7 +107,7 @@
 }
 
 // carry sends floors to some, as many as a bounded number of datagrams holds.
-func (l *Link) carry(all []Floor, peers ...uint32) {
+func (l *Link) carry(all []Watermark, peers ...uint32) {
 	out := tells(l.source, all, l.Way.Room())
 	for _, peer := range peers {
 		for _, data := range out[:min(len(out), mostDatagrams)] {
@@ -138,9 +138,9 @@
 }
 
 // pass passes on what is news here, to a few by chance: what was lost on its way to some comes to nearly all so.
-func (l *Link) pass(all []Floor, changed []string) {
+func (l *Link) pass(all []Watermark, changed []string) {
 	others := l.Way.Others()
-	all = slices.DeleteFunc(slices.Clone(all), func(f Floor) bool { return !slices.Contains(changed, f.Host) })
+	all = slices.DeleteFunc(slices.Clone(all), func(f Watermark) bool { return !slices.Contains(changed, f.Host) })
 	if len(all) == 0 || len(others) == 0 {
 		return
 	}
--- a/internal/watermark/watermark.go
+++ b/internal/watermark/watermark.go
@@ -31,8 +31,8 @@
 	goneKept   = 2 * Life // for which a host that has left the own list is still told of
 )
 
-// Floor is a list's word on one host.
-type Floor struct {
+// Watermark is a list's word on one host.
+type Watermark struct {
 	Host  string
 	Boot  int64 // when the host last started, Unix milliseconds: a later start is not meant
 	Rev   int64 // of the list that first said so
@@ -54,41 +54,41 @@
 	at    Time
 }
 
-func (o own) floor(host string) Floor { return Floor{host, o.boot, o.rev, o.state, Life} }
+func (o own) floor(host string) Watermark { return Watermark{host, o.boot, o.rev, o.state, Life} }
 
 type word struct {
-	Floor
+	Watermark
 	until, since Time
 }
 
-// Book is what one proxy knows: its own list, and what others' newer ones say.
-type Book struct {
+// Registry is what one proxy knows: its own list, and what others' newer ones say.
+type Registry struct {
 	rev   int64 // of the own list; under 0: there is none
 	list  map[string]own
 	heard map[string]word
 	said  map[string]int64 // what others have told of late, by hosts, up to which revision
 }
 
-// NewBook knows nothing.
-func NewBook() *Book {
-	return &Book{rev: -1, list: map[string]own{}, heard: map[string]word{}, said: map[string]int64{}}
+// NewRegistry knows nothing.
+func NewRegistry() *Registry {
+	return &Registry{rev: -1, list: map[string]own{}, heard: map[string]word{}, said: map[string]int64{}}
 }
 
 // Rev is the own list's revision; under 0: there is none.
-func (b *Book) Rev() int64 { return b.rev }
+func (b *Registry) Rev() int64 { return b.rev }
 
 // Forget is for a list that comes from another service from now on: its numbers say nothing beside those before. It gives the hosts that this
 // concerns.
-func (b *Book) Forget() []string {
+func (b *Registry) Forget() []string {
 	ids := slices.Sorted(maps.Keys(b.heard))
-	*b = *NewBook()
+	*b = *NewRegistry()
 	return ids
 }
 
 // Listed takes the own list, or a change of it. news is what it says for the first time of hosts that get nothing new, except in a first list:
 // everybody has that from discovery, and nobody is surprised. A whole list that is older than the one before, as an agent may push it after an outage,
 // does not unsay what that one said: it holds as another's word does. changed names hosts of which a floor speaks no more, or speaks now.
-func (b *Book) Listed(now Time, rev int64, whole bool, hosts []Listed) (news []Floor, changed []string) {
+func (b *Registry) Listed(now Time, rev int64, whole bool, hosts []Listed) (news []Watermark, changed []string) {
 	first := b.rev < 0
 	if !whole && rev < b.rev {
 		return nil, nil // a change of a list that is older than the one held
@@ -129,7 +129,7 @@
 	return news, changed
 }
 
-func (b *Book) put(now Time, rev int64, h Listed, news []Floor) []Floor {
+func (b *Registry) put(now Time, rev int64, h Listed, news []Watermark) []Watermark {
 	o, had := b.list[h.Host]
 	if had && o.state == h.State && o.boot == h.Boot {
 		return news
@@ -146,7 +146,7 @@
 }
 
 // Heard takes another's word. changed names the hosts that are out now and were not.
-func (b *Book) Heard(now Time, all []Floor) (changed []string) {
+func (b *Registry) Heard(now Time, all []Watermark) (changed []string) {
 	for _, f := range all {
 		w, had := b.heard[f.Host]
 		had = had && now < w.until
@@ -176,13 +176,13 @@
 }
 
 // Out tells whether a host that the own list calls usable gets nothing new, by the word of a newer one.
-func (b *Book) Out(now Time, host string, boot int64) bool {
+func (b *Registry) Out(now Time, host string, boot int64) bool {
 	w, is := b.heard[host]
 	return is && now < w.until && w.Rev > b.rev && boot <= w.Boot
 }
 
 // Step drops what holds no longer, and names it.
-func (b *Book) Step(now Time) (changed []string) {
+func (b *Registry) Step(now Time) (changed []string) {
 	for id, w := range b.heard {
 		if now >= w.until {
 			delete(b.heard, id)
@@ -194,7 +194,7 @@
 }
 
 // Behind tells since when others have had a newer list than this one, as far as that keeps a host out here; 0: they have not.
-func (b *Book) Behind(now Time) (since Time) {
+func (b *Registry) Behind(now Time) (since Time) {
 	for id, w := range b.heard {
 		if o, is := b.list[id]; is && o.state == Up && b.Out(now, id, o.boot) && (since == 0 || w.since < since) {
 			since = w.since
@@ -205,8 +205,8 @@
 
 // Above is all that is known of hosts that get nothing new by lists newer than rev, sorted by revision: by the own list, and by others' for as long
 // as their word still holds, so that no echo makes it hold longer.
-func (b *Book) Above(now Time, rev int64) []Floor {
-	var all []Floor
+func (b *Registry) Above(now Time, rev int64) []Watermark {
+	var all []Watermark
 	for id, o := range b.list {
 		if o.state != Up && o.rev > rev && (o.state == Draining || now-o.at <= goneKept) {
 			all = append(all, o.floor(id))
@@ -214,19 +214,19 @@
 	}
 	for _, w := range b.heard {
 		if w.Rev > rev && now < w.until {
-			f := w.Floor
+			f := w.Watermark
 			f.Left = w.until - now
 			all = append(all, f)
 		}
 	}
-	slices.SortFunc(all, func(x, y Floor) int {
+	slices.SortFunc(all, func(x, y Watermark) int {
 		return cmp.Or(cmp.Compare(x.Rev, y.Rev), cmp.Compare(x.Host, y.Host))
 	})
 	return all
 }
 
 // note notes what others have told, so that it need not be told once more; wasTold asks for it.
-func (b *Book) note(all []Floor) {
+func (b *Registry) note(all []Watermark) {
 	for _, f := range all {
 		if len(b.said) >= mostFloors {
 			clear(b.said) // it spares messages, no more
@@ -235,4 +235,4 @@
 	}
 }
 
-func (b *Book) wasTold(f Floor) bool { return b.said[f.Host] >= f.Rev }
+func (b *Registry) wasTold(f Watermark) bool { return b.said[f.Host] >= f.Rev }
--- a/internal/watermark/watermark_test.go
+++ b/internal/watermark/watermark_test.go
@@ -13,12 +13,12 @@
 func has(all []string, id string) bool { return slices.Contains(all, id) }
 
 func TestANewerListTakesAHostOut(t *testing.T) {
-	b := NewBook()
+	b := NewRegistry()
 	b.Listed(0, 5, true, []Listed{{"a", 100, Up}, {"b", 100, Up}})
-	if c := b.Heard(sec, []Floor{{"a", 100, 5, Draining, Life}}); len(c) > 0 || b.Out(sec, "a", 100) {
+	if c := b.Heard(sec, []Watermark{{"a", 100, 5, Draining, Life}}); len(c) > 0 || b.Out(sec, "a", 100) {
 		t.Error("a list that is no newer takes nothing out")
 	}
-	if c := b.Heard(sec, []Floor{{"a", 100, 7, Draining, Life}}); !has(c, "a") || !b.Out(sec, "a", 100) || b.Out(sec, "b", 100) {
+	if c := b.Heard(sec, []Watermark{{"a", 100, 7, Draining, Life}}); !has(c, "a") || !b.Out(sec, "a", 100) || b.Out(sec, "b", 100) {
 		t.Error("a newer one takes its host out, and no other", c)
 	}
 	if b.Out(sec, "a", 101) {
@@ -36,14 +36,14 @@
 }
 
 func TestAWordLapses(t *testing.T) {
-	b := NewBook()
+	b := NewRegistry()
 	b.Listed(0, 5, true, []Listed{{"a", 100, Up}})
-	b.Heard(0, []Floor{{"a", 100, 9, Gone, 10 * sec}})
+	b.Heard(0, []Watermark{{"a", 100, 9, Gone, 10 * sec}})
 	if c := b.Step(9 * sec); len(c) > 0 || !b.Out(9*sec, "a", 100) {
 		t.Error("it holds still")
 	}
 	// An echo of it has less left, and does not make it hold longer.
-	x := NewBook()
+	x := NewRegistry()
 	x.Heard(4*sec, b.Above(4*sec, 0))
 	b.Heard(8*sec, x.Above(8*sec, 0))
 	if c := b.Step(10 * sec); !has(c, "a") || b.Out(10*sec, "a", 100) {
@@ -53,15 +53,15 @@
 
 // What a whole list no longer names is gone; what the first one says surprises nobody; what has come back is told of no more.
 func TestNews(t *testing.T) {
-	b := NewBook()
+	b := NewRegistry()
 	if news, _ := b.Listed(0, 1, true, []Listed{{"a", 1, Up}, {"b", 1, Draining}, {"c", 1, Up}}); len(news) > 0 {
 		t.Error(news)
 	}
 	news, _ := b.Listed(sec, 3, true, []Listed{{"a", 1, Up}, {"b", 1, Draining}})
-	if want := []Floor{{"c", 1, 3, Gone, Life}}; !slices.Equal(news, want) {
+	if want := []Watermark{{"c", 1, 3, Gone, Life}}; !slices.Equal(news, want) {
 		t.Error(news)
 	}
-	if got, want := b.Above(sec, 0), []Floor{{"b", 1, 1, Draining, Life}, {"c", 1, 3, Gone, Life}}; !slices.Equal(got, want) {
+	if got, want := b.Above(sec, 0), []Watermark{{"b", 1, 1, Draining, Life}, {"c", 1, 3, Gone, Life}}; !slices.Equal(got, want) {
 		t.Error(got)
 	}
 	b.Listed(2*sec, 4, false, []Listed{{"c", 50, Up}, {"b", 60, Up}})
@@ -83,7 +83,7 @@
 			rev  int64
 		}
 		said := map[fact]Time{} // when a list last said so
-		books := []*Book{NewBook(), NewBook(), NewBook()}
+		books := []*Registry{NewRegistry(), NewRegistry(), NewRegistry()}
 		truth, rev, now := map[string]Listed{"a": {"a", 1, Up}, "b": {"b", 1, Up}, "c": {"c", 1, Up}}, int64(1), Time(0)
 		hosts := func() (all []Listed) {
 			for _, id := range []string{"a", "b", "c"} {
@@ -145,12 +145,12 @@
 }
 
 func TestBooksAreBounded(t *testing.T) {
-	b := NewBook()
+	b := NewRegistry()
 	b.Listed(0, 1, true, nil)
 	for i := range 2 * mostFloors {
 		id := string([]byte{byte(i), byte(i >> 8), byte(i >> 16)})
-		b.Heard(0, []Floor{{id, 1, 5, Gone, Life}})
-		b.note([]Floor{{id, 1, 5, Gone, Life}})
+		b.Heard(0, []Watermark{{id, 1, 5, Gone, Life}})
+		b.note([]Watermark{{id, 1, 5, Gone, Life}})
 		b.Listed(0, 1, false, []Listed{{id, 1, Draining}})
 	}
 	if len(b.heard) > mostFloors || len(b.said) > mostFloors || len(b.list) > mostFloors {
@@ -160,15 +160,15 @@
 
 func TestDatagrams(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
-	var all []Floor
+	var all []Watermark
 	for range 100 {
 		id := make([]byte, 1+rng.IntN(mostHost))
 		for i := range id {
 			id[i] = 'a' + byte(rng.IntN(26))
 		}
-		all = append(all, Floor{string(id), rng.Int64(), rng.Int64N(1 << 40), Draining + State(rng.IntN(2)), Time(rng.IntN(300)) * unit})
+		all = append(all, Watermark{string(id), rng.Int64(), rng.Int64N(1 << 40), Draining + State(rng.IntN(2)), Time(rng.IntN(300)) * unit})
 	}
-	var got []Floor
+	var got []Watermark
 	for _, data := range tells(7, all, 180) {
 		m, err := read(data)
 		if len(data) > 180 || err != nil || m.kind != kindTell || m.source != 7 {
@@ -186,7 +186,7 @@
 
 func FuzzRead(f *testing.F) {
 	f.Add(ask(3, 17))
-	f.Add(tells(3, []Floor{{"s-1", 5, 6, Gone, Life}, {"s-2", 5, 6, Draining, 0}}, 200)[0])
+	f.Add(tells(3, []Watermark{{"s-1", 5, 6, Gone, Life}, {"s-2", 5, 6, Draining, 0}}, 200)[0])
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := read(data)
 		if err != nil {
@@ -198,7 +198,7 @@
 				t.Fatalf("%v %v %v", m, again, err)
 			}
 		}
-		b := NewBook()
+		b := NewRegistry()
 		b.Listed(0, 1, true, []Listed{{"s-1", 1, Up}})
 		b.Heard(0, m.floors)
 		b.Step(Life)
