--- a/internal/lineproto/downstream.go
+++ b/internal/lineproto/downstream.go
@@ -34,9 +34,9 @@
 }
 
 // cutOff ends a request that has no answer yet for a fault of its client's.
-func (d *downstream) cutOff(fault error) {
-	d.reject(fault)
-	d.req.DownstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.Dropped, Detail: fault})
+func (d *downstream) cutOff(cause error) {
+	d.reject(cause)
+	d.req.DownstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.Dropped, Detail: cause})
 }
 
 // greet reads lines up to the one that opens a request, and tells whether it has come.
