--- a/brain/ledgercold_test.go
+++ b/brain/ledgercold_test.go
@@ -15,7 +15,7 @@
 		n    int
 		wave bool
 		cold int
-	}{{3, true, 8}, {40, false, 8}, {40, true, 8}, {150, true, 8}, {150, true, 17}, {300, true, 17}, {300, false, 17}, {150, true, 20}} {
+	}{{1, true, 8}, {3, true, 8}, {20, true, 8}, {30, true, 8}, {40, false, 8}, {40, true, 8}, {150, true, 8}, {150, true, 17}, {300, true, 17}, {300, false, 17}, {150, true, 20}} {
 		x := newTier(t, c.n, 20, true)
 		x.flow(5*sec, 10, 30, false)
 		var es []Entry
