TestEnds no longer takes the end before the line that came before it

Seen: 87 of 1,500 runs fail while ten run at once, 82 of 1,500 on the unchanged program, none of 200 alone. Cause: the test's own read selects over two channels, of which both are ready once data and end have come, and select takes either (tlslink/bench_test.go, read). The line had been delivered first: the channels are filled in order on the loop. Ruled out: netio, which delivers what came before the end and whose order the test still holds, since data that came after the end would find the channel empty.

--- a/internal/tlslink/bench_test.go
+++ b/internal/tlslink/bench_test.go
@@ -127,7 +127,14 @@
 		case d := <-c.data:
 			got += string(d)
 		case err := <-c.closed:
-			c.b.t.Fatalf("closed after %q: %v", got, err)
+			// What came before the end waits by now: select takes either of two channels that are ready.
+			select {
+			case d := <-c.data:
+				got += string(d)
+				c.closed <- err
+			default:
+				c.b.t.Fatalf("closed after %q: %v", got, err)
+			}
 		case <-time.After(10 * time.Second):
 			c.b.t.Fatalf("got %q, want %q", got, want)
 		}
