Read over: one way to send behind what waits, one to close a resting connection, no second copy

Need: what the change wrote again or did twice. Tests of netio, cluster, lineproto, tlslink and rules green under the race detector.

--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -109,10 +109,7 @@
 		return
 	}
 	c.addr, c.rev, c.moved = addr, noVersion, c.loop.Now()
-	if c.idle != nil {
-		c.idle.Close()
-		c.idle = nil
-	}
+	c.closeIdle()
 	if c.watch != nil {
 		c.watch.drop()
 		c.watch = nil
@@ -168,11 +165,16 @@
 // A connection at rest may be as dead as the one that was used. Should the new call fail too, the module is told.
 func (c *Client) reopen() {
 	c.reopened = true
+	c.closeIdle()
+	c.next()
+}
+
+// closeIdle ends the connection at rest, so that the next call is made on a new one.
+func (c *Client) closeIdle() {
 	if c.idle != nil {
 		c.idle.Close()
 		c.idle = nil
 	}
-	c.next()
 }
 
 // Fetch asks for the whole list once.
--- a/internal/netio/write.go
+++ b/internal/netio/write.go
@@ -27,12 +27,17 @@
 	if len(c.rest) > 0 {
 		return false
 	}
+	c.say(p)
+	return true
+}
+
+// say sends bytes, by way of the layer where there is one; they go behind the rest of what the peer has not taken yet.
+func (c *Conn) say(p []byte) {
 	if c.layer == nil {
 		c.push(p)
 	} else if err := c.layer.Seal(p); err != nil {
 		c.loop.Post(func() { c.fail(whyNot(err)) })
 	}
-	return true
 }
 
 // push hands bytes to the kernel and keeps what it does not take.
@@ -109,10 +114,6 @@
 	if c.over {
 		return
 	}
-	if c.layer == nil {
-		c.push(last)
-	} else if err := c.layer.Seal(last); err != nil {
-		c.loop.Post(func() { c.fail(whyNot(err)) })
-	}
+	c.say(last)
 	c.Finish()
 }
--- a/internal/rules/change.go
+++ b/internal/rules/change.go
@@ -163,12 +163,14 @@
 	return slices.BinarySearchFunc(all, name, func(s namespace.Space, name string) int { return cmp.Compare(s.Account, name) })
 }
 
-// without gives the entries less the one at i, where it is there, and the number of the version that changed that one last.
+// without gives the entries less the one at i, where it is there, and the number of the version that changed that one last. It
+// changes all, which is a copy of the next version's own.
 func without[T any](all []T, i int, there bool, number func(T) uint64) (rest []T, changed uint64) {
 	if !there {
 		return all, 0
 	}
-	return slices.Delete(slices.Clone(all), i, i+1), number(all[i])
+	changed = number(all[i]) // Delete clears what it leaves behind
+	return slices.Delete(all, i, i+1), changed
 }
 
 func (n *Version) changeSpace(was *Version, c *Change) error {
--- a/test.sh
+++ b/test.sh
@@ -16,7 +16,7 @@
 if [ -s KNOWN-RED.txt ]; then
     echo "known to fail, passed over:"
     cat KNOWN-RED.txt
-    if [ "$(wc -l < KNOWN-RED.txt)" -gt 3 ]; then
+    if [ "$(grep -c "" KNOWN-RED.txt)" -gt 3 ]; then
         echo "KNOWN-RED.txt: three tests at most"
         exit 1
     fi
