--- a/internal/node/layers_test.go
+++ b/internal/node/layers_test.go
@@ -23,7 +23,7 @@
 		"namespace", "ownership", "quota", "rules", "watermark"}},
 	{"core", []string{"proxy"}},
 	{"fronts and clients", []string{"admin", "cluster", "consensus/disk", "hotrestart", "lineproto", "members", "owners", "peers", "platform", "tlslink", "voter", "wire"}},
-	{"wiring", []string{"command", "fake", "lab", "membership/virtual", "node", "ownership/virtual"}},
+	{"wiring", []string{"command", "fake", "lab", "lab/soak", "membership/virtual", "node", "ownership/virtual"}},
 	{"programs", []string{"cmd/benchlink", "cmd/croftlab", "cmd/croftlock", "cmd/croftlock-voter"}},
 }
 
