A shutdown is reckoned back from the earliest SIGKILL

A process with a class deadline over 3.3 s meant to stay longer than the platform lets it live, and left requests without an answer; one whose deadlines are short took 3.4 s for granted and still held connections that it meant to move.

At fault: Core.Leave's longest := max(3.4 s, deadline + 0.4 s), internal/proxy/leave.go. SIGKILL comes 0.7 s after the longest deadline, counted as 3 s at most. The moments of a shutdown are now a plain function of that (schedule.go): moves end, each request has its answer 0.45 s before SIGKILL, the process ends 0.3 s before it. What waits is refused, or failed where an attempt may have run and a repeat would do harm; Request.decline now also counts the attempt under way. A first line that is half read then gets its BUSY. Each request that is cut short is logged.

--- a/internal/lineproto/ends_test.go
+++ b/internal/lineproto/ends_test.go
@@ -53,7 +53,7 @@
 	r := newFrontRig(t, 2, func(brain.Effects) proxy.Decider { return newHolder() })
 	resting := r.dial()
 	ask(t, r.dial(), "PING\r\n", "PONG\r\n") // by now both are accepted
-	r.do(func() { r.front.Dismiss() })
+	r.do(func() { r.front.Dismiss(false) })
 	io.WriteString(resting, opening) // it has not read yet that it has been dismissed
 	expect(t, resting, "BUSY 500\r\n")
 }
--- a/internal/lineproto/front.go
+++ b/internal/lineproto/front.go
@@ -58,12 +58,13 @@
 	return d
 }
 
-// Dismiss ends the connections that rest without having sent anything, and tells how many without a request are left.
-func (f *Front) Dismiss() int {
+// Dismiss ends the connections that rest without having sent anything, with half also those on which a first line has begun to come, and
+// tells how many without a request are left.
+func (f *Front) Dismiss(half bool) int {
 	for e := f.newcomers.Front(); e != nil; {
 		d := e.Value.(*downstream)
 		e = e.Next() // a connection that ends leaves the list
-		if !d.conn.Over() && len(d.conn.Input()) == 0 {
+		if !d.conn.Over() && (half || len(d.conn.Input()) == 0) {
 			d.dismiss()
 		}
 	}
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -8,31 +8,33 @@
 )
 
 const (
-	// frontNotices is how long after its SIGTERM a proxy still gets new connections; clients moved before could come
-	// straight back to it.
-	frontNotices = 450 * time.Millisecond
-	// moveOver is the time over which the clients are then moved, so that they do not all arrive elsewhere at once.
-	moveOver = 1500 * time.Millisecond
-	// moveOverHanded is the same where another process of this proxy takes them in again: it is alone with them, and cold
-	// hosts take only so many a second. What is left until the end is for clients to hang up.
-	moveOverHanded = 2500 * time.Millisecond
 	// handAtOnce is how many connections are handed to another process in one step.
 	handAtOnce = 16
 	// leaveEvery is how often leaving makes progress.
 	leaveEvery = 50 * time.Millisecond
-	// shortestStay is what the platform grants at least between SIGTERM and SIGKILL, less a margin.
-	shortestStay = 3400 * time.Millisecond
 )
 
 // Newcomers are the connections on which no request has come yet.
 type Newcomers interface {
-	// Dismiss ends those that rest without having sent anything, and tells how many are left.
-	Dismiss() int
+	// Dismiss ends those that rest without having sent anything, and tells how many are left. With half it also ends those on which a
+	// request has begun to come.
+	Dismiss(half bool) int
 }
 
 // SetNewcomers has a proxy that leaves end the connections without a request, and wait for those on which one is coming.
 func (c *Core) SetNewcomers(n Newcomers) { c.newcomers = n }
 
+// shutdown is a process's way out, from SIGTERM to its end.
+type shutdown struct {
+	core  *Core
+	plan  schedule
+	began int64
+	moved int  // connections that were moved so far
+	all   int  // the most that there were to move
+	cut   bool // answerBy is over
+	done  func()
+}
+
 // Leave ends the proxy's service in order: clients that still come are refused with advice, requests under way get
 // their answer, and every open connection is moved. done is called once nothing is left, or when the time that the
 // platform grants is nearly over.
@@ -41,46 +43,78 @@
 		return
 	}
 	c.leaving = true
-	unnoticed, over := int64(frontNotices), int64(moveOver)
-	if c.handed {
-		unnoticed, over = 0, int64(moveOverHanded) // nothing new comes here
+	s := &shutdown{core: c, plan: newSchedule(longestDeadline(c.opt.Settings.Classes), c.handed), began: c.loop.Now(), done: done}
+	// The last two moments are kept to the millisecond, whatever the steps between them.
+	c.loop.After(time.Duration(s.plan.answerBy), s.answerAll)
+	c.loop.After(time.Duration(s.plan.exitBy), s.end)
+	s.step()
+}
+
+// step makes progress, and comes again until nothing is left.
+func (s *shutdown) step() {
+	if s.done == nil {
+		return
 	}
-	moved, all := 0, 0
-	began := c.loop.Now()
-	longest := int64(shortestStay)
-	for _, k := range c.opt.Settings.Classes {
-		longest = max(longest, k.Deadline+int64(400*time.Millisecond))
+	c, passed := s.core, s.core.loop.Now()-s.began
+	open, pending := c.standing()
+	unasked := 0
+	if passed > s.plan.moveFrom && c.newcomers != nil {
+		unasked = c.newcomers.Dismiss(s.cut)
 	}
-	var step func()
-	step = func() {
-		passed := c.loop.Now() - began
-		open, pending := c.standing()
-		unasked := 0
-		if passed > unnoticed && c.newcomers != nil {
-			unasked = c.newcomers.Dismiss()
-		}
-		if passed > unnoticed && open+pending+c.handing+unasked == 0 && c.sessions == 0 || passed > longest {
-			slog.Info("left", "open", open, "pending", pending)
-			done()
-			return
-		}
-		switch {
-		case c.handed && open > 0 && c.keeper.CanHand() && passed < over:
-			c.someOpen(handAtOnce, c.handOne)
-		case passed > unnoticed && open > 0:
-			// Evenly: as many as this part of the time asks for, also where there are fewer of them than steps. Those that
-			// come up meanwhile count, and after the time all go.
-			all = max(all, moved+open)
-			due := min(open, int(int64(all)*(passed-unnoticed)/over)-moved)
-			if passed-unnoticed >= over {
-				due = open
-			}
-			c.someOpen(due, func(r *Request) { r.move(brain.Cancelled) })
-			moved += max(0, due)
+	if passed > s.plan.moveFrom && open+pending+c.handing+unasked == 0 && c.sessions == 0 {
+		s.end()
+		return
+	}
+	switch {
+	case c.handed && open > 0 && c.keeper.CanHand() && passed < s.plan.moveBy:
+		c.someOpen(handAtOnce, c.handOne)
+	case passed > s.plan.moveFrom:
+		s.move(open, passed)
+	}
+	c.loop.After(leaveEvery, s.step)
+}
+
+// move sends away as many clients as this part of the time asks for, also where there are fewer of them than steps. Those that come up
+// meanwhile count, and after the time all go.
+func (s *shutdown) move(open int, passed int64) {
+	s.all = max(s.all, s.moved+open)
+	n := min(open, s.plan.due(s.all, passed)-s.moved)
+	if passed >= s.plan.moveBy {
+		n = open
+	}
+	s.core.someOpen(n, func(r *Request) { r.move(brain.Cancelled) })
+	s.moved += max(0, n)
+}
+
+// answerAll gives each request that still waits its answer, and moves whoever is left: the process is about to be killed.
+func (s *shutdown) answerAll() {
+	if s.done == nil {
+		return
+	}
+	s.cut = true
+	for _, r := range s.core.requests {
+		if r.answered {
+			continue
 		}
-		c.loop.After(leaveEvery, step)
+		slog.Warn("cut_short", "request", r.ask.ID, "attempts", r.attempts, "state", r.state(), "left_ms", (r.deadline-s.core.loop.Now())/1e6)
+		s.core.guard(r, func() { r.endNow(s.core.ComeBack()) })
+	}
+	open, _ := s.core.standing()
+	s.move(open, s.plan.answerBy)
+	if s.core.newcomers != nil {
+		s.core.newcomers.Dismiss(true)
+	}
+}
+
+// end is the last step.
+func (s *shutdown) end() {
+	if s.done == nil {
+		return
 	}
-	step()
+	open, pending := s.core.standing()
+	slog.Info("left", "open", open, "pending", pending, "connections", s.core.sessions, "handing", s.core.handing)
+	s.done()
+	s.done = nil
 }
 
 // standing counts open connections and requests without an answer.
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -70,3 +71,62 @@
 	w.ups[0].ev.UpstreamEnded(&netio.Error{Stage: netio.Sent, Cause: netio.Broke})
 	w.expect("end up ended", "outcome q 0 5 false")
 }
+
+// Whatever the deadlines, the moments of a shutdown come in order and before SIGKILL, and a request whose deadline counts whole has it whole.
+func TestScheduleEndsBeforeTheKill(t *testing.T) {
+	for _, deadline := range []time.Duration{0, time.Millisecond, 100, 400, 1000, 2000, 2999, 3000, 4800, 60000} {
+		deadline *= time.Millisecond
+		kill := min(deadline, 3*time.Second) + 700*time.Millisecond
+		for _, handed := range []bool{false, true} {
+			s := newSchedule(int64(deadline), handed)
+			if s.moveFrom < 0 || s.moveFrom >= s.moveBy || s.moveBy > s.answerBy || s.answerBy >= s.exitBy ||
+				s.exitBy > int64(kill-2*holdUp) || deadline <= 3*time.Second && s.answerBy < int64(deadline+overdueAfter) {
+				t.Errorf("%v, handed over %t: %+v, SIGKILL after %v", deadline, handed, s, kill)
+			}
+			for passed, before := int64(0), 0; passed <= s.exitBy; passed += int64(10 * time.Millisecond) {
+				if due := s.due(100, passed); due < before || passed >= s.moveBy && due != 100 {
+					t.Fatalf("%v: %d due after %v, %d before", deadline, due, time.Duration(passed), before)
+				} else {
+					before = due
+				}
+			}
+		}
+	}
+}
+
+// A request whose time reaches past SIGKILL gets its answer before: a refusal where trying again is harmless, a failure where it may have
+// run. What is held by the module gets one too, a client that comes up in the last moment is moved, and the process ends.
+func TestWhatIsLeftIsAnsweredBeforeTheKill(t *testing.T) {
+	w := newWorld(t)
+	w.core.opt.Settings.Classes[0].Effect = brain.Unsafe
+	w.on = func(e string) {
+		if e == "request q" {
+			w.fx.Send("q", "A", 0)
+		}
+	}
+	for _, id := range []string{"q", "held"} {
+		w.core.Open(&fakeDown{w, id}, &Opening{ID: id, Class: "c", Tenant: "t", Wait: 4800 * time.Millisecond, HasWait: true}, nil)
+	}
+	w.ups[0].stage = netio.Sent
+	w.seen = nil
+	w.core.sessions = 2
+	left := false
+	w.core.Leave(func() { left = true })
+	w.pass(3200 * time.Millisecond)
+	w.expect()
+	w.pass(60 * time.Millisecond)
+	seen := strings.Join(w.seen, "; ")
+	for _, want := range []string{"fail q; end up ended; outcome q 0 6 true; gone q", "refuse held 500; gone held"} {
+		if !strings.Contains(seen, want) {
+			t.Errorf("got %s, want %s in it", seen, want)
+		}
+	}
+	w.pass(100 * time.Millisecond)
+	if left {
+		t.Fatal("it has not waited for its clients to hang up")
+	}
+	w.pass(50 * time.Millisecond)
+	if !left {
+		t.Error("it does not end before SIGKILL")
+	}
+}
--- a/internal/proxy/repeat.go
+++ b/internal/proxy/repeat.go
@@ -30,12 +30,31 @@
 	return r.ranAt + int64(r.class().Window)
 }
 
+// mayHaveRun tells whether an attempt may have run: one that has ended, or the one under way.
+func (r *Request) mayHaveRun() bool {
+	return r.mayRun || r.out != nil && r.out.conn.Stage() >= netio.Sent
+}
+
+// endNow gives a request its answer at once, whatever is under way for it, and has the module forget it.
+func (r *Request) endNow(after time.Duration) {
+	r.decline(after)
+	r.gone()
+}
+
+// state is how far a request has come, for the log.
+func (r *Request) state() string {
+	if r.out == nil {
+		return "held"
+	}
+	return r.out.conn.Stage().String()
+}
+
 // decline is the final answer of a request that gets no further attempt. A refusal promises that trying again is harmless,
 // which holds for a request that may have run only where hosts discard its repeats or where these have no effect.
 func (r *Request) decline(after time.Duration) {
 	c := r.class()
 	harmless := c.Effect == brain.Safe || c.Effect == brain.Keyed && c.Scope == brain.ScopeAll
-	if r.mayRun && !harmless {
+	if r.mayHaveRun() && !harmless {
 		r.fail(metrics.Failed)
 		return
 	}
