A slow discovery is waited for, and a small fleet asks again in time

Seen (discovery calls are now logged at debug: event=discovery_call): after SIGHUP three of six proxies called the new discovery six or seven times, each given up after 1.2 s, and had their lists 8.6 to 10 s after the redirect, while it answers or ends each call within 2 s of its turn. What was given up was still worked on, so the service stayed slow for as long as all its callers asked again. Ruled out: the module's pause alone (calls followed each other at once), a lost SIGHUP, a silent connection (503 came after 2,000 ms from the one before). At fault: cluster/client.go, answerWithin for calls that wait for nothing, and brain's askAgain, whose pause after a long outage left no time for a second call within the 6 s after which news counts as told.

Change: a call for the whole list has 2.3 s (an agent's doubles where it stays silent); the own pause of a small fleet is 1.2 s at most.

--- a/brain/asking_test.go
+++ b/brain/asking_test.go
@@ -22,3 +22,20 @@
 		}
 	}
 }
+
+// A long outage made the pauses of a small fleet up to 5 s long. The call that then found discovery back and crowded was told nothing, and
+// there was no time left for another before the news counted as told.
+func TestASmallFleetHasTimeForASecondCall(t *testing.T) {
+	cfg := settings()
+	cfg.Ask, cfg.AskWithin, cfg.Peers = true, 10*sec, 6
+	f := start(t, cfg, fleet(3)...)
+	f.run(cfg.AskWithin)
+	for range 12 {
+		asked, failed := len(f.watches), f.now
+		f.b.Members(f.now, ListFailed, 0, nil)
+		f.run(2 * sec)
+		if len(f.watches) == asked || f.watches[asked]-failed > 3*sec/2 {
+			t.Fatalf("not asked again within 1.5 s of a failure")
+		}
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,6 +24,7 @@
 	areas         = 2     // sets of zones that have servers of their own for a group where traffic is thin
 	thinPlaces    = 8.0   // places in a group's order that count where traffic is thin
 	askSpread     = 5e7   // between calls on discovery, all balancers together, when it has failed them all
+	askPause      = 1.2e9 // and between one's own where they are few: there has to be time for a second one
 	askLatest     = 5e9   // by then a failed call is made again: news counts as told after 6 s
 	tellEvery     = 2e9   // a server's trouble is told to all balancers at most so often
 	tellWithin    = 6e8   // by one of those that see it, whoever draws the shortest wait
--- a/brain/lists.go
+++ b/brain/lists.go
@@ -99,6 +99,7 @@
 		return
 	}
 	limit := min(float64(b.cfg.AskWithin)/2, askLatest)
-	d := min(limit, max(limit/8*math.Pow(2, float64(min(b.askFails, 8)-1)), askSpread*float64(b.cfg.Peers)))
+	d := min(askPause, limit/8*math.Pow(2, float64(min(b.askFails, 8)-1)))
+	d = min(limit, max(d, askSpread*float64(b.cfg.Peers)))
 	b.fx.After(max(b.cfg.Tick, Time(d*(0.25+0.75*b.rng.Float64()))), "ask")
 }
--- a/internal/cluster/call.go
+++ b/internal/cluster/call.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -21,6 +22,7 @@
 type call struct {
 	client *Client
 	from   int64 // the version held as it began
+	began  int64
 	target string
 	dial   *netio.Dial
 	conn   *netio.Conn
@@ -30,7 +32,7 @@
 }
 
 func (c *Client) start(target string, within time.Duration, done func(proxy.Change, error)) *call {
-	q := &call{client: c, from: c.rev, target: target, done: done}
+	q := &call{client: c, from: c.rev, began: c.loop.Now(), target: target, done: done}
 	q.timer = c.loop.After(within, func() { q.finish(nil, fmt.Errorf("%w in %v", errSilent, within)) })
 	if c.idle != nil && !c.idle.Over() {
 		q.conn, q.reused, c.idle = c.idle, true, nil
@@ -98,6 +100,7 @@
 	if err == nil {
 		ch, err = Parse(r.body)
 	}
+	q.trace(ch, err)
 	done := q.done
 	if err == nil && !r.last && !q.conn.Over() {
 		q.conn.Consume(r.length)
@@ -116,6 +119,14 @@
 	done(ch, err)
 }
 
+// trace logs how the call ended.
+func (q *call) trace(ch proxy.Change, err error) {
+	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		slog.Debug("discovery_call", "addr", q.client.addr, "target", q.target, "reused", q.reused, "ms", (q.client.loop.Now()-q.began)/1e6,
+			"rev", ch.Version, "hosts", len(ch.Hosts), "err", err)
+	}
+}
+
 // take makes an answer's version the one held. Of two calls that are out at once the older answer may come last: it tells nothing
 // then, or it would undo what is held. A service that begins its versions anew answers a call made from the version held.
 func (c *Client) take(q *call, ch proxy.Change) proxy.Change {
--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -22,12 +22,15 @@
 	shortHold = 4 * time.Second
 	longHold  = 20 * time.Second
 	holdEach  = 250 * time.Millisecond
-	// answerWithin is how long past its wait a call may take. Discovery works through calls in turn and gives up
+	// answerWithin is how long past its wait a watch's call may take. Discovery works through calls in turn and gives up
 	// on one after 2 s; waiting that long would let the moment pass at which its news counts as told.
-	answerWithin  = 1200 * time.Millisecond
+	answerWithin = 1200 * time.Millisecond
+	// wholeWithin is how long a call for the whole list may take, which waits for nothing but its turn. Discovery itself ends one that has
+	// waited 2 s; who gives it up sooner and asks again leaves it the work of both, and a service that is slow for a moment stays slow for
+	// as long as all its callers do so.
+	wholeWithin   = 2300 * time.Millisecond
 	connectWithin = time.Second
 	inputLimit    = maxHead + 2*maxBody
-	fetchWithin   = 2500 * time.Millisecond
 	// settling is how long after a redirect the client itself asks a new address again, and askAgain how soon: what
 	// that address has to tell counts as told 4 s after the redirect, and the module's own pause may be longer.
 	settling = 3500 * time.Millisecond
@@ -60,6 +63,7 @@
 	watch  *call // the call under way
 	// reopened: the watch has been opened anew since it fell silent, and nothing has come since.
 	reopened bool
+	silent   int // calls of the watch in a row that got no answer
 	fetch    *call
 	idle     *netio.Conn // a connection whose last response is complete
 	lastErr  string
@@ -127,10 +131,15 @@
 func (c *Client) next() {
 	target, within := fmt.Sprintf("%s?from=%d&hold_ms=%d", path, c.rev, c.hold.Milliseconds()), c.hold+c.late
 	if c.rev < 0 {
-		target, within = path, c.late
+		target, within = path, c.wholeWithin()
 	}
 	c.watch = c.start(target, within, func(ch proxy.Change, err error) {
 		c.watch = nil
+		if errors.Is(err, errSilent) {
+			c.silent++
+		} else {
+			c.silent = 0
+		}
 		if err != nil && (c.agent || c.moved > 0 && c.loop.Now()-c.moved < int64(settling)) {
 			c.note(err)
 			pause := askAgain
@@ -160,6 +169,15 @@
 	})
 }
 
+// wholeWithin is how long a call for the whole list may take. An agent on this machine answers at once, or is silent; where its list is so
+// large that it does not come in time, the next call has twice as long.
+func (c *Client) wholeWithin() time.Duration {
+	if !c.agent {
+		return wholeWithin
+	}
+	return min(wholeWithin, c.late<<min(c.silent, 6))
+}
+
 // reopen opens a watch that has fallen silent anew, at once: what it has missed counts as told soon, while the module's own
 // pause grows with the fleet. The calls of a fleet fall silent each at its own time, so discovery is not asked by all together.
 // A connection at rest may be as dead as the one that was used. Should the new call fail too, the module is told.
@@ -182,7 +200,7 @@
 	if c.fetch != nil {
 		return
 	}
-	c.fetch = c.start(path, fetchWithin, func(ch proxy.Change, err error) {
+	c.fetch = c.start(path, wholeWithin, func(ch proxy.Change, err error) {
 		c.fetch = nil
 		if err != nil {
 			c.failed(err)
--- a/internal/cluster/races_test.go
+++ b/internal/cluster/races_test.go
@@ -39,6 +39,14 @@
 	s.loop.Post(func() {})
 }
 
+// settle waits until the loop has done what is due.
+func (s *script) settle() {
+	done := make(chan struct{})
+	s.loop.Post(func() {})
+	s.loop.Post(func() { close(done) })
+	<-done
+}
+
 func scripted(t *testing.T) *script {
 	s := &script{calls: make(chan asked, 64), told: make(chan proxy.Change, 64)}
 	s.now.Store(1e18)
@@ -133,3 +141,29 @@
 		t.Errorf("then called %s", next.target)
 	}
 }
+
+// A new discovery that takes 1.9 s for each call is asked once. Given up after 1.2 s and made anew, the calls of six proxies kept such a
+// service busy with what nobody waited for, and their lists came 9 s after the redirect, when hosts had drained for 7 s.
+func TestASlowDiscoveryIsNotAskedAgain(t *testing.T) {
+	s := scripted(t)
+	addr := s.client.addr
+	s.loop.Post(func() { s.client.addr = "127.0.0.1:1"; s.client.Redirect(addr) })
+	whole := <-s.calls
+	s.pass(1900 * time.Millisecond)
+	whole.answer(`{"rev":5,"all":true,"targets":[{"uid":"s","endpoint":"h:1","state":"draining"}]}`)
+	if ch := <-s.told; ch.Kind != brain.ListFull || ch.Version != 5 {
+		t.Fatalf("told %+v", ch)
+	}
+	if next := <-s.calls; !strings.Contains(next.target, "from=5") {
+		t.Errorf("called %s before the answer had come", next.target)
+	}
+	// One that never answers is asked again, sooner than what it has to tell counts as told.
+	s.loop.Post(func() { s.client.addr = "127.0.0.1:1"; s.client.Redirect(addr) })
+	<-s.calls
+	s.pass(wholeWithin)
+	s.settle()
+	s.pass(askAgain)
+	if again := <-s.calls; again.target != path {
+		t.Errorf("called %s", again.target)
+	}
+}
