One guard for attempts, repeats, refusals and ends, and a count of what broke a rule

A request's record is asked before an attempt begins, before its line is written and before a refusal; it is told of each begin, write, end, answer and close, and counts those that broke a rule whatever their path. What is held back is logged (held_back), what broke a rule too (invariant_broken), and the sums stand in left and, where there are any, every 10 s (invariants). New in it: a write looks at the host's state once more; the module's own refusal fails where a refusal would not be true; an attempt that was never written has not run.

--- /dev/null
+++ b/internal/invariant/rules.go
@@ -0,0 +1,78 @@
+// Package invariant holds the rules on requests in one place. A Request is asked before an attempt begins, before its line is written and
+// before a refusal, and says which rule stands against it; and it is told of every action as it is carried out, and counts those that broke
+// a rule all the same, whatever path they took. It does no I/O, and time is passed in.
+package invariant
+
+// Rule is something that no action on a request may break.
+type Rule int
+
+// The rules.
+const (
+	None            Rule = iota
+	Over                 // nothing begins for a request that is answered, or whose client has left
+	OneAttempt           // one attempt is out at a time
+	AttemptLimit         // a request has so many attempts and no more
+	InTime               // nothing begins past the deadline
+	HostTakesNone        // nothing new goes to a host that drains, is gone or is out by hand
+	NoRepeat             // what may have run and must not run twice is not sent again
+	RepeatScope          // a repeat goes only to hosts that share what they have seen with the first one
+	RepeatWindow         // and only for as long as they remember it
+	RefusalHarmless      // a refusal promises that trying again does no harm
+	OneAnswer            // a request has one answer
+	AnswerInTime         // and it comes within its deadline
+	NoSilentEnd          // no request that was read ends without an answer, and no open connection without a word
+	TakenInService       // nothing is taken or begun once a process has answered for all that it holds
+	rules
+)
+
+var names = [rules]string{"none", "over", "one_attempt", "attempt_limit", "in_time", "host_takes_none", "no_repeat", "repeat_scope", "repeat_window",
+	"refusal_harmless", "one_answer", "answer_in_time", "no_silent_end", "taken_in_service"}
+
+func (r Rule) String() string { return names[r] }
+
+// Counts are how often each rule was broken, and how often one held an action back.
+type Counts struct {
+	Broken, Held [rules]int64
+}
+
+// Sum adds up all rules.
+func (c *Counts) Sum() (broken, held int64) {
+	for r := range c.Broken {
+		broken += c.Broken[r]
+		held += c.Held[r]
+	}
+	return broken, held
+}
+
+// Monitor counts for one process, and knows whether it still takes work.
+type Monitor struct {
+	Counts Counts
+	closed bool
+	report func(r Rule, id string)
+}
+
+// NewMonitor makes one; report hears of each action that broke a rule.
+func NewMonitor(report func(r Rule, id string)) *Monitor { return &Monitor{report: report} }
+
+// Close says that the process has answered for all that it holds: nothing begins from here on.
+func (m *Monitor) Close() { m.closed = true }
+
+// Closed tells whether it has.
+func (m *Monitor) Closed() bool { return m.closed }
+
+// hold counts an action that a rule held back.
+func (m *Monitor) hold(r Rule) Rule {
+	if r != None {
+		m.Counts.Held[r]++
+	}
+	return r
+}
+
+// broke counts an action that was carried out against a rule.
+func (m *Monitor) broke(r Rule, id string) {
+	if r == None {
+		return
+	}
+	m.Counts.Broken[r]++
+	m.report(r, id)
+}
--- a/internal/proxy/allowed_test.go
+++ b/internal/proxy/allowed_test.go
@@ -56,7 +56,7 @@
 	c.say("", 0)
 	w.expect("request r", "start at-A 1000")
 	u := w.ups[0]
-	u.stage = netio.Sent
+	u.sent()
 	u.ev.FromUpstream(Message{Kind: Receipt})
 	if c.held["a"] != 1 {
 		t.Fatalf("%d held while it stands", c.held["a"])
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -15,6 +15,7 @@
 		return
 	}
 	r.core.counts.Refused++
+	r.rec.Refused(r.core.loop.Now())
 	r.core.figures.Ended(r.ask.Class, metrics.Refused)
 	if tracing() {
 		slog.Debug("refused", "request", r.ask.ID, "attempts", r.attempts, "after_ms", after.Milliseconds(),
@@ -29,6 +30,7 @@
 		return
 	}
 	r.core.counts.Failed++
+	r.rec.Failed(r.core.loop.Now())
 	r.core.figures.Ended(r.ask.Class, how)
 	r.answer(r.down.Fail)
 }
@@ -78,6 +80,7 @@
 		return
 	}
 	r.core.counts.Moved++
+	r.rec.Released()
 	r.down.Move()
 	a.conn.End(netio.Ended)
 	a.outcome(status)
@@ -109,6 +112,10 @@
 
 // DownstreamEnded says that the client has gone, or was cut off.
 func (r *Request) DownstreamEnded(err *netio.Error) {
+	if err.Cause == netio.Dropped {
+		r.rec.Dropped() // it was this side that ended it
+	}
+	r.rec.Left()
 	a := r.out
 	if a != nil && a.up {
 		if a.detach() {
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -2,11 +2,11 @@
 
 import (
 	"log/slog"
-	"runtime/debug"
 	"time"
 
 	"croftlock/brain"
 	"croftlock/internal/expiry"
+	"croftlock/internal/invariant"
 	"croftlock/internal/maintenance"
 	"croftlock/internal/metrics"
 	"croftlock/internal/namespace"
@@ -77,6 +77,7 @@
 	turns    []func() bool         // clients that wait for it
 	asking   bool
 	figures  *metrics.Table
+	monitor  *invariant.Monitor
 	requests map[string]*Request
 
 	// The module is single-threaded and its effects must not call it: they are kept in effects while it runs, and
@@ -139,6 +140,7 @@
 		c.classes[k.Name], names[i] = i, k.Name
 	}
 	c.hand, c.figures = maintenance.New(), metrics.New(names)
+	c.monitor = invariant.NewMonitor(func(r invariant.Rule, id string) { slog.Error("invariant_broken", "rule", r, "request", id) })
 	for i, t := range opt.Settings.Tenants {
 		c.tenants[t.Name] = i
 	}
@@ -212,38 +214,3 @@
 		slog.Warn("rejected", "reason", err)
 	}
 }
-
-// decide has the module take one event, then carries out what it did, in order, and then whatever that caused. about
-// is the request that is answered for should the module panic; it may be nil.
-func (c *Core) decide(about *Request, f func(now brain.Time)) {
-	c.calls = append(c.calls, call{about, f})
-	if c.deciding {
-		return
-	}
-	c.deciding = true
-	defer func() { c.deciding = false }()
-	for len(c.calls) > 0 {
-		next := c.calls[0]
-		c.calls = c.calls[1:]
-		c.guard(next.about, func() { next.f(c.loop.Now()) })
-		for len(c.effects) > 0 {
-			do := c.effects[0]
-			c.effects = c.effects[1:]
-			c.guard(next.about, do)
-		}
-	}
-	c.calls, c.effects = nil, nil
-}
-
-// guard keeps a panic from reaching beyond the request it happened for, which still gets its one answer.
-func (c *Core) guard(about *Request, f func()) {
-	defer func() {
-		if p := recover(); p != nil {
-			slog.Error("panic", "where", "core", "reason", p, "stack", string(debug.Stack()))
-			if about != nil {
-				about.abandon()
-			}
-		}
-	}()
-	f()
-}
--- a/internal/proxy/effects.go
+++ b/internal/proxy/effects.go
@@ -25,7 +25,7 @@
 func (e *effects) Refuse(id string, after brain.Time) {
 	e.later(func() {
 		if r := e.requests[id]; r != nil {
-			r.refuse(time.Duration(after))
+			r.decline(time.Duration(after))
 		}
 	})
 }
--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -72,8 +72,7 @@
 	}
 	u.at.checkThere(u.id, "a first line is written")
 	u.at.wrote++
-	u.stage = netio.Sent
-	u.ev.UpstreamSent()
+	u.sent()
 	answer := u.at.rng.Intn(20)
 	u.after(u.at.draw(250*time.Millisecond), func() {
 		switch answer {
--- a/internal/proxy/hand_test.go
+++ b/internal/proxy/hand_test.go
@@ -108,7 +108,7 @@
 			case 6:
 				if len(w.ups) > 0 {
 					u := w.ups[rapid.IntRange(0, len(w.ups)-1).Draw(t, "attempt")]
-					u.stage = netio.Sent
+					u.sent()
 					switch rapid.IntRange(0, 2).Draw(t, "end") {
 					case 0:
 						u.ev.FromUpstream(Message{Kind: Busy})
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -99,6 +99,7 @@
 		slog.Warn("cut_short", "request", r.ask.ID, "attempts", r.attempts, "state", r.state(), "left_ms", (r.deadline-s.core.loop.Now())/1e6)
 		s.core.guard(r, func() { r.endNow(s.core.ComeBack()) })
 	}
+	s.core.monitor.Close()
 	open, _ := s.core.standing()
 	s.move(open, s.plan.answerBy)
 	if s.core.newcomers != nil {
@@ -112,7 +113,11 @@
 		return
 	}
 	open, pending := s.core.standing()
-	slog.Info("left", "open", open, "pending", pending, "connections", s.core.sessions, "handing", s.core.handing)
+	for _, r := range s.core.requests {
+		r.rec.Dropped() // whoever has had no answer, or no word, gets none any more
+	}
+	broken, held := s.core.monitor.Counts.Sum()
+	slog.Info("left", "open", open, "pending", pending, "connections", s.core.sessions, "handing", s.core.handing, "broken", broken, "held_back", held)
 	s.done()
 	s.done = nil
 }
--- a/internal/proxy/open.go
+++ b/internal/proxy/open.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"croftlock/brain"
+	"croftlock/internal/invariant"
 	"croftlock/internal/metrics"
 )
 
@@ -53,6 +54,7 @@
 	}
 	now := c.loop.Now()
 	r := &Request{core: c, down: d, first: first, ask: q, pool: in, tenant: o.Tenant, deadline: now + int64(wait)}
+	r.rec = invariant.Request{Monitor: c.monitor, ID: o.ID, Class: r.class(), Deadline: r.deadline, Attempts: c.opt.Settings.MaxAttempts}
 	c.requests[o.ID] = r
 	if o.At != "" {
 		r.adopt(o.At)
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -173,7 +173,7 @@
 		r.decline(c.ComeBack())
 		return
 	}
-	if r.mayRun && c.opt.Settings.Classes[r.ask.Class].Effect != brain.Safe {
+	if !r.rec.Movable() {
 		r.fail(metrics.Failed)
 		return
 	}
--- a/internal/proxy/repeat.go
+++ b/internal/proxy/repeat.go
@@ -1,40 +1,19 @@
 package proxy
 
 import (
+	"log/slog"
 	"math"
 	"time"
 
 	"croftlock/brain"
+	"croftlock/internal/invariant"
 	"croftlock/internal/metrics"
 	"croftlock/internal/netio"
 )
 
-// noteRun remembers that an attempt which has ended may have run, and when the first such attempt was sent.
-func (r *Request) noteRun(a *upstreamRequest, status brain.Status) {
-	if status.ProvesNotRun() || r.mayRun {
-		return
-	}
-	r.mayRun = true
-	r.ranAt = a.sentAt
-}
-
 // class is the settings' entry for the request's class.
 func (r *Request) class() *brain.Class { return &r.core.opt.Settings.Classes[r.ask.Class] }
 
-// repeatDeadline is the loop's time from which on no further attempt may be written: hosts discard repeats of a keyed
-// request for a limited time after the first attempt that may have run, and a repeat that arrives later runs twice.
-func (r *Request) repeatDeadline() int64 {
-	if !r.mayRun || r.class().Effect != brain.Keyed {
-		return math.MaxInt64
-	}
-	return r.ranAt + int64(r.class().Window)
-}
-
-// mayHaveRun tells whether an attempt may have run: one that has ended, or the one under way.
-func (r *Request) mayHaveRun() bool {
-	return r.mayRun || r.out != nil && r.out.conn.Stage() >= netio.Sent
-}
-
 // endNow gives a request its answer at once, whatever is under way for it, and has the module forget it.
 func (r *Request) endNow(after time.Duration) {
 	r.decline(after)
@@ -49,26 +28,40 @@
 	return r.out.conn.Stage().String()
 }
 
-// decline is the final answer of a request that gets no further attempt. A refusal promises that trying again is harmless,
-// which holds for a request that may have run only where hosts discard its repeats or where these have no effect.
+// decline is the final answer of a request that gets no further attempt: a refusal, where that is true.
 func (r *Request) decline(after time.Duration) {
-	c := r.class()
-	harmless := c.Effect == brain.Safe || c.Effect == brain.Keyed && c.Scope == brain.ScopeAll
-	if r.mayHaveRun() && !harmless {
+	if !r.rec.Refusable() {
 		r.fail(metrics.Failed)
 		return
 	}
 	r.refuse(after)
 }
 
-// MaySend says whether the first line may be written now that the connection stands. The time in which a repeat is
-// discarded may have run out while it was being opened.
+// place is what the rules have to know of a host.
+func (h *host) place() invariant.Host {
+	return invariant.Host{State: h.state, Zone: h.zone, Cell: h.listed.Cell}
+}
+
+// heldBack logs that a rule stood against an attempt, and tells as what the attempt ends.
+func (r *Request) heldBack(rule invariant.Rule, h *host) brain.Status {
+	slog.Warn("held_back", "rule", rule, "request", r.ask.ID, "host", h.id)
+	switch rule {
+	case invariant.HostTakesNone:
+		return brain.Full
+	case invariant.InTime:
+		return brain.Timeout
+	}
+	return brain.Moot
+}
+
+// MaySend says whether the first line may be written now that the connection stands: while it was being opened its host may have ceased to take
+// anything, and the time in which a repeat is discarded may have run out.
 func (a *upstreamRequest) MaySend() bool {
 	if a.req.out != a {
 		return false
 	}
-	if a.req.core.loop.Now() >= a.req.repeatDeadline() {
-		a.giveUpRepeat()
+	if rule := a.req.rec.Write(a.req.core.loop.Now(), a.host.place()); rule != invariant.None {
+		a.finish(a.req.heldBack(rule, a.host), netio.Ended)
 		return false
 	}
 	return true
@@ -76,17 +69,14 @@
 
 // limitRepeat ends the attempt when the time in which a repeat is discarded runs out before its line is written.
 func (a *upstreamRequest) limitRepeat() {
-	deadline := a.req.repeatDeadline()
+	deadline := a.req.rec.RepeatUntil()
 	if deadline == math.MaxInt64 {
 		return
 	}
 	c := a.req.core
 	a.repeatTimer = c.loop.After(time.Duration(deadline-c.loop.Now()), func() {
 		if a.connecting() {
-			a.giveUpRepeat()
+			a.finish(brain.Moot, netio.Ended) // no fault of the host's
 		}
 	})
 }
-
-// giveUpRepeat ends an attempt of which nothing has been written. That is no fault of the host's.
-func (a *upstreamRequest) giveUpRepeat() { a.finish(brain.Moot, netio.Ended) }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"time"
 
 	"croftlock/brain"
+	"croftlock/internal/invariant"
 	"croftlock/internal/metrics"
 	"croftlock/internal/netio"
 )
@@ -29,8 +31,7 @@
 	tenant   string // as its client named it
 	pool     *pool  // whose instance of the module places it, and after UP the one of its host; nil: its host changes hands
 	base     int    // attempts that were made before that instance was asked
-	mayRun   bool   // an attempt that ended may have run
-	ranAt    int64  // when the first of these was sent
+	rec      invariant.Request
 	slot     string // the account whose limits it counts against; "": none
 	deadline int64
 	overdue  *netio.Timer
@@ -78,13 +79,14 @@
 		until = min(until, now+timeout)
 	}
 	h := c.hosts[server]
-	switch {
-	case r.answered, r.out != nil, h == nil, r.attempts > c.opt.Settings.MaxAttempts, now >= r.deadline:
+	if h == nil || r.attempts > c.opt.Settings.MaxAttempts {
 		c.tell(r, p, func(now brain.Time, m Decider) { m.Outcome(now, id, number, brain.Moot, 0, r.answered, nil) })
 		return
-	case h.state != brain.Ready:
-		// The module knows as much; this holds should it ever not.
-		c.tell(r, p, func(now brain.Time, m Decider) { m.Outcome(now, id, number, brain.Full, 0, false, nil) })
+	}
+	// The module knows the rules as well; this holds should it ever not.
+	if rule := r.rec.Begin(now, h.place()); rule != invariant.None {
+		status := r.heldBack(rule, h)
+		c.tell(r, p, func(now brain.Time, m Decider) { m.Outcome(now, id, number, status, 0, r.answered, nil) })
 		return
 	}
 	switch v, how := c.again(r, h); how {
@@ -107,6 +109,7 @@
 	now := c.loop.Now()
 	a := &upstreamRequest{req: r, number: number, host: h, sentAt: now, until: until}
 	r.out = a
+	r.rec.Began(now, h.place())
 	h.trying[a] = struct{}{}
 	if tracing() {
 		slog.Debug("attempt", "request", r.ask.ID, "number", number, "host", h.id, "left_ms", (r.deadline-now)/1e6)
@@ -135,7 +138,9 @@
 		return
 	}
 	r.adopted, r.pool = true, h.pool
-	if c.loop.Now() >= r.deadline {
+	r.rec.Resumed, r.rec.Attempts = true, math.MaxInt
+	if rule := r.rec.Begin(c.loop.Now(), h.place()); rule != invariant.None {
+		r.heldBack(rule, h)
 		r.fail(metrics.Failed)
 		return
 	}
@@ -168,6 +173,7 @@
 func (a *upstreamRequest) outcome(status brain.Status) {
 	r, c := a.req, a.req.core
 	elapsed := c.loop.Now() - a.sentAt
+	r.rec.Ended(status.ProvesNotRun())
 	if tracing() {
 		slog.Debug("outcome", "request", r.ask.ID, "number", a.number, "host", a.host.id, "status", status.String(),
 			"up", a.up, "ms", elapsed/1e6)
@@ -190,7 +196,6 @@
 		return
 	}
 	closed := r.answered || a.up
-	r.noteRun(a, status)
 	c.tell(r, r.pool, func(now brain.Time, m Decider) { m.Outcome(now, r.ask.ID, a.number, status, elapsed, closed, a.report) })
 	if closed {
 		r.forget()
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -182,6 +182,9 @@
 		"lost", n.Lost, "turned_away", n.TurnedAway, "expiring", n.Expiring, "handed", n.Handed, "resumed", n.Resumed, "told", n.Told, "heard", n.Heard,
 		"probed", n.Probed)
 	c.counts = Counts{}
+	if broken, held := c.monitor.Counts.Sum(); broken+held > 0 {
+		slog.Warn("invariants", "broken", broken, "held_back", held)
+	}
 }
 
 // noteDelay tells the module once a second how long messages take at a host, while that is over a third of the
--- a/internal/proxy/standing.go
+++ b/internal/proxy/standing.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"croftlock/brain"
+	"croftlock/internal/invariant"
 	"croftlock/internal/netio"
 )
 
@@ -46,6 +47,7 @@
 		s.Up = p
 		down.Release(func(p netio.Parts) {
 			s.Down = p
+			r.rec.Released()
 			gone := func() { c.handing-- }
 			if s.Up.FD < 0 || s.Down.FD < 0 {
 				// One of the two has ended, which ends the other; a client that is left is moved.
@@ -92,6 +94,8 @@
 	for _, t := range s.Waiting[:min(len(s.Waiting), maxWaiting)] {
 		a.waiting = append(a.waiting, min(t, c.loop.Now()))
 	}
+	r.rec = invariant.Request{Monitor: c.monitor, ID: q.ID, Class: r.class()}
+	r.rec.TakenOver()
 	r.out = a
 	h.up[r] = struct{}{}
 	c.requests[q.ID] = r
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -9,7 +9,10 @@
 )
 
 // UpstreamSent says that the last byte of the first line is written.
-func (a *upstreamRequest) UpstreamSent() { a.req.core.figures.Dispatched() }
+func (a *upstreamRequest) UpstreamSent() {
+	a.req.core.figures.Dispatched()
+	a.req.rec.Wrote(a.req.core.loop.Now(), a.sentAt, a.host.place())
+}
 
 // FromUpstream takes a message of the host's.
 func (a *upstreamRequest) FromUpstream(m Message) bool {
@@ -48,6 +51,7 @@
 		c.leaveHost(a.host, r) // it was on its way before the operators' word
 	}
 	c.counts.Served++
+	r.rec.Served(c.loop.Now())
 	how := metrics.Stood
 	if r.adopted {
 		how = metrics.Adopted
@@ -119,6 +123,7 @@
 	default:
 		a.req.core.counts.Lost++
 	}
+	a.req.rec.Released()
 	a.req.down.End(err.Cause)
 	a.outcome(status)
 }
--- a/internal/proxy/world_test.go
+++ b/internal/proxy/world_test.go
@@ -73,7 +73,7 @@
 	}
 	r := w.open(id)
 	u := w.ups[len(w.ups)-1]
-	u.stage = netio.Sent
+	u.sent()
 	u.ev.FromUpstream(Message{Kind: Receipt, Text: []byte("UP\r\n")})
 	w.seen = nil
 	return r, u
@@ -93,6 +93,16 @@
 	full  bool
 }
 
+// sent has the host's machine take the last byte of the first line.
+func (u *fakeUp) sent() {
+	a, attempt := u.ev.(*upstreamRequest)
+	fresh := attempt && a.req.out == a && u.stage < netio.Sent
+	u.stage = netio.Sent
+	if fresh {
+		u.ev.UpstreamSent()
+	}
+}
+
 func (u *fakeUp) Pass(m Message) bool { return !u.full }
 
 func (u *fakeUp) Pump() { u.w.note("pump up") }
