--- a/internal/lineproto/downstream.go
+++ b/internal/lineproto/downstream.go
@@ -36,6 +36,7 @@
 // cutOff ends a request that has no answer yet for a fault of its client's.
 func (d *downstream) cutOff(cause error) {
 	d.reject(cause)
+	d.req.CutOff()
 	d.req.DownstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.Dropped, Detail: cause})
 }
 
@@ -94,6 +95,7 @@
 		line, err := Cut(d.conn.Input())
 		if err != nil {
 			d.finish()
+			d.req.CutOff()
 			d.req.DownstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.Dropped, Detail: err})
 			return
 		}
@@ -110,6 +112,18 @@
 	}
 }
 
+// LastWords is what a client is told whose connection ends for a fault of this side's: its request has failed, or its connection is to be
+// opened anew.
+func (d *downstream) LastWords() []byte {
+	if d.req != nil {
+		d.req.CutOff()
+	}
+	if d.served {
+		return move
+	}
+	return fault
+}
+
 func (d *downstream) Closed(c *netio.Conn, err *netio.Error) {
 	d.idle.Stop()
 	if d.req != nil {
@@ -151,8 +165,12 @@
 // drop ends a newcomer for the sake of the next.
 func (d *downstream) drop() {
 	d.idle.Stop()
-	if !d.conn.Over() && len(d.conn.Input()) > 0 {
+	switch {
+	case d.conn.Over():
+	case len(d.conn.Input()) > 0:
 		d.conn.Write(fault)
+	case !d.pinged:
+		d.conn.Write(busy(d.front.core.ComeBack())) // a request may be on its way in this very moment
 	}
 	d.conn.Drop()
 	d.gone()
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -46,6 +46,7 @@
 	limit     int    // input at which reading pauses
 	paused    bool   // netpoll does not watch it
 	refilling bool   // refill will come
+	refused   int    // times in a row that the poller could not take it
 	giveUp    int64  // when a peer that takes nothing is given up
 	rest      []byte // of the one line that is partly written
 	retry     *Timer
--- a/internal/netio/end.go
+++ b/internal/netio/end.go
@@ -99,13 +99,23 @@
 	return Ended
 }
 
+// LastWords is a handler whose peer is owed a word where this side ends the connection for a fault or a limit of its own.
+type LastWords interface {
+	// LastWords is called right before the end, on the loop; Closed follows.
+	LastWords() []byte
+}
+
 // fail closes the connection and tells the handler why.
 func (c *Conn) fail(err *Error) {
 	if c.over {
 		return
 	}
 	held := c.in
-	c.Close()
+	if w, ok := c.handler.(LastWords); ok && err.Cause == Dropped {
+		c.FinishWith(w.LastWords())
+	} else {
+		c.Close()
+	}
 	c.in = held // the handler may still want what came before the end
 	defer func() {
 		if p := recover(); p != nil {
--- /dev/null
+++ b/internal/netio/errno_test.go
@@ -0,0 +1,107 @@
+package netio
+
+import (
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// failing is a loop whose system call gives an error so many times, and then goes on.
+func failing(err error, times int) *Loop {
+	l := NewLoop()
+	l.sendmsg = func(fd int, p []byte) (int, error) {
+		if times > 0 {
+			times--
+			return -1, err
+		}
+		if len(p) > 3 {
+			p = p[:3] // a short write
+		}
+		return sendmsg(fd, p)
+	}
+	return l
+}
+
+// A kernel that is short of buffers for a moment was taken for a broken connection that takes everything: the line was never sent, counted as
+// written, and its request waited for an answer until its time was up.
+func TestALineOutlivesAKernelShortOfBuffers(t *testing.T) {
+	for _, err := range []error{syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR, syscall.EAGAIN} {
+		_, addr, _ := serveOn(t, failing(err, 3), func(c *Conn) { c.FinishWith([]byte("a line\r\n")) })
+		c := dial(t, addr)
+		c.Write([]byte("."))
+		if got, err2 := io.ReadAll(c); string(got) != "a line\r\n" || err2 != nil {
+			t.Errorf("%v: got %q, %v", err, got, err2)
+		}
+	}
+}
+
+// A write that fails for good ends its connection, and the line counts as not written.
+func TestAWriteThatFailsIsTold(t *testing.T) {
+	for _, err := range []error{syscall.EPIPE, syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
+		written := make(chan bool, 1)
+		_, addr, ends := serveOn(t, failing(err, 1), func(c *Conn) {
+			c.Write([]byte("a line\r\n"))
+			written <- !c.Blocked()
+		})
+		c := dial(t, addr)
+		c.Write([]byte("."))
+		if <-written {
+			t.Errorf("%v: the line counts as written", err)
+		}
+		select {
+		case e := <-ends:
+			if e.Cause != Broke || e.Detail != err {
+				t.Errorf("%v: told %v", err, e)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%v: the handler hears nothing", err)
+		}
+	}
+}
+
+// flaky is a listener's queue whose accept fails in one way after the other.
+type flaky struct {
+	netpoll.Listener
+	errs []error
+}
+
+func (f *flaky) Accept() (net.Conn, error) {
+	if len(f.errs) > 0 {
+		err := f.errs[0]
+		f.errs = f.errs[1:]
+		return nil, err
+	}
+	return f.Listener.Accept()
+}
+
+// Accepting goes on whatever one accept says, and at once where there is a descriptor again.
+func TestAcceptingOutlivesItsErrors(t *testing.T) {
+	l := NewLoop()
+	if err := Attach(l); err != nil {
+		t.Fatal(err)
+	}
+	go l.Run()
+	t.Cleanup(l.Stop)
+	n, err := Bind("127.0.0.1:0", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Listener = &flaky{Listener: n.Listener, errs: []error{syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EINTR, syscall.EPERM,
+		syscall.ENFILE, syscall.EMFILE, syscall.ENFILE, syscall.EMFILE, syscall.ENFILE, syscall.EMFILE, syscall.ENFILE, syscall.EMFILE, syscall.ENFILE}}
+	if err := Serve(l, n, 1024, func(c *Conn) Handler {
+		c.FinishWith([]byte("here\r\n"))
+		return nobody{}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		c := dial(t, n.Addr().String())
+		if got, err := io.ReadAll(c); string(got) != "here\r\n" {
+			t.Errorf("got %q, %v", got, err)
+		}
+	}
+}
--- a/internal/netio/listen.go
+++ b/internal/netio/listen.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
@@ -32,19 +33,45 @@
 
 // Accept takes one connection from the queue, unless accepting has been stopped.
 func (n *Listener) Accept() (net.Conn, error) {
+	for {
+		c, again, err := n.take()
+		if !again {
+			return c, err
+		}
+		// netpoll's own pauses grow to a second, in which clients wait in the queue though there is room again. This call is not on its
+		// poller.
+		time.Sleep(acceptAgain)
+	}
+}
+
+// acceptAgain is the pause before the queue is looked at again when there was no descriptor.
+const acceptAgain = 10 * time.Millisecond
+
+// take takes one connection from the queue. again says that there was no descriptor for it once more, and that the caller may wait.
+func (n *Listener) take() (c net.Conn, again bool, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
 	case n.stopped && n.short:
 		n.short = false // netpoll's own retries end with an empty queue; the next call tells
-		return nil, nil
+		return nil, false, nil
 	case n.stopped:
 		n.detached = true
-		return nil, errStopped
+		return nil, false, errStopped
+	}
+	c, err = n.Listener.Accept()
+	short := err == syscall.EMFILE || err == syscall.ENFILE
+	again = short && n.short // netpoll has let go of the socket, and this is its retry beside the poller
+	n.short = short
+	if err != nil {
+		slog.Warn("accept_failed", "addr", n.addr, "reason", err)
+	}
+	if err != nil && !short {
+		// The client has gone again, or the kernel is short of memory: the next one is no worse for that. What netpoll does not know it would
+		// log and forget, or take for the listener's end.
+		return nil, false, nil
 	}
-	c, err := n.Listener.Accept()
-	n.short = err == syscall.EMFILE || err == syscall.ENFILE
-	return c, err
+	return c, again, err
 }
 
 // Stop leaves what comes from now on to whoever else holds the socket.
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -23,7 +23,8 @@
 	timers timerHeap
 	order  uint64
 
-	clock func() int64
+	clock   func() int64
+	sendmsg func(fd int, p []byte) (int, error) // the system call; tests put another in its place
 }
 
 // NewLoop makes a loop. Its clock is Unix time as it is now plus what passes on the monotonic clock, so that a step of
@@ -36,7 +37,7 @@
 
 // NewLoopAt makes a loop on the given clock.
 func NewLoopAt(clock func() int64) *Loop {
-	return &Loop{wake: make(chan struct{}, 1), ended: make(chan struct{}), clock: clock}
+	return &Loop{wake: make(chan struct{}, 1), ended: make(chan struct{}), clock: clock, sendmsg: sendmsg}
 }
 
 // Now is the loop's time in nanoseconds since 1970.
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -22,7 +22,11 @@
 // serve listens on a running loop; connections are handled by data.
 func serve(t *testing.T, data func(c *Conn)) (*Loop, string, chan *Error) {
 	t.Helper()
-	l := NewLoop()
+	return serveOn(t, NewLoop(), data)
+}
+
+func serveOn(t *testing.T, l *Loop, data func(c *Conn)) (*Loop, string, chan *Error) {
+	t.Helper()
 	if err := Attach(l); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"log/slog"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 )
@@ -83,6 +85,11 @@
 	}
 	c.paused = false
 	var err error
+	defer func() {
+		if err == nil {
+			c.refused = 0
+		}
+	}()
 	current.park(func() {
 		var np netpoll.Connection
 		if np, err = netpoll.NewFDConnection(fd); err == nil {
@@ -92,8 +99,28 @@
 	})
 	if err != nil {
 		c.paused = true
+		c.watchAgain(err)
+	}
+}
+
+// How often, and how soon, a socket is offered to the poller again that it could not take: the kernel may be short of memory for a moment.
+const (
+	mostWatches = 20
+	watchAgain  = 25 * time.Millisecond
+)
+
+func (c *Conn) watchAgain(err error) {
+	c.refused++
+	slog.Warn("watch_failed", "times", c.refused, "reason", err)
+	if c.refused >= mostWatches {
 		c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Dropped, Detail: err}) })
+		return
 	}
+	c.loop.After(watchAgain, func() {
+		if c.paused && (!c.over || c.ending) {
+			c.resume()
+		}
+	})
 }
 
 func (c *Conn) deliver() {
--- a/internal/netio/release.go
+++ b/internal/netio/release.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"log/slog"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -84,6 +86,21 @@
 	return nil
 }
 
+// say writes what the kernel takes at once.
+func say(fd int, p []byte) {
+	for len(p) > 0 {
+		n, err := sendmsg(fd, p)
+		if err == syscall.EINTR {
+			continue
+		}
+		if err != nil {
+			slog.Warn("goodbye_lost", "bytes", len(p), "reason", err)
+			return
+		}
+		p = p[n:]
+	}
+}
+
 // Discard gives this process's hold on the socket up. Where nobody else goes on with it there is a last line to say: the rest of a
 // line that is partly written and the last one go out, as far as the kernel takes them at once.
 func (p Parts) Discard(last []byte) {
@@ -91,7 +108,7 @@
 		return
 	}
 	if len(last) > 0 {
-		unix.SendmsgN(p.FD, append(bytes.Clone(p.Rest), last...), nil, nil, unix.MSG_NOSIGNAL|unix.MSG_DONTWAIT)
+		say(p.FD, append(bytes.Clone(p.Rest), last...))
 	}
 	unix.Close(p.FD)
 }
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -110,6 +110,16 @@
 	}
 }
 
+// CutOff says that this side ends the client's connection for a fault, and has told the client so. DownstreamEnded follows.
+func (r *Request) CutOff() {
+	switch {
+	case r.out != nil && r.out.up:
+		r.rec.Released()
+	case !r.answered:
+		r.rec.Failed(r.core.loop.Now())
+	}
+}
+
 // DownstreamEnded says that the client has gone, or was cut off.
 func (r *Request) DownstreamEnded(err *netio.Error) {
 	if err.Cause == netio.Dropped {
