Clocks that are set and disks that fail between processes lose no operator's word

Found by reading: - hotrestart/store.go: a write that failed (ENOSPC, EIO) was logged and forgotten; a process killed later came back without the ban that its operator had a yes for. It is made again until it succeeds, 50 ms to 1 s apart. What a kill left half written is removed at the next start, a file that can't be used is set aside and not written over, a read that the disk refuses is made again for 1 s (node/predecessor.go). - proxy/kept.go, Valid: a system clock set back between two processes put bans into the future, and the whole state was passed over. A Kept says when it was written and is brought into the reader's time; standing connections' times too. - proxy/list.go: boot_ms was compared as it stood with a clock that goes on monotonically. After a step back a host's new start was older than the one before and it was taken for warm; Core.started reads it by both clocks and takes the colder meaning that is possible. - node/obey.go: SIGHUP read its files before the next signal was taken, so SIGTERM waited for a disk that hangs while SIGKILL was counted from it; files are read beside it now, and several SIGHUPs that wait are one.

--- /dev/null
+++ b/internal/hotrestart/disk_test.go
@@ -0,0 +1,77 @@
+package hotrestart
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
+)
+
+// A state that could not be written was forgotten: the operator had his yes, and a process killed later came back without the ban. A folder that
+// takes no writes for a while stands for a full disk; a kill's half-written file does no harm.
+func TestWhatCouldNotBeWrittenIsWrittenLater(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "state")
+	l := netio.NewLoop()
+	go l.Run()
+	t.Cleanup(l.Stop)
+	s := NewStore(l, dir) // the folder is not there yet: every write fails
+	tried := make(chan bool, 2)
+	s.Keep(sample(), func() { tried <- true })
+	<-tried
+	newer := sample()
+	newer.Rev = 8
+	s.Keep(newer, func() { tried <- true })
+	<-tried
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		k, err := Read(dir, 1e18)
+		if err == nil && k != nil && k.Rev == 8 && len(k.Out) == 1 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("kept %+v, %v", k, err)
+		}
+	}
+	half := filepath.Join(dir, "."+stateFile+".123")
+	if err := os.WriteFile(half, []byte("croftlock-st"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	NewStore(l, dir)
+	if _, err := os.Stat(half); !os.IsNotExist(err) {
+		t.Error("a half-written file stays")
+	}
+}
+
+// The system's clock was set by an hour between two processes: bans lay in the future, and the whole state was passed over.
+func TestAStateOfAnotherClock(t *testing.T) {
+	const hour = int64(time.Hour)
+	now := int64(1e18)
+	for name, step := range map[string]int64{"back": -hour, "forward": hour, "a little": int64(20 * time.Millisecond)} {
+		k := sample()
+		k.At = now - step // the writer's time, in the moment that is now here
+		k.Out[0].Since = k.At - 5e9
+		k.Memory.Servers[0].FailedAt, k.Memory.Servers[0].Until = k.At-1e9, k.At+2e9
+		data, err := encode(k)
+		if err != nil {
+			t.Fatal(err)
+		}
+		file, err := decode(data, now)
+		if err != nil || len(file.Out) != 1 || file.Out[0].Since > now || file.Memory.Servers[0].FailedAt > now {
+			t.Errorf("%s: a file gives %+v, %v", name, file, err)
+		}
+		k.Rebase(now, true)
+		if since, until := now-k.Out[0].Since, k.Memory.Servers[0].Until-now; since < 4e9 || since > 6e9 || until < 1e9 || until > 3e9 {
+			t.Errorf("%s: out for %v, shunned for %v more", name, time.Duration(since), time.Duration(until))
+		}
+	}
+	old := &proxy.Kept{Out: sample().Out} // of a version that did not say when
+	old.Out[0].Since = now + hour
+	if old.Rebase(now, false); old.Valid(now) != nil || old.Out[0].Since != now {
+		t.Errorf("%+v", old)
+	}
+}
--- a/internal/hotrestart/offer.go
+++ b/internal/hotrestart/offer.go
@@ -36,6 +36,7 @@
 	case m.Kind != kindWelcome || m.Kept == nil || len(fds) == 0 || len(fds) > 2 || (len(fds) == 2) != m.Datagram:
 		err = fmt.Errorf("the process that serves answered %q with %d sockets", m.Kind, len(fds))
 	default:
+		m.Kept.Rebase(now, true)
 		if err = m.Kept.Valid(now); err == nil {
 			conn.SetReadDeadline(time.Time{})
 			h := &Handoff{Kept: m.Kept, Listener: fds[0], Datagram: -1}
--- a/internal/hotrestart/state.go
+++ b/internal/hotrestart/state.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
+	"log/slog"
 	"os"
 	"path/filepath"
 
@@ -48,6 +49,7 @@
 	if err := json.Unmarshal(body, k); err != nil {
 		return nil, err
 	}
+	k.Rebase(now, false)
 	return k, k.Valid(now)
 }
 
@@ -76,6 +78,14 @@
 	return k, nil
 }
 
+// SetAside keeps a file that can't be used from being written over, for whoever looks into why.
+func SetAside(dir string) {
+	path := filepath.Join(dir, stateFile)
+	if err := os.Rename(path, path+".unusable"); err != nil && !os.IsNotExist(err) {
+		slog.Warn("state_not_set_aside", "reason", err)
+	}
+}
+
 // write replaces the file at once.
 func write(dir string, k *proxy.Kept) error {
 	data, err := encode(k)
--- a/internal/hotrestart/store.go
+++ b/internal/hotrestart/store.go
@@ -2,7 +2,10 @@
 
 import (
 	"log/slog"
+	"os"
+	"path/filepath"
 	"sync"
+	"time"
 
 	"croftlock/internal/netio"
 	"croftlock/internal/proxy"
@@ -19,14 +22,25 @@
 	done []func()
 }
 
-// NewStore keeps in dir.
+// How soon what could not be written is written again.
+const (
+	firstWriteAgain = 50 * time.Millisecond
+	lastWriteAgain  = time.Second
+)
+
+// NewStore keeps in dir. What a process that was killed in the middle of a write has left there is removed.
 func NewStore(l *netio.Loop, dir string) *Store {
+	left, _ := filepath.Glob(filepath.Join(dir, "."+stateFile+".*"))
+	for _, path := range left {
+		os.Remove(path)
+	}
 	s := &Store{loop: l, dir: dir, wake: make(chan struct{}, 1)}
 	go s.work()
 	return s
 }
 
-// Keep writes k; done, which may be nil, is called on the loop once it is written or can't be.
+// Keep writes k; done, which may be nil, is called on the loop once it is written, or the first try has failed: nobody waits for a disk that is
+// full. The write is made again until it succeeds, or until something newer is to be kept.
 func (s *Store) Keep(k *proxy.Kept, done func()) {
 	s.mu.Lock()
 	s.next = k
@@ -41,21 +55,46 @@
 }
 
 func (s *Store) work() {
-	failed := false
+	pause := firstWriteAgain
 	for range s.wake {
-		s.mu.Lock()
-		k, done := s.next, s.done
-		s.next, s.done = nil, nil
-		s.mu.Unlock()
-		if k != nil {
-			err := write(s.dir, k)
-			if err != nil && !failed {
-				slog.Warn("state_not_kept", "dir", s.dir, "reason", err)
-			}
-			failed = err != nil
-		}
-		for _, f := range done {
-			s.loop.Post(f)
+		for !s.writeNext(pause > firstWriteAgain) {
+			time.Sleep(pause)
+			pause = min(2*pause, lastWriteAgain)
 		}
+		pause = firstWriteAgain
+	}
+}
+
+// writeNext writes what waits, and tells whether nothing is left to write. again says that the last write failed.
+func (s *Store) writeNext(again bool) bool {
+	s.mu.Lock()
+	k, done := s.next, s.done
+	s.next, s.done = nil, nil
+	s.mu.Unlock()
+	var err error
+	if k != nil {
+		err = write(s.dir, k)
+	}
+	switch {
+	case err != nil && !again:
+		slog.Warn("state_not_kept", "dir", s.dir, "reason", err)
+	case err == nil && again:
+		slog.Info("state_kept", "dir", s.dir)
+	}
+	if err != nil {
+		s.giveBack(k)
+	}
+	for _, f := range done {
+		s.loop.Post(f)
+	}
+	return err == nil
+}
+
+// giveBack has what could not be written wait again, unless something newer does.
+func (s *Store) giveBack(k *proxy.Kept) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next == nil {
+		s.next = k
 	}
 }
--- a/internal/node/obey.go
+++ b/internal/node/obey.go
@@ -20,15 +20,28 @@
 	leave    func()
 }
 
-// obey takes signals for as long as the program runs. Files are read here, beside the loop, which must not wait for a
-// disk. A file that can't be used changes nothing.
+// obey takes signals for as long as the program runs. It never waits: SIGTERM begins to count when it is sent, also behind a SIGHUP whose files
+// come from a disk that hangs.
 func (n *node) obey(signals <-chan os.Signal) {
+	reloads := make(chan struct{}, 1)
+	go n.reloadEach(reloads)
 	for s := range signals {
 		if s != syscall.SIGHUP {
 			slog.Info("stopping", "signal", s)
 			n.leave()
 			continue
 		}
+		select {
+		case reloads <- struct{}{}:
+		default: // one that has not begun yet will read what stands there now
+		}
+	}
+}
+
+// reloadEach reads the files again whenever it is told to, beside the loop, which must not wait for a disk. A file that can't be used changes
+// nothing.
+func (n *node) reloadEach(reloads <-chan struct{}) {
+	for range reloads {
 		n.reload()
 	}
 }
--- a/internal/node/partner.go
+++ b/internal/node/partner.go
@@ -32,9 +32,14 @@
 	if r.with != p.of || !r.waits {
 		return
 	}
-	if k != nil && k.Valid(r.loop.Now()) == nil {
-		r.core.Inherit(k)
-		r.core.Recall(k.Memory)
+	if k != nil {
+		k.Rebase(r.loop.Now(), true)
+		if err := k.Valid(r.loop.Now()); err != nil {
+			slog.Warn("handover_odd", "reason", err)
+		} else {
+			r.core.Inherit(k)
+			r.core.Recall(k.Memory)
+		}
 	}
 	r.accept()
 }
--- a/internal/node/predecessor.go
+++ b/internal/node/predecessor.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io/fs"
 	"log/slog"
+	"time"
 
 	"croftlock/internal/hotrestart"
 	"croftlock/internal/platform"
@@ -28,9 +30,10 @@
 	if a.p != nil {
 		return a.p, a.h, nil
 	}
-	k, err := hotrestart.Read(dir, now)
+	k, err := readState(dir, now)
 	if err != nil {
 		slog.Warn("state_passed_over", "reason", err)
+		hotrestart.SetAside(dir)
 	}
 	if k == nil {
 		return nil, nil, nil
@@ -38,6 +41,24 @@
 	return nil, &hotrestart.Handoff{Kept: k, Listener: -1, Datagram: -1}, nil
 }
 
+// How often a state file is read that the disk does not give, and how soon again.
+const (
+	mostReads = 10
+	readAgain = 100 * time.Millisecond
+)
+
+// readState gives what a process before this one has kept. A disk that fails for a moment is asked again: what operators have said stands there.
+func readState(dir string, now int64) (k *proxy.Kept, err error) {
+	for range mostReads {
+		k, err = hotrestart.Read(dir, now)
+		if system := new(fs.PathError); !errors.As(err, &system) {
+			return k, err
+		}
+		time.Sleep(readAgain)
+	}
+	return nil, err
+}
+
 // known is the list to start from: what another process held, where it is the same service's and newer.
 func known(cfg *platform.Config, h *hotrestart.Handoff) proxy.Change {
 	if h == nil || h.Kept.Discovery != cfg.Discovery || h.Kept.Rev <= cfg.Known.Version {
--- a/internal/proxy/floors.go
+++ b/internal/proxy/floors.go
@@ -39,8 +39,7 @@
 		}
 		h.state = c.counting(h.listed)
 		slog.Info("floor", "host", id, "out", h.state != brain.Ready)
-		e := h.listed
-		e.State = h.state
+		e := h.entry()
 		c.tell(nil, h.pool, func(now brain.Time, m Decider) { m.Members(now, brain.ListByHand, 0, []brain.Entry{e}) })
 	}
 	c.takeBack()
--- a/internal/proxy/hand.go
+++ b/internal/proxy/hand.go
@@ -72,9 +72,8 @@
 	if h == nil || h.listed.State == brain.Departed {
 		return // it holds from the next list on that names the host
 	}
-	e := h.listed
-	h.state = c.counting(e)
-	e.State = h.state
+	h.state = c.counting(h.listed)
+	e := h.entry()
 	if !out {
 		var guess bool
 		if e.Since, guess = ban.Start(e.Since, now); guess {
@@ -106,12 +105,12 @@
 // certain ends the doubt about a host that came back: its start is as discovery says, which has had its time. guess is the
 // start that the module was told.
 func (c *Core) certain(h *host, guess int64) {
-	if c.hosts[h.id] != h || h.state != brain.Ready || h.listed.Since >= guess {
+	if c.hosts[h.id] != h || h.state != brain.Ready || h.since >= guess {
 		return // it is out again, or gone; or its start has been told since, and the module knows
 	}
-	away := h.listed
+	away := h.entry()
 	away.State = brain.Suspended
-	back := []brain.Entry{away, h.listed}
+	back := []brain.Entry{away, h.entry()}
 	c.tell(nil, h.pool, func(now brain.Time, m Decider) { m.Members(now, brain.ListByHand, 0, back) })
 }
 
--- a/internal/proxy/kept.go
+++ b/internal/proxy/kept.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math"
+	"time"
 
 	"croftlock/brain"
 	"croftlock/internal/maintenance"
@@ -10,6 +12,7 @@
 
 // Kept is what one process of a proxy leaves to the next: what operators have said, the list, and what the module knows.
 type Kept struct {
+	At        int64  // the writer's time as it was written; 0: an earlier version did not say
 	Discovery string // who gave the list; revisions of another service mean nothing
 	Rev       int64
 	Hosts     []HostEntry
@@ -24,6 +27,41 @@
 	longestID = 256
 )
 
+// clockStep is the least difference between two processes' clocks that is taken for a step of the system's clock between their starts.
+const clockStep = int64(time.Second)
+
+// Rebase brings its times into this process's, whose time is now. The two processes' clocks are the system's as each of them started, and that may
+// have been set in between, by an hour either way. live says that it was written in this very moment; of a file it is only known that
+// it is not from the future.
+func (k *Kept) Rebase(now int64, live bool) {
+	by := now - k.At
+	if k.At > 0 && (by < 0 || live) && (by <= -clockStep || by >= clockStep) {
+		slog.Warn("clock_stepped", "between", "processes", "ms", by/1e6)
+		k.shift(by)
+	}
+	for i := range k.Out {
+		k.Out[i].Since = min(k.Out[i].Since, now) // a ban holds whatever its time says
+	}
+}
+
+func (k *Kept) shift(by int64) {
+	move := func(times ...*int64) {
+		for _, t := range times {
+			if *t > 0 {
+				*t = max(1, *t+by)
+			}
+		}
+	}
+	for i := range k.Out {
+		move(&k.Out[i].Since)
+	}
+	move(&k.Memory.Started, &k.Memory.RateAt)
+	for i := range k.Memory.Servers {
+		s := &k.Memory.Servers[i]
+		move(&s.Until, &s.FailedAt, &s.IllAt, &s.DelayAt, &s.TokensAt, &s.Passed)
+	}
+}
+
 // Valid tells what makes it unusable. now is the loop's time.
 func (k *Kept) Valid(now int64) error {
 	if len(k.Hosts) > mostHosts || len(k.Out) > mostHosts || len(k.Known) > 2*mostHosts {
@@ -67,7 +105,7 @@
 
 // Keep is what the next process is to know. With yield, this one gives up its cold budgets.
 func (c *Core) Keep(yield bool) *Kept {
-	k := &Kept{Out: c.hand.All(), Known: c.hand.IDs(), Memory: c.main.module.Remember(yield)}
+	k := &Kept{At: c.loop.Now(), Out: c.hand.All(), Known: c.hand.IDs(), Memory: c.main.module.Remember(yield)}
 	for _, p := range c.pools {
 		if p != c.main {
 			k.Memory.Servers = append(k.Memory.Servers, p.module.Remember(yield).Servers...)
--- a/internal/proxy/list.go
+++ b/internal/proxy/list.go
@@ -38,8 +38,7 @@
 		} else if to != h.pool {
 			c.transfer(h, to) // its kind or zone is another than it was
 		}
-		e.Entry.State = h.state
-		entries[h.pool], named[e.ID] = append(entries[h.pool], e.Entry), true
+		entries[h.pool], named[e.ID] = append(entries[h.pool], h.entry()), true
 	}
 	if ch.Kind == brain.ListFull || ch.Kind == brain.ListCached {
 		for id, h := range c.hosts {
@@ -93,11 +92,14 @@
 	if h == nil {
 		h = c.newHost(e.ID)
 	}
-	if tracing() && (h.state != e.State || h.since != e.Since || h.endpoint == "") {
+	if tracing() && (h.state != e.State || h.listed.Since != e.Since || h.endpoint == "") {
 		slog.Debug("host", "host", e.ID, "zone", e.Zone, "state", int(e.State), "weight", e.Weight, "since_ms", e.Since/1e6)
 	}
 	c.hand.Listed(e.ID)
-	h.state, h.listed, h.zone, h.since = c.counting(e.Entry), e.Entry, e.Zone, e.Since
+	if h.endpoint == "" || e.Since != h.listed.Since {
+		h.since = c.started(e.Since)
+	}
+	h.state, h.listed, h.zone = c.counting(e.Entry), e.Entry, e.Zone
 	if e.Endpoint == "" || e.Endpoint == h.endpoint {
 		return
 	}
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -113,7 +113,7 @@
 func (c *Core) transfer(h *host, to *pool) {
 	from := h.pool
 	h.pool = to
-	away := h.listed
+	away := h.entry()
 	away.State = brain.Departed
 	if from != nil {
 		m := from.module.Remember(false)
@@ -126,8 +126,7 @@
 		c.tell(nil, from, func(now brain.Time, m Decider) { m.Members(now, brain.ListByHand, 0, []brain.Entry{away}) })
 	}
 	if to != nil {
-		here := h.listed
-		here.State = h.state
+		here := h.entry()
 		known := h.known
 		c.tell(nil, to, func(now brain.Time, m Decider) {
 			m.Members(now, brain.ListByHand, 0, []brain.Entry{here})
