--- a/cmd/croftlab/main.go
+++ b/cmd/croftlab/main.go
@@ -7,6 +7,7 @@
 
 	"croftlock/internal/command"
 	"croftlock/internal/lab"
+	"croftlock/internal/lab/soak"
 	"croftlock/internal/owners"
 	"croftlock/internal/voter"
 )
@@ -16,5 +17,5 @@
 	if owners.Planted = os.Getenv(lab.PlantedEnv); owners.Planted != "" {
 		os.Exit(command.Run(os.Args[1:], os.Getenv)) // the program itself, with a fault that an experiment has to find
 	}
-	os.Exit(lab.Main(os.Args[1:]))
+	os.Exit(lab.Main(os.Args[1:], soak.Command()))
 }
--- a/internal/fake/discovery.go
+++ b/internal/fake/discovery.go
@@ -45,6 +45,14 @@
 	calls   int
 	server  *http.Server
 	addr    string
+	written func(List)
+}
+
+// OnWritten has f called, on any goroutine, with each list once it is written: from then on the caller has been told of it.
+func (d *Discovery) OnWritten(f func(List)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.written = f
 }
 
 // NewDiscovery serves a list on a loopback address.
@@ -211,7 +219,19 @@
 		}
 		if from < 0 || l.Rev > from || hold == 0 {
 			w.Header().Set("Content-Type", "application/json")
-			json.NewEncoder(w).Encode(l)
+			data, err := json.Marshal(l)
+			if err != nil {
+				panic(err) // it holds nothing that has no form
+			}
+			w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+			w.Write(data)
+			http.NewResponseController(w).Flush()
+			d.mu.Lock()
+			written := d.written
+			d.mu.Unlock()
+			if written != nil {
+				written(l)
+			}
 			return
 		}
 		select {
--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -39,8 +39,8 @@
 	{"tls-bad", "every bad server, its outcome and reason; 20 s", tlsBad},
 }
 
-// Main is croftlab's command line; it gives the exit status.
-func Main(args []string) int {
+// Main is croftlab's command line, with more commands than those of this package; it gives the exit status.
+func Main(args []string, more ...*cobra.Command) int {
 	var program, out string
 	root := &cobra.Command{Use: "croftlab", Short: "Experiments with croftlock on loopback", SilenceUsage: true, SilenceErrors: true}
 	self, _ := os.Executable()
@@ -90,6 +90,7 @@
 	relay.Flags().StringVar(&r.name, "name", "", "")
 	relay.RunE = func(*cobra.Command, []string) error { return r.run() }
 	root.AddCommand(relay)
+	root.AddCommand(more...)
 	root.SetArgs(args)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "croftlab:", err)
--- a/internal/lab/config.go
+++ b/internal/lab/config.go
@@ -53,13 +53,47 @@
 	Aim      int64  `json:"on_time"`  // nanoseconds
 	Deadline int64  `json:"deadline"` // nanoseconds
 	Effect   string `json:"semantics"`
+	Scope    string `json:"dedup_scope,omitempty"`
+	Window   int64  `json:"key_ttl,omitempty"` // nanoseconds
 }
 
-// The platform's names for how lists come and for a class whose requests may be repeated.
+// Class is a class of requests of an experiment with more than one.
+type Class struct {
+	Name     string
+	Deadline time.Duration
+	Effect   Effect
+	Window   time.Duration // for Keyed: how long hosts discard repeats
+}
+
+// Effect is what a repeat of a request may do, as the settings name it.
+type Effect string
+
+// The effects.
+const (
+	Safe   Effect = "read_like"
+	Keyed  Effect = "idempotency_key"
+	Unsafe Effect = "non_idempotent"
+)
+
+// classes are the settings' entries.
+func (s *Setup) classes() (out []processClass) {
+	if len(s.Classes) == 0 {
+		s.Classes = []Class{{Name: class, Deadline: s.Deadline, Effect: Safe}}
+	}
+	for _, c := range s.Classes {
+		p := processClass{Name: c.Name, Aim: int64(min(800*time.Millisecond, c.Deadline)), Deadline: int64(c.Deadline), Effect: string(c.Effect)}
+		if c.Effect == Keyed {
+			p.Scope, p.Window = "all", int64(c.Window)
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// The platform's names for how lists come.
 const (
 	listsAsked  = "subscribe"
 	listsPushed = "automatic"
-	safeClass   = "read_like"
 )
 
 // setDefaults fills in what an experiment leaves out.
@@ -92,6 +126,6 @@
 			Bounds: processBounds{MayTell: len(s.Peers) > 0, MaxAttempts: 5, ConnectTimeout: int64(s.Connect), RetryAfter: true,
 				MaxRetryAfter: int64(time.Second)},
 			Contract: processContract{MustAskIn: int64(10 * time.Second)},
-			Classes:  []processClass{{Name: class, Aim: int64(800 * time.Millisecond), Deadline: int64(s.Deadline), Effect: safeClass}}},
+			Classes:  s.classes()},
 	}
 }
--- a/internal/lab/proc.go
+++ b/internal/lab/proc.go
@@ -36,7 +36,9 @@
 	MemoryMB  float64
 	Connect   time.Duration // limit of a connect
 	Deadline  time.Duration // of a request
+	Classes   []Class       // none: one class of safe requests with that deadline
 	Args, Env []string
+	Files     []*os.File // descriptors that it inherits, from 3 on
 	Listen    string // "": any address
 	Admin     string // where operators call; "": nowhere
 	Tmp       string // the platform's private folder; "": as this process has it
@@ -99,7 +101,9 @@
 	if s.Program == "" {
 		s.Program = e.Croftlock
 	}
-	return start(dir, exec.Command(s.Program, args...), append(s.Env, "NODE_CONFIG="+path), "event=ready", "listen=")
+	cmd := exec.Command(s.Program, args...)
+	cmd.ExtraFiles = s.Files
+	return start(dir, cmd, append(s.Env, "NODE_CONFIG="+path), "event=ready", "listen=")
 }
 
 // start runs a command and waits for a line of its log that holds mark; the address stands in it after field.
@@ -148,6 +152,9 @@
 	}
 }
 
+// ConfigPath is where its configuration stands.
+func (p *Process) ConfigPath() string { return filepath.Join(p.dir, "config.json") }
+
 // Log is every line of the log so far that holds what.
 func (p *Process) Log(what string) []string {
 	p.mu.Lock()
@@ -171,6 +178,15 @@
 	return false
 }
 
+// Done is closed once it has ended, and Err tells how.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Err is how it ended: nil in order.
+func (p *Process) Err() error {
+	<-p.done
+	return p.err
+}
+
 // Signal sends one.
 func (p *Process) Signal(s os.Signal) { p.cmd.Process.Signal(s) }
 
--- /dev/null
+++ b/internal/lab/soak/command.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"croftlock/internal/lab"
+)
+
+// Command is croftlab's soak: plays of many seeds, one after the other; its status is 1 where a rule was broken.
+func Command() *cobra.Command {
+	var opt Options
+	var seeds uint64
+	var program string
+	self, _ := os.Executable()
+	c := &cobra.Command{Use: "soak", Short: "Many processes under faults that overlap, seed after seed; exit 1 where a rule was broken",
+		Example: "  croftlab soak --seed 1 --seeds 20 --proxies 20 --length 30s", Args: cobra.NoArgs}
+	c.Flags().Uint64Var(&opt.Seed, "seed", 1, "the first seed")
+	c.Flags().Uint64Var(&seeds, "seeds", 1, "how many")
+	c.Flags().IntVar(&opt.Proxies, "proxies", 20, "proxies, 10 to 40")
+	c.Flags().IntVar(&opt.Hosts, "hosts", 12, "catalogue servers")
+	c.Flags().DurationVar(&opt.Length, "length", 30*time.Second, "how long clients come")
+	c.Flags().Float64Var(&opt.Rate, "rate", 6, "requests a second at each proxy")
+	c.Flags().IntVar(&opt.Faults, "faults", 120, "faults in that time")
+	c.Flags().BoolVar(&opt.Calls, "calls", true, "system calls fail too")
+	c.Flags().StringVar(&program, "croftlock", filepath.Join(filepath.Dir(self), "croftlock"), "the program to run")
+	c.RunE = func(*cobra.Command, []string) error {
+		broken := 0
+		for first := opt.Seed; opt.Seed < first+seeds; opt.Seed++ {
+			n, err := playOne(program, opt)
+			if err != nil {
+				return err
+			}
+			broken += n
+		}
+		if broken > 0 {
+			return errors.New("rules were broken")
+		}
+		return nil
+	}
+	return c
+}
+
+// playOne plays one seed and prints what it showed.
+func playOne(program string, opt Options) (broken int, err error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	r, err := Play(&lab.Env{Croftlock: program, Dir: dir}, opt)
+	if err != nil {
+		return 0, err
+	}
+	fmt.Println(r)
+	for _, v := range r.Violations {
+		fmt.Println("  ", v)
+	}
+	for _, err := range r.Errs {
+		fmt.Println("   error:", err)
+	}
+	return len(r.Violations) + len(r.Errs), nil
+}
--- a/internal/lab/soak/session.go
+++ b/internal/lab/soak/session.go
@@ -60,6 +60,7 @@
 type Session struct {
 	ID      string
 	Request Request
+	Pieces  bool // its first line comes in two pieces
 	conn    net.Conn
 	ended   chan struct{}
 
@@ -94,6 +95,11 @@
 	if s.Request.Extra != "" {
 		line += "," + s.Request.Extra
 	}
+	if s.Pieces {
+		fmt.Fprint(s.conn, line[:len(line)/2])
+		line = line[len(line)/2:]
+		time.Sleep(30 * time.Millisecond)
+	}
 	s.mu.Lock()
 	s.out.Sent = time.Now()
 	s.mu.Unlock()
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,40 @@
+package soak
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"croftlock/internal/lab"
+)
+
+// environment is what every process of a play is started with.
+func environment(t *testing.T) *lab.Env {
+	t.Helper()
+	t.Setenv(asProgram, "1")
+	return &lab.Env{Croftlock: os.Args[0], Dir: t.TempDir()}
+}
+
+// Ten processes under faults that overlap, for a short time: no rule is broken, by what clients and hosts saw and by the processes' own count.
+func TestSoak(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		r, err := Play(environment(t), Options{Seed: seed, Proxies: 10, Hosts: 8, Length: 10 * time.Second, Rate: 6, Faults: 40})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(r)
+		for _, v := range r.Violations {
+			t.Error(v)
+		}
+		for _, err := range r.Errs {
+			t.Error(err)
+		}
+		if t.Failed() {
+			t.Fatal(strings.Join(r.Faults, "\n"))
+		}
+		if r.Stopped < 10 || r.Answers[Served] < 100 {
+			t.Errorf("a play in which little happened: %v", r)
+		}
+	}
+}
--- a/internal/lab/soak/stop_test.go
+++ b/internal/lab/soak/stop_test.go
@@ -23,35 +23,6 @@
 	os.Exit(m.Run())
 }
 
-// countedDeadline is the most that a class's deadline counts for in the time between SIGTERM and SIGKILL.
-const countedDeadline = 3 * time.Second
-
-// killAfter is the earliest moment after SIGTERM at which a process may get SIGKILL.
-func killAfter(deadline time.Duration) time.Duration {
-	return min(deadline, countedDeadline) + 700*time.Millisecond
-}
-
-// stalls measures for how long this machine keeps a process from running: SIGKILL comes no sooner than the platform says, and later by as
-// much as everything else was held up.
-func stalls(stop <-chan struct{}) <-chan time.Duration {
-	out := make(chan time.Duration, 1)
-	go func() {
-		const step = 5 * time.Millisecond
-		var most time.Duration
-		for last := time.Now(); ; {
-			select {
-			case <-stop:
-				out <- most
-				return
-			case <-time.After(step):
-				most = max(most, time.Since(last)-step)
-				last = time.Now()
-			}
-		}
-	}()
-	return out
-}
-
 // stopping is one proxy with hosts that can hang.
 type stopping struct {
 	proxy    *lab.Process
@@ -131,8 +102,7 @@
 			}
 			asked := s.start(t, 40)
 			time.Sleep(50 * time.Millisecond)
-			done := make(chan struct{})
-			held := stalls(done)
+			held := newStallMeter()
 			began := time.Now()
 			s.proxy.Signal(syscall.SIGTERM)
 			for time.Since(began) < 300*time.Millisecond { // the front has not noticed yet
@@ -142,9 +112,10 @@
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
-			time.Sleep(time.Until(began.Add(killAfter(deadline))))
-			close(done)
-			time.Sleep(<-held)
+			// SIGKILL comes no sooner than the platform says, and later by as much as this machine held everything up.
+			time.Sleep(time.Until(began.Add(KillAfter(deadline))))
+			held.stop()
+			time.Sleep(held.value())
 			s.proxy.Kill()
 			check(t, s, standing, asked)
 		})
