A connection outlives netpoll's hold on it, and the queue its errors

Ruled out: the core (no invariant_broken, nothing counted), sendmsg (its errors alone: none). At fault: netpoll closes a connection that epoll_ctl or readv fails for, before or after its callbacks are in place (connection_onevent.go, register), and tells nobody or only of an end; and where descriptors run out it detaches the listener, takes it up again with an epoll_ctl whose error it drops, and waits up to 1 s between tries.

Change: netio accepts itself and gives netpoll the socket as it gives it one that was paused, under a spare number that is kept if netpoll fails; a connection that neither side has ended is taken back when netpoll closes it, and offered again each 25 ms; errors of accept never reach netpoll; a listener that can't be watched is tried again for 5 s before the process gives up.

--- a/cmd/croftlab/main.go
+++ b/cmd/croftlab/main.go
@@ -13,6 +13,7 @@
 )
 
 func main() {
+	soak.BehindShim()
 	owners.OpenVoter = voter.Open
 	if owners.Planted = os.Getenv(lab.PlantedEnv); owners.Planted != "" {
 		os.Exit(command.Run(os.Args[1:], os.Getenv)) // the program itself, with a fault that an experiment has to find
--- a/internal/lab/proc.go
+++ b/internal/lab/proc.go
@@ -39,10 +39,10 @@
 	Classes   []Class       // none: one class of safe requests with that deadline
 	Args, Env []string
 	Files     []*os.File // descriptors that it inherits, from 3 on
-	Listen    string // "": any address
-	Admin     string // where operators call; "": nowhere
-	Tmp       string // the platform's private folder; "": as this process has it
-	Program   string // "": the one that experiments run
+	Listen    string     // "": any address
+	Admin     string     // where operators call; "": nowhere
+	Tmp       string     // the platform's private folder; "": as this process has it
+	Program   string     // "": the one that experiments run
 	// Where it reaches the other proxies of its tier, itself included, its number among them, and where it is reached; none: it has no others.
 	Peers      []string
 	Me         int
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -55,8 +55,11 @@
 	{"reset-standing", 3, func(f *Fleet, rng *rand.Rand) { f.host(rng).ResetSome(1 + rng.IntN(4)) }},
 	{"host-restart", 3, func(f *Fleet, rng *rand.Rand) {
 		h := f.host(rng)
-		f.fail(h.Restart(span(rng, 50, 1500)))
-		f.list(h, "up")
+		if h.claimed.CompareAndSwap(false, true) {
+			f.fail(h.Restart(span(rng, 50, 1500)))
+			f.list(h, "up")
+			h.claimed.Store(false)
+		}
 	}},
 	{"drain", 5, (*Fleet).drain},
 	{"discovery-down", 4, func(f *Fleet, rng *rand.Rand) {
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -96,7 +96,7 @@
 		}
 		d.OnWritten(func(l fake.List) {
 			if life := n.Life(); life != nil {
-				n.told(life, l)
+				n.told(life, l, fmt.Sprintf("discovery %d, version %d, whole %t", k, l.Rev, l.All))
 			}
 		})
 	}
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -190,7 +190,7 @@
 	if l.proc, err = n.fleet.launch(setup, n.number); err != nil {
 		return fmt.Errorf("%s: %w", l.name, err)
 	}
-	n.told(l, listed)
+	n.told(l, listed, "its configuration")
 	n.mu.Lock()
 	n.now, n.all = l, append(n.all, l)
 	n.mu.Unlock()
@@ -198,16 +198,16 @@
 }
 
 // told notes what a list that was written says of hosts.
-func (n *Node) told(l *life, list fake.List) {
+func (n *Node) told(l *life, list fake.List, by string) {
 	at, named := time.Now(), map[string]bool{}
 	for _, e := range list.Targets {
 		named[e.UID] = true
-		n.fleet.record.tell(l, e.UID, e.State, at)
+		n.fleet.record.tell(l, e.UID, e.State, by, at)
 	}
 	if list.All {
 		for _, h := range n.fleet.Hosts() {
 			if !named[h.UID] {
-				n.fleet.record.tell(l, h.UID, "removed", at)
+				n.fleet.record.tell(l, h.UID, "removed", by, at)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/lab/soak/notify.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"runtime"
+	"syscall"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// notification is the kernel's struct seccomp_notif, and verdict its struct seccomp_notif_resp.
+type notification struct {
+	id    uint64
+	pid   uint32
+	flags uint32
+	call  int32
+	arch  uint32
+	ip    uint64
+	args  [6]uint64
+}
+
+type verdict struct {
+	id    uint64
+	val   int64
+	errno int32
+	flags uint32
+}
+
+// The requests on a notification descriptor, and the flag that lets a call go on.
+const (
+	notifyReceive  = 0xc0502100
+	notifySend     = 0xc0182101
+	notifyContinue = 1
+	pollMS         = 100
+)
+
+// lockThread keeps the calling goroutine on its thread: a filter is the thread's that sets it.
+func lockThread() { runtime.LockOSThread() }
+
+// serve answers on a notification descriptor until its process has ended, or the shim has.
+func (s *Shim) serve(fd int) {
+	for {
+		select {
+		case <-s.ended:
+			return
+		default:
+		}
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(poll, pollMS)
+		switch {
+		case err == unix.EINTR || n == 0 && err == nil:
+			continue
+		case err != nil || poll[0].Revents&unix.POLLIN == 0:
+			return // nobody is left to be looked at
+		}
+		s.answer(fd)
+	}
+}
+
+func (s *Shim) answer(fd int) {
+	var q notification
+	if ioctl(fd, notifyReceive, unsafe.Pointer(&q)) != 0 {
+		return // the caller has been killed meanwhile
+	}
+	v := verdict{id: q.id}
+	if errno := s.fault(q.call, q.args[1]); errno != 0 {
+		v.errno = -int32(errno)
+	} else {
+		v.flags = notifyContinue
+	}
+	ioctl(fd, notifySend, unsafe.Pointer(&v))
+}
+
+func ioctl(fd int, request uintptr, arg unsafe.Pointer) syscall.Errno {
+	for {
+		_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(fd), request, uintptr(arg))
+		if errno != unix.EINTR {
+			return errno
+		}
+	}
+}
--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -9,8 +9,14 @@
 type Record struct {
 	mu       sync.Mutex
 	arrivals map[string][]*arrival   // by the request's id, in the order in which they came
-	told     map[tellKey][]time.Time // when a life of a proxy was told that a host takes nothing new
-	back     map[tellKey][]time.Time // and that it does again
+	told     map[tellKey][]telling // what lives of proxies were told of hosts
+}
+
+// telling is one list's word on a host, written to a life of a proxy.
+type telling struct {
+	at    time.Time
+	state string
+	by    string // the list
 }
 
 // tellKey is a host as one life of a proxy sees it.
@@ -21,7 +27,7 @@
 
 // NewRecord makes an empty one.
 func NewRecord() *Record {
-	return &Record{arrivals: map[string][]*arrival{}, told: map[tellKey][]time.Time{}, back: map[tellKey][]time.Time{}}
+	return &Record{arrivals: map[string][]*arrival{}, told: map[tellKey][]telling{}}
 }
 
 // arrival is one attempt as its host received it: the whole first line.
@@ -49,31 +55,27 @@
 	return append([]*arrival(nil), r.arrivals[id]...)
 }
 
-// told notes that a list with a host's state was written to a proxy.
-func (r *Record) tell(l *life, host, state string, at time.Time) {
+// tell notes that a list with a host's state was written to a proxy.
+func (r *Record) tell(l *life, host, state, by string, at time.Time) {
 	k := tellKey{l, host}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if state == "up" {
-		r.back[k] = append(r.back[k], at)
-	} else {
-		r.told[k] = append(r.told[k], at)
+	if all := r.told[k]; len(all) == 0 || all[len(all)-1].state != state {
+		r.told[k] = append(all, telling{at, state, by})
 	}
 }
 
 // outSince gives when a life was last told that a host takes nothing, if that still held at a moment.
-func (r *Record) outSince(l *life, host string, at time.Time) (since time.Time, out bool) {
-	k := tellKey{l, host}
+func (r *Record) outSince(l *life, host string, at time.Time) (since telling, out bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var last time.Time
-	for _, t := range r.back[k] {
-		if t.Before(at) && t.After(last) {
-			last = t
-		}
-	}
-	for _, t := range r.told[k] {
-		if t.Before(at) && t.After(last) && (since.IsZero() || t.Before(since)) {
+	for _, t := range r.told[tellKey{l, host}] {
+		switch {
+		case !t.at.Before(at):
+			return since, out
+		case t.state == "up":
+			out = false
+		case !out:
 			since, out = t, true
 		}
 	}
--- a/internal/lab/soak/shim.go
+++ b/internal/lab/soak/shim.go
@@ -1,18 +1,187 @@
 package soak
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
 
 	"croftlock/internal/lab"
 )
 
-// Shim stands between a process and the kernel.
-type Shim struct{}
+// shimEnv names the program that a process is to become once its system calls are looked at.
+const shimEnv = "CROFTLOCK_SOAK_SHIM"
+
+// Shim looks at some system calls of a proxy's processes and has some of them fail, as the kernel documents that they may. It uses a seccomp
+// filter with user notification on these processes alone, which needs no rights.
+type Shim struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	armed  bool
+	part   float64 // of the calls that fail while it is armed
+	failed atomic.Int64
+	ended  chan struct{}
+}
+
+// NewShim makes one for the processes of one proxy.
+func NewShim(seed uint64) (*Shim, error) {
+	return &Shim{rng: rand.New(rand.NewPCG(seed, 5)), ended: make(chan struct{})}, nil
+}
+
+// errnos are what each call may fail with, and leave everything as it was.
+var errnos = map[int32][]syscall.Errno{
+	unix.SYS_ACCEPT:    {unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EINTR, unix.EPROTO},
+	unix.SYS_ACCEPT4:   {unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EINTR, unix.EPROTO},
+	unix.SYS_CONNECT:   {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EHOSTUNREACH, unix.ETIMEDOUT, unix.ECONNREFUSED, unix.EAGAIN, unix.ENOBUFS, unix.EINTR},
+	unix.SYS_SOCKET:    {unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM},
+	unix.SYS_SENDMSG:   {unix.EINTR, unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM},
+	unix.SYS_READV:     {unix.EINTR, unix.EAGAIN},
+	unix.SYS_EPOLL_CTL: {unix.ENOMEM, unix.ENOSPC},
+	unix.SYS_FSYNC:     {unix.EIO, unix.ENOSPC},
+	unix.SYS_RENAMEAT:  {unix.EIO, unix.ENOSPC},
+}
+
+// proxyFlags are those of the proxy's own writes; the standard library's, which also hand descriptors over, are left alone.
+const proxyFlags = unix.MSG_NOSIGNAL | unix.MSG_DONTWAIT
+
+// filter is the program that has the kernel ask about the calls in errnos.
+func filter() []unix.SockFilter {
+	const nr, flags = 0, 16 + 2*8 // offsets in struct seccomp_data: the call, and the low half of its third argument
+	load := func(at uint32) unix.SockFilter {
+		return unix.SockFilter{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: at}
+	}
+	ret := func(k uint32) unix.SockFilter { return unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: k} }
+	equal := func(k uint32, no uint8) unix.SockFilter {
+		return unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: k, Jf: no}
+	}
+	p := []unix.SockFilter{load(nr)}
+	for call := range errnos {
+		if call != unix.SYS_SENDMSG {
+			p = append(p, equal(uint32(call), 1), ret(unix.SECCOMP_RET_USER_NOTIF))
+		}
+	}
+	return append(p, equal(unix.SYS_SENDMSG, 3), load(flags), equal(proxyFlags, 1), ret(unix.SECCOMP_RET_USER_NOTIF), ret(unix.SECCOMP_RET_ALLOW))
+}
+
+// BehindShim makes this process the program that it was started for, if it was started by a shim; else it does nothing. It is to be called first.
+func BehindShim() {
+	program := os.Getenv(shimEnv)
+	if program == "" {
+		return
+	}
+	os.Unsetenv(shimEnv)
+	if err := become(program); err != nil {
+		fmt.Fprintln(os.Stderr, "shim:", err)
+		os.Exit(1)
+	}
+}
+
+func become(program string) error {
+	lockThread()
+	if err := unix.Prctl(unix.PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0); err != nil {
+		return err
+	}
+	code := filter()
+	fprog := unix.SockFprog{Len: uint16(len(code)), Filter: &code[0]}
+	fd, _, errno := unix.Syscall(unix.SYS_SECCOMP, unix.SECCOMP_SET_MODE_FILTER, unix.SECCOMP_FILTER_FLAG_NEW_LISTENER, uintptr(unsafe.Pointer(&fprog)))
+	if errno != 0 {
+		return errno
+	}
+	if err := unix.Sendmsg(shimFD, []byte{1}, unix.UnixRights(int(fd)), nil, 0); err != nil {
+		return err
+	}
+	unix.Close(shimFD)
+	unix.Close(int(fd))
+	return syscall.Exec(program, os.Args, os.Environ())
+}
+
+// shimFD is where the process that is to be looked at sends the descriptor by which that is done.
+const shimFD = 3
+
+// Launch starts a process behind the shim. Its calls are left alone until it is ready.
+func (s *Shim) Launch(e *lab.Env, p lab.Setup) (*lab.Process, error) {
+	s.arm(false, 0)
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	theirs, ours := os.NewFile(uintptr(pair[0]), "shim"), os.NewFile(uintptr(pair[1]), "shim")
+	defer theirs.Close()
+	go s.attend(ours)
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	p.Env = append(p.Env[:len(p.Env):len(p.Env)], shimEnv+"="+e.Croftlock)
+	p.Program, p.Files = self, []*os.File{theirs}
+	return e.Proxy(p)
+}
+
+// attend answers the kernel's questions about one process until it has ended.
+func (s *Shim) attend(from *os.File) {
+	c, err := net.FileConn(from)
+	from.Close()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	oob := make([]byte, unix.CmsgSpace(4))
+	_, n, _, _, err := c.(*net.UnixConn).ReadMsgUnix(make([]byte, 1), oob)
+	if err != nil {
+		return
+	}
+	messages, err := syscall.ParseSocketControlMessage(oob[:n])
+	if err != nil || len(messages) == 0 {
+		return
+	}
+	fds, err := syscall.ParseUnixRights(&messages[0])
+	if err != nil || len(fds) == 0 {
+		return
+	}
+	defer unix.Close(fds[0])
+	s.serve(fds[0])
+}
+
+// Trouble has calls fail for a while, again and again, until the given time.
+func (s *Shim) Trouble(until time.Time) {
+	for time.Now().Before(until) {
+		s.mu.Lock()
+		quiet, busy, part := span(s.rng, 200, 3000), span(s.rng, 100, 1500), 0.02+0.4*s.rng.Float64()
+		s.mu.Unlock()
+		time.Sleep(quiet)
+		s.arm(true, part)
+		time.Sleep(busy)
+		s.arm(false, 0)
+	}
+}
+
+func (s *Shim) arm(on bool, part float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armed, s.part = on, part
+}
+
+// Failed is how many calls were made to fail.
+func (s *Shim) Failed() int { return int(s.failed.Load()) }
 
-// NewShim makes one.
-func NewShim(seed uint64) (*Shim, error) { return &Shim{}, nil }
+// Close ends it; its processes must have ended.
+func (s *Shim) Close() { close(s.ended) }
 
-func (s *Shim) Launch(e *lab.Env, p lab.Setup) (*lab.Process, error) { return e.Proxy(p) }
-func (s *Shim) Trouble(until time.Time)                              {}
-func (s *Shim) Failed() int                                          { return 0 }
-func (s *Shim) Close()                                               {}
+// fault draws what a call fails with; 0: it goes on.
+func (s *Shim) fault(call int32, second uint64) syscall.Errno {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := errnos[call]
+	if !s.armed || len(all) == 0 || s.rng.Float64() >= s.part || call == unix.SYS_EPOLL_CTL && second != unix.EPOLL_CTL_ADD {
+		return 0
+	}
+	s.failed.Add(1)
+	return all[s.rng.IntN(len(all))]
+}
--- a/internal/lab/soak/stop_test.go
+++ b/internal/lab/soak/stop_test.go
@@ -17,6 +17,7 @@
 const asProgram = "CROFTLOCK_TEST_RUN"
 
 func TestMain(m *testing.M) {
+	BehindShim()
 	if os.Getenv(asProgram) != "" {
 		os.Exit(command.Run(os.Args[1:], os.Getenv))
 	}
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -64,6 +64,7 @@
 	mu        sync.Mutex
 	fd        int
 	detaching bool // netpoll's close callback means a pause, not the end
+	closing   bool // and with this it is this side's own doing
 }
 
 // newConn wraps a connection of netpoll's that stands. Reading pauses while its input is at the limit.
@@ -71,12 +72,17 @@
 	c := &Conn{loop: l, np: np, in: NewBuffer(limit + overshoot), limit: limit, fd: -1}
 	if d, ok := np.(netpoll.Conn); ok {
 		c.fd = d.Fd()
-		unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_RCVBUF, kernelBuffer)
-		unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_SNDBUF, kernelBuffer)
+		c.sizeBuffers()
 	}
 	return c
 }
 
+// sizeBuffers bounds what the kernel holds for the connection.
+func (c *Conn) sizeBuffers() {
+	unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_RCVBUF, kernelBuffer)
+	unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_SNDBUF, kernelBuffer)
+}
+
 // start begins delivery to h. It is called on the loop.
 func (c *Conn) start(h Handler) {
 	c.handler = h
--- a/internal/netio/end.go
+++ b/internal/netio/end.go
@@ -1,6 +1,7 @@
 package netio
 
 import (
+	"errors"
 	"log/slog"
 	"runtime/debug"
 	"time"
@@ -25,7 +26,8 @@
 		c.detached(np)
 		return nil
 	}
-	if c.fd >= 0 {
+	kept := c.fd >= 0 && c.keep()
+	if c.fd >= 0 && !kept {
 		cause = c.howEnded()
 		c.fd = -1 // the number is another's from here on
 	}
@@ -36,6 +38,10 @@
 		tail = make([]byte, n)
 		np.Read(tail)
 	}
+	if kept {
+		c.loop.Post(func() { c.goOn(tail) })
+		return nil
+	}
 	c.loop.Post(func() {
 		if c.over {
 			c.released()
@@ -57,10 +63,55 @@
 	return nil
 }
 
+// errLetGo is why netpoll gave a connection up that stands: it says no more than that.
+var errLetGo = errors.New("the poller could not take the socket, or not read from it")
+
+// keep tells whether netpoll closes a connection that neither side has ended: the kernel had no memory for watching its socket, say. The socket
+// then lives on under another number, which it notes. mu is held.
+func (c *Conn) keep() bool {
+	const tcpEstablished = 1
+	if c.closing {
+		return false
+	}
+	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil || info.State != tcpEstablished {
+		return false
+	}
+	fd, err := unix.FcntlInt(uintptr(c.fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return false
+	}
+	c.fd = fd
+	return true
+}
+
+// goOn has netpoll watch a socket again that it has let go of. tail came in before that.
+func (c *Conn) goOn(tail []byte) {
+	if c.over && !c.ending {
+		c.paused = true
+		c.shut()
+		return
+	}
+	c.paused = true
+	switch {
+	case c.over:
+		c.discarded(len(tail))
+	case c.layer != nil:
+		c.unseal(tail, c.limit+overshoot)
+	default:
+		c.in.Append(tail)
+		c.deliver()
+	}
+	c.watchAgain(errLetGo)
+}
+
 // shut closes the socket, whoever holds it.
 func (c *Conn) shut() {
 	c.linger.Stop()
 	c.ending = false
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
 	if !c.paused {
 		c.np.Close()
 		c.released()
--- a/internal/netio/errno_test.go
+++ b/internal/netio/errno_test.go
@@ -63,6 +63,35 @@
 	}
 }
 
+// netpoll gives up a connection that stands where the kernel has no memory for watching it, or for a read: nobody was told, and the client's request
+// went without an answer. The connection goes on, with what had come in.
+func TestAConnectionOutlivesNetpollsHoldOnIt(t *testing.T) {
+	for _, times := range []int{1, 3} {
+		letGo := 0
+		_, addr, _ := serve(t, func(c *Conn) {
+			if in := string(c.Input()); len(in) < 8 || in[len(in)-1] != '.' {
+				return
+			}
+			if letGo < times {
+				letGo++
+				c.np.Close() // as netpoll does by itself
+				return
+			}
+			c.FinishWith(append([]byte(nil), c.Input()...))
+		})
+		c := dial(t, addr)
+		c.Write([]byte("half of "))
+		c.Write([]byte("a line."))
+		for range times {
+			time.Sleep(10 * time.Millisecond)
+			c.Write([]byte("."))
+		}
+		if got, err := io.ReadAll(c); err != nil || len(got) < len("half of a line.") || string(got[:15]) != "half of a line." {
+			t.Errorf("let go of %d times: got %q, %v", times, got, err)
+		}
+	}
+}
+
 // flaky is a listener's queue whose accept fails in one way after the other.
 type flaky struct {
 	netpoll.Listener
--- a/internal/netio/listen.go
+++ b/internal/netio/listen.go
@@ -21,57 +21,47 @@
 	netpoll.Listener
 	addr net.Addr
 
-	mu       sync.Mutex // Accept is called on the poller, and beside it where descriptors ran out
+	mu       sync.Mutex
 	stopped  bool
-	short    bool          // the last accept found no descriptor; netpoll tries again beside the poller
 	detached bool          // netpoll has been told to let go
 	ended    chan struct{} // closed once it has; nil before the first Serve
+	take     func(fd int)  // takes over the descriptor of a connection, on the poller
 }
 
 // errStopped ends netpoll's accepting. netpoll looks for the word "closed"; the socket stays open.
 var errStopped = errors.New("accepting is closed here, by order")
 
-// Accept takes one connection from the queue, unless accepting has been stopped.
-func (n *Listener) Accept() (net.Conn, error) {
-	for {
-		c, again, err := n.take()
-		if !again {
-			return c, err
-		}
-		// netpoll's own pauses grow to a second, in which clients wait in the queue though there is room again. This call is not on its
-		// poller.
-		time.Sleep(acceptAgain)
-	}
-}
+// acceptAgain is the pause before the queue is looked at again when the kernel had no descriptor or no memory for a connection: netpoll would
+// come back at once for as long as that lasts.
+const acceptAgain = 5 * time.Millisecond
 
-// acceptAgain is the pause before the queue is looked at again when there was no descriptor.
-const acceptAgain = 10 * time.Millisecond
-
-// take takes one connection from the queue. again says that there was no descriptor for it once more, and that the caller may wait.
-func (n *Listener) take() (c net.Conn, again bool, err error) {
+// Accept takes one connection from the queue, unless accepting has been stopped, and gives netpoll none: what netpoll registers itself it closes
+// without a word should the kernel have no memory for that. Nor is netpoll told of errors. Those of a client are over with it; where descriptors run
+// out it would let go of the queue, take it up again beside the poller, up to a second late, or never.
+func (n *Listener) Accept() (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	switch {
-	case n.stopped && n.short:
-		n.short = false // netpoll's own retries end with an empty queue; the next call tells
-		return nil, false, nil
-	case n.stopped:
+	if n.stopped {
 		n.detached = true
-		return nil, false, errStopped
+		return nil, errStopped
 	}
-	c, err = n.Listener.Accept()
-	short := err == syscall.EMFILE || err == syscall.ENFILE
-	again = short && n.short // netpoll has let go of the socket, and this is its retry beside the poller
-	n.short = short
+	c, err := n.Listener.Accept()
 	if err != nil {
 		slog.Warn("accept_failed", "addr", n.addr, "reason", err)
+		if scarce(err) {
+			time.Sleep(acceptAgain)
+		}
+		return nil, nil
 	}
-	if err != nil && !short {
-		// The client has gone again, or the kernel is short of memory: the next one is no worse for that. What netpoll does not know it would
-		// log and forget, or take for the listener's end.
-		return nil, false, nil
+	if c != nil {
+		n.take(c.(netpoll.Conn).Fd())
 	}
-	return c, again, err
+	return nil, nil
+}
+
+// scarce tells whether the kernel is out of something, which it may stay for a while.
+func scarce(err error) bool {
+	return err == syscall.EMFILE || err == syscall.ENFILE || err == syscall.ENOBUFS || err == syscall.ENOMEM
 }
 
 // Stop leaves what comes from now on to whoever else holds the socket.
@@ -131,12 +121,19 @@
 	return n.Addr(), Serve(l, n, limit, accept)
 }
 
+// How often, and how soon, accepting is begun again that netpoll could not begin.
+const (
+	mostServes = 50
+	serveAgain = 100 * time.Millisecond
+)
+
 // Serve accepts connections and gives each one, on the loop, to accept, which names its handler. limit bounds each
-// connection's input. Running out of descriptors does not end it: netpoll sets the listener aside for a while and takes it up
-// again. After Stop, Serve may be called again.
+// connection's input. Running out of descriptors does not end it. After Stop, Serve may be called again.
 func Serve(l *Loop, n *Listener, limit int, accept func(c *Conn) Handler) error {
 	n.mu.Lock()
 	n.stopped = false
+	// Accepting waits for the loop, so that it can make room for each.
+	n.take = func(fd int) { current.gate.pass(l, func() { taken(l, fd, limit, accept) }) }
 	serving, before := n.ended != nil && !n.detached, n.ended
 	if !serving {
 		n.detached, n.ended = false, make(chan struct{})
@@ -146,37 +143,48 @@
 	if serving {
 		return nil // netpoll has not come to let go
 	}
-	// Accepting waits for the loop, so that it can make room for each.
-	events, err := netpoll.NewEventLoop(nil, netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
-		current.gate.pass(l, func() {
-			c := newConn(l, np, limit)
-			c.handler = nobody{}
-			c.guard(func() {
-				if h := accept(c); !c.Over() {
-					c.start(h)
-				}
-			})
-		})
-		return nil
-	}))
-	if err != nil {
-		return err
-	}
 	go func() {
-		// Serve ends only with the listener, which lives as long as the process, or where it has been stopped.
 		if before != nil {
 			<-before // netpoll watches a socket once
 		}
-		if err := events.Serve(n); errors.Is(err, errStopped) {
-			close(ended)
-		} else {
-			slog.Error("listener_lost", "addr", n.addr.String(), "reason", fmt.Sprint(err))
-			os.Exit(1)
-		}
+		n.serve()
+		close(ended)
 	}()
 	return nil
 }
 
+// serve has netpoll watch the queue until accepting is stopped. It ends the process where that can't be had: a proxy that takes nobody must not
+// stay.
+func (n *Listener) serve() {
+	for range mostServes {
+		events, err := netpoll.NewEventLoop(nil)
+		if err == nil {
+			err = events.Serve(n)
+		}
+		if errors.Is(err, errStopped) {
+			return
+		}
+		slog.Error("listener_failed", "addr", n.addr.String(), "reason", fmt.Sprint(err))
+		time.Sleep(serveAgain)
+	}
+	slog.Error("listener_lost", "addr", n.addr.String())
+	os.Exit(1)
+}
+
+// taken begins a connection that was accepted, on the loop.
+func taken(l *Loop, fd, limit int, accept func(c *Conn) Handler) {
+	unix.SetNonblock(fd, true)
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	c := &Conn{loop: l, in: NewBuffer(limit + overshoot), limit: limit, fd: fd, paused: true, handler: nobody{}}
+	c.sizeBuffers()
+	c.guard(func() {
+		if h := accept(c); !c.Over() {
+			c.handler = h
+			c.resume()
+		}
+	})
+}
+
 // nobody is the handler of a connection that was not taken.
 type nobody struct{}
 
--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
 // read takes over what netpoll holds. netpoll calls it on the loop.
@@ -90,13 +91,24 @@
 			c.refused = 0
 		}
 	}()
-	current.park(func() {
-		var np netpoll.Connection
-		if np, err = netpoll.NewFDConnection(fd); err == nil {
-			c.np = np
-			c.watch()
+	// netpoll closes what it can't take, so it is given the socket while that has another number as well.
+	var spare int
+	if spare, err = unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0); err == nil {
+		current.park(func() {
+			var np netpoll.Connection
+			if np, err = netpoll.NewFDConnection(fd); err == nil {
+				c.np = np
+				c.watch()
+			}
+		})
+		if err == nil {
+			unix.Close(spare)
+		} else {
+			c.mu.Lock()
+			c.fd = spare
+			c.mu.Unlock()
 		}
-	})
+	}
 	if err != nil {
 		c.paused = true
 		c.watchAgain(err)
