Two processes of a replacement know what either is told; tests' addresses are nobody else's

At fault: node/replace.go, begin.

Change: a new process opens its watch at once; the old one passes on what it is told after the hand-over (kindListed), and the last list with its last word. Test: TestTheNewProcessKnowsWhatTheOldOneIsTold.

TestLostDiskIsReplaced failed once with 'address already in use': lab.FreeAddr gave a port of 127.0.0.1 that any connection could take before the restart.

--- a/internal/fake/discovery.go
+++ b/internal/fake/discovery.go
@@ -229,7 +229,7 @@
 			d.mu.Lock()
 			written := d.written
 			d.mu.Unlock()
-			if written != nil {
+			if written != nil && r.Context().Err() == nil { // the caller is still there
 				written(l)
 			}
 			return
--- a/internal/fake/mesh.go
+++ b/internal/fake/mesh.go
@@ -44,7 +44,7 @@
 	ip := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(k / 250), byte(1 + k%250)})
 	for i := range n {
 		var err error
-		m.own[i] = netip.AddrPortFrom(ip, uint16(20000+i))
+		m.own[i] = netip.AddrPortFrom(ip, uint16(20000+os.Getpid()/250%400*100+i))
 		m.socks[i], m.links[i] = make([]*net.UDPConn, n), make([]Link, n)
 		for j := range n {
 			if i == j {
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -74,6 +74,7 @@
 func (s *side) Take() *proxy.Kept          { s.told <- "take"; return s.kept }
 func (s *side) Taken(k *proxy.Kept)        { s.told <- "taken " + k.Discovery }
 func (s *side) ByHand(id string, out bool) { s.told <- "byhand " + id }
+func (s *side) Listed(k *proxy.Kept)       { s.told <- "listed " + k.Discovery }
 func (s *side) Sessions(n int)             { s.told <- "sessions" }
 func (s *side) Standing(k *proxy.Standing) {
 	s.told <- "standing " + k.Host
@@ -145,6 +146,8 @@
 	old.expect(t, "byhand b")
 	of.Sessions(3)
 	young.expect(t, "sessions")
+	of.Listed(sample())
+	young.expect(t, "listed 127.0.0.1:1")
 	// A client that waits in the queue when the old process ends its listener gets to the new one.
 	c, err := net.Dial("tcp", first.Addr().String())
 	if err != nil {
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -52,6 +52,8 @@
 	Taken(k *proxy.Kept)
 	// ByHand brings an operator's word.
 	ByHand(id string, out bool)
+	// Listed brings a list that the partner was told since.
+	Listed(k *proxy.Kept)
 	// Sessions tells how many downstreams the partner holds.
 	Sessions(n int)
 	// Standing brings an open connection; its sockets are the receiver's.
@@ -115,6 +117,10 @@
 		if m.ID != "" {
 			ev.ByHand(m.ID, m.Out)
 		}
+	case kindListed:
+		if m.Kept != nil {
+			ev.Listed(m.Kept)
+		}
 	case kindSessions:
 		ev.Sessions(max(0, m.Sessions))
 	default:
@@ -172,6 +178,9 @@
 	p.tell(&message{Kind: kindByHand, ID: id, Out: out})
 }
 
+// Listed passes on what discovery has told of hosts: the two processes are one proxy, and what one is told the other has been told.
+func (p *Partner) Listed(k *proxy.Kept) { p.tell(&message{Kind: kindListed, Kept: k}) }
+
 // Sessions tells how many downstreams this process holds.
 func (p *Partner) Sessions(n int) { p.tell(&message{Kind: kindSessions, Sessions: n}) }
 
--- a/internal/hotrestart/wire.go
+++ b/internal/hotrestart/wire.go
@@ -22,7 +22,7 @@
 type message struct {
 	Kind     string
 	Listen   string          `json:",omitempty"` // ask: the address that clients use
-	Kept     *proxy.Kept     `json:",omitempty"` // welcome, taken
+	Kept     *proxy.Kept     `json:",omitempty"` // welcome, taken, listed
 	Datagram bool            `json:",omitempty"` // welcome: the second socket handed over is for datagrams
 	ID       string          `json:",omitempty"` // byhand
 	Out      bool            `json:",omitempty"`
@@ -39,6 +39,7 @@
 	kindTake     = "take"     // new to old: I accept from here on
 	kindTaken    = "taken"    // old to new: I do not any more, and this is what I know
 	kindByHand   = "byhand"   // either way: an operator's word
+	kindListed   = "listed"   // old to new: discovery has told this of hosts since
 	kindSessions = "sessions" // old to new
 	kindStanding = "standing" // old to new: an open connection
 )
--- a/internal/lab/opssite.go
+++ b/internal/lab/opssite.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -54,16 +53,6 @@
 // door is how many fresh connections ended without an answer.
 func (s *site) door() int { return s.fresh.count("NONE") }
 
-// FreeAddr is an address that nothing listens on.
-func FreeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // begin starts a process of the proxy, with an address of its own for operators.
 func (s *site) begin() (*Process, string, error) {
 	admin, err := FreeAddr()
--- a/internal/lab/soak/command.go
+++ b/internal/lab/soak/command.go
@@ -28,6 +28,7 @@
 	c.Flags().Float64Var(&opt.Rate, "rate", 6, "requests a second at each proxy")
 	c.Flags().IntVar(&opt.Faults, "faults", 120, "faults in that time")
 	c.Flags().BoolVar(&opt.Calls, "calls", true, "system calls fail too")
+	c.Flags().StringVar(&opt.Logs, "logs", "", "a folder for the processes' logs at debug level")
 	c.Flags().StringVar(&program, "croftlock", filepath.Join(filepath.Dir(self), "croftlock"), "the program to run")
 	c.RunE = func(*cobra.Command, []string) error {
 		broken := 0
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -29,6 +29,7 @@
 	Rate    float64 // requests a second at each proxy
 	Faults  int     // drawn for the whole time, beside those of every play
 	Calls   bool    // system calls fail too
+	Logs    string  // a folder for the processes' logs at debug level; "": none
 }
 
 // Fleet is the proxies of one play with all that is around them.
@@ -78,7 +79,7 @@
 
 // address is one of this play's own: loopback addresses that this process alone uses.
 func (f *Fleet) address(kind, i int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%250, fleets%250, kind*80+i%80, 20000+i/80)
+	return fmt.Sprintf("127.%d.%d.%d:%d", lab.OwnNetwork(), fleets%100, kind*80+i%80, lab.OwnPort()+i/80)
 }
 
 func (f *Fleet) longest() time.Duration { return f.classes[0].Deadline }
@@ -106,6 +107,12 @@
 	}
 	n.setup = lab.Setup{Name: fmt.Sprint("n", i), Listen: f.address(1, i), Classes: f.classes, Cores: 0.5, MemoryMB: 96, Sockets: 1024,
 		Connect: 250 * time.Millisecond, Tmp: dir}
+	if f.opt.Logs != "" {
+		n.setup.Settings = filepath.Join(f.env.Dir, "debug.sexp")
+		if err := os.WriteFile(n.setup.Settings, []byte("(log (level debug) (repeat 0))"), 0o600); err != nil {
+			return err
+		}
+	}
 	if f.opt.Calls {
 		s, err := NewShim(f.opt.Seed*1000 + uint64(i))
 		if err != nil {
--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -8,7 +8,7 @@
 // Record is what happened to each request, from both sides of the proxies.
 type Record struct {
 	mu       sync.Mutex
-	arrivals map[string][]*arrival   // by the request's id, in the order in which they came
+	arrivals map[string][]*arrival // by the request's id, in the order in which they came
 	told     map[tellKey][]telling // what lives of proxies were told of hosts
 }
 
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -85,6 +88,26 @@
 	time.Sleep(lostAfter) // what was written is on its way
 }
 
+// keepLogs writes what each process has logged, and what was played.
+func (f *Fleet) keepLogs(r *Result) error {
+	dir := filepath.Join(f.opt.Logs, fmt.Sprint("seed", r.Seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	write := func(name string, lines []string) error {
+		return os.WriteFile(filepath.Join(dir, name), []byte(strings.Join(lines, "\n")+"\n"), 0o644)
+	}
+	for _, n := range f.nodes {
+		for _, l := range n.all {
+			head := fmt.Sprintf("%s began %s", l, l.began.UTC().Format("15:04:05.000000"))
+			if err := write(l.name+".log", append([]string{head}, l.proc.Log("")...)); err != nil {
+				return err
+			}
+		}
+	}
+	return write("faults", r.Faults)
+}
+
 // judge puts what was seen before the oracle.
 func (f *Fleet) judge(r *Result) {
 	r.Stall = f.slack.value()
@@ -115,5 +138,8 @@
 		r.Calls += s.Failed()
 	}
 	sort.Strings(r.Faults)
+	if f.opt.Logs != "" {
+		f.fail(f.keepLogs(r))
+	}
 	r.Requests, r.Violations, r.Errs = len(sessions), o.out, errs
 }
--- a/internal/node/partner.go
+++ b/internal/node/partner.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"runtime/debug"
 
+	"croftlock/brain"
 	"croftlock/internal/proxy"
 )
 
@@ -37,6 +38,7 @@
 		if err := k.Valid(r.loop.Now()); err != nil {
 			slog.Warn("handover_odd", "reason", err)
 		} else {
+			p.Listed(k)
 			r.core.Inherit(k)
 			r.core.Recall(k.Memory)
 		}
@@ -44,6 +46,21 @@
 	r.accept()
 }
 
+// Listed takes the list of the other process, where it is newer than this one's: the two are one proxy, and this one may not be watching yet.
+func (p partner) Listed(k *proxy.Kept) {
+	r := p.replacing
+	if r.with != p.of || r.older || len(k.Hosts) == 0 {
+		return
+	}
+	if err := k.Valid(r.loop.Now()); err != nil {
+		slog.Warn("handover_odd", "reason", err)
+		return
+	}
+	if from, rev := r.watch.Source(); k.Discovery == from && k.Rev > rev {
+		r.core.Listed(proxy.Change{Kind: brain.ListCached, Version: k.Rev, Hosts: k.Hosts})
+	}
+}
+
 func (p partner) ByHand(id string, out bool) {
 	r := p.replacing
 	r.core.ToldByHand(id, out)
--- /dev/null
+++ b/internal/node/partner_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"testing"
+
+	"croftlock/brain"
+	"croftlock/internal/cluster"
+	"croftlock/internal/hotrestart"
+	"croftlock/internal/netio"
+	"croftlock/internal/proxy"
+)
+
+// The two processes of a replacement are one proxy. The new one asked discovery for its watch up to 2.5 s after its start, and until then sent to hosts
+// of which the old one had been told that they drain.
+func TestTheNewProcessKnowsWhatTheOldOneIsTold(t *testing.T) {
+	host := func(id string, state brain.State) proxy.HostEntry {
+		return proxy.HostEntry{Endpoint: "127.0.0.1:1", Entry: brain.Entry{ID: id, State: state, Weight: 1}}
+	}
+	settings := brain.Config{Peers: 1, Tick: 1e6, MaxAttempts: 5, Classes: []brain.Class{{Name: "c", Aim: 1e9, Deadline: 2e9}}, WarmUp: 1e9, Fall: 1e9,
+		FallMultiple: 2, ColdFrom: 0.2, AskWithin: 1e10, ConnectTimeout: 1e8}
+	l := netio.NewLoop()
+	core := proxy.New(l, nil, proxy.Options{Sessions: 1, Settings: settings})
+	r := &replacing{loop: l, core: core, watch: cluster.NewClient(l, nil, "127.0.0.1:2", 1, 7, nil)}
+	known := proxy.Change{Kind: brain.ListCached, Version: 7, Hosts: []proxy.HostEntry{host("a", brain.Ready), host("b", brain.Ready)}}
+	if err := core.Run(func(fx brain.Effects) (proxy.Decider, error) { return brain.New(settings, 1, fx) }, r.watch, known); err != nil {
+		t.Fatal(err)
+	}
+	state := func() brain.State {
+		for _, h := range core.Keep(false).Hosts {
+			if h.ID == "a" {
+				return h.State
+			}
+		}
+		return brain.Departed
+	}
+	r.with = &hotrestart.Partner{}
+	old := partner{r, r.with}
+	for _, c := range []struct {
+		from string
+		rev  int64
+		want brain.State
+	}{{"127.0.0.1:3", 9, brain.Ready}, {"127.0.0.1:2", 7, brain.Ready}, {"127.0.0.1:2", 8, brain.Draining}} {
+		old.Listed(&proxy.Kept{Discovery: c.from, Rev: c.rev, Hosts: []proxy.HostEntry{host("a", brain.Draining), host("b", brain.Ready)}})
+		if got := state(); got != c.want {
+			t.Errorf("version %d of %s: state %d, want %d", c.rev, c.from, got, c.want)
+		}
+	}
+	r.older = true
+	old.Listed(&proxy.Kept{Discovery: "127.0.0.1:2", Rev: 9, Hosts: []proxy.HostEntry{host("a", brain.Ready)}})
+	if state() != brain.Draining {
+		t.Error("an old process takes the new one's list")
+	}
+}
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -120,8 +120,13 @@
 // news takes a list, and takes it for the sign that discovery speaks to this process.
 func (r *replacing) news(ch proxy.Change) {
 	r.core.Listed(ch)
-	if ch.Kind != brain.ListFailed {
-		r.take()
+	if ch.Kind == brain.ListFailed {
+		return
+	}
+	r.take()
+	if r.CanHand() && len(ch.Hosts) > 0 {
+		list := r.keep(false)
+		r.with.Listed(&proxy.Kept{At: list.At, Discovery: list.Discovery, Rev: list.Rev, Hosts: list.Hosts})
 	}
 }
 
@@ -202,6 +207,7 @@
 	debug.SetMemoryLimit(r.cfg.MemoryLimit() / 2)
 	p.Run(r.loop, partner{r, p})
 	r.watch.Fetch()
+	r.watch.Watch(true) // the module would wait for its turn, in which a drain goes unheard that the other process is told of
 	r.loop.After(newsWithin, r.take)
 }
 
