Soak: clocks that are set, pauses during a shutdown; a socket goes to the poller also without a spare number

The soak's processes have a system clock that stands an hour or two seconds off and is set while they run (netio.Wall, which the loop's start and the core's Wall read); pauses come during shutdowns too. netio: where descriptors have run out a socket is handed to netpoll without its spare number, as before; the dup would have failed and its client waited 0.5 s for an ERR.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -25,7 +25,7 @@
 	{"replace", 2, func(f *Fleet, rng *rand.Rand) { f.onNode(rng, (*Fleet).replaceNode) }},
 	{"kill", 3, func(f *Fleet, rng *rand.Rand) { f.onNode(rng, (*Fleet).killNode) }},
 	{"pause", 4, func(f *Fleet, rng *rand.Rand) {
-		if l := f.node(rng).Life(); l != nil && !l.stopping() {
+		if l := f.node(rng).Life(); l != nil && !l.over() {
 			l.pause(time.Duration(20+rng.IntN(130)) * time.Millisecond)
 		}
 	}},
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -29,6 +29,7 @@
 	Rate    float64 // requests a second at each proxy
 	Faults  int     // drawn for the whole time, beside those of every play
 	Calls   bool    // system calls fail too
+	Clocks  bool    // the system's clock is set while processes run and between them; the program must be one that BendClock was called in
 	Logs    string  // a folder for the processes' logs at debug level; "": none
 }
 
@@ -37,6 +38,7 @@
 	opt     Options
 	env     *lab.Env
 	rng     *rand.Rand
+	clocks  *rand.Rand
 	record  *Record
 	classes []lab.Class
 	shims   []*Shim // by proxy; nil: its system calls are left alone
@@ -55,7 +57,7 @@
 // NewFleet starts hosts, discoveries and proxies. All of them have addresses of this process's own, so that no port can be taken by another.
 func NewFleet(env *lab.Env, opt Options) (*Fleet, error) {
 	fleets++
-	f := &Fleet{opt: opt, env: env, rng: rand.New(rand.NewPCG(opt.Seed, 38)), record: NewRecord(), slack: newStallMeter()}
+	f := &Fleet{opt: opt, env: env, rng: rand.New(rand.NewPCG(opt.Seed, 38)), clocks: rand.New(rand.NewPCG(opt.Seed, 39)), record: NewRecord(), slack: newStallMeter()}
 	longest := []time.Duration{400, 1000, 2000, 3000, 4800, 9000}[f.rng.IntN(6)] * time.Millisecond
 	f.classes = []lab.Class{{Name: "safe", Deadline: longest, Effect: lab.Safe}, {Name: "keyed", Deadline: max(longest/2, 300*time.Millisecond), Effect: lab.Keyed,
 		Window: time.Duration(200+f.rng.IntN(3000)) * time.Millisecond}, {Name: "unsafe", Deadline: max(longest*3/4, 300*time.Millisecond), Effect: lab.Unsafe}}
@@ -126,6 +128,9 @@
 
 // launch starts a proxy's process, behind its shim where it has one.
 func (f *Fleet) launch(s lab.Setup, number int) (*lab.Process, error) {
+	if f.opt.Clocks {
+		s.Env = append(s.Env[:len(s.Env):len(s.Env)], f.drawClock())
+	}
 	if !f.opt.Calls {
 		return f.env.Proxy(s)
 	}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -19,7 +19,7 @@
 // Ten processes under faults that overlap, for a short time: no rule is broken, by what clients and hosts saw and by the processes' own count.
 func TestSoak(t *testing.T) {
 	for _, seed := range []uint64{1, 2} {
-		r, err := Play(environment(t), Options{Seed: seed, Proxies: 10, Hosts: 8, Length: 10 * time.Second, Rate: 6, Faults: 40, Calls: seed%2 == 0})
+		r, err := Play(environment(t), Options{Seed: seed, Proxies: 10, Hosts: 8, Length: 10 * time.Second, Rate: 6, Faults: 40, Calls: seed%2 == 0, Clocks: true})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/soak/stop_test.go
+++ b/internal/lab/soak/stop_test.go
@@ -18,6 +18,7 @@
 
 func TestMain(m *testing.M) {
 	BehindShim()
+	BendClock()
 	if os.Getenv(asProgram) != "" {
 		os.Exit(command.Run(os.Args[1:], os.Getenv))
 	}
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -27,11 +27,14 @@
 	sendmsg func(fd int, p []byte) (int, error) // the system call; tests put another in its place
 }
 
+// Wall is the system's clock, which may be set at any time. Tests of several processes put another in its place.
+var Wall = time.Now
+
 // NewLoop makes a loop. Its clock is Unix time as it is now plus what passes on the monotonic clock, so that a step of
 // the system's clock moves no deadline and boot times given in Unix time compare directly.
 func NewLoop() *Loop {
 	began := time.Now()
-	base := began.UnixNano()
+	base := Wall().UnixNano()
 	return NewLoopAt(func() int64 { return base + int64(time.Since(began)) })
 }
 
--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -81,38 +81,42 @@
 	c.mu.Lock()
 	fd, ready := c.fd, !c.detaching
 	c.mu.Unlock()
-	if !ready || c.release != nil {
+	if !ready || fd < 0 || c.release != nil {
 		return // netpoll has not let go yet, and closed comes here again; or somebody else takes the socket
 	}
 	c.paused = false
-	var err error
-	defer func() {
-		if err == nil {
-			c.refused = 0
+	if err := c.handToPoller(fd); err != nil {
+		c.paused = true
+		c.watchAgain(err)
+		return
+	}
+	c.refused = 0
+}
+
+// handToPoller has netpoll watch the socket. netpoll closes what it can't take, so the socket has another number meanwhile, where there is one
+// to be had.
+func (c *Conn) handToPoller(fd int) (err error) {
+	spare, dupErr := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
+	if dupErr != nil {
+		spare = -1
+	}
+	current.park(func() {
+		var np netpoll.Connection
+		if np, err = netpoll.NewFDConnection(fd); err == nil {
+			c.np = np
+			c.watch()
 		}
-	}()
-	// netpoll closes what it can't take, so it is given the socket while that has another number as well.
-	var spare int
-	if spare, err = unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0); err == nil {
-		current.park(func() {
-			var np netpoll.Connection
-			if np, err = netpoll.NewFDConnection(fd); err == nil {
-				c.np = np
-				c.watch()
-			}
-		})
-		if err == nil {
+	})
+	if err == nil {
+		if spare >= 0 {
 			unix.Close(spare)
-		} else {
-			c.mu.Lock()
-			c.fd = spare
-			c.mu.Unlock()
 		}
+		return nil
 	}
-	if err != nil {
-		c.paused = true
-		c.watchAgain(err)
-	}
+	c.mu.Lock()
+	c.fd = spare
+	c.mu.Unlock()
+	return err
 }
 
 // How often, and how soon, a socket is offered to the poller again that it could not take: the kernel may be short of memory for a moment.
@@ -124,7 +128,7 @@
 func (c *Conn) watchAgain(err error) {
 	c.refused++
 	slog.Warn("watch_failed", "times", c.refused, "reason", err)
-	if c.refused >= mostWatches {
+	if c.refused >= mostWatches || c.fd < 0 {
 		c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Dropped, Detail: err}) })
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,7 +92,7 @@
 		return fmt.Errorf("netpoll: %v", err)
 	}
 	dialer := netio.NewDialer(loop, cfg.Dialers())
-	opt := proxy.Options{Settings: cfg.Settings, Sessions: cfg.Sessions(), DelayInLoad: cfg.DelayInLoad, Wall: time.Now}
+	opt := proxy.Options{Settings: cfg.Settings, Sessions: cfg.Sessions(), DelayInLoad: cfg.DelayInLoad, Wall: func() time.Time { return netio.Wall() }}
 	open := lineproto.Plain(dialer)
 	link, err := secure(loop, file, &opt)
 	if err != nil {
