A process that leaves looks at its queue once more, and the soak has operators' bans

Found by reading the shutdown for work that is handed over in the kernel: a process that was held up around 0.45 s after SIGTERM did its first step before the poller had accepted anybody, found nothing left and ended; what waited in the queue was reset without an answer. At fault: proxy/leave.go, step. It ends after two steps in a row that found nothing. Test: TestTheQueueIsLookedAtBeforeTheEnd (fails without).

peers: a read that goes on failing span; it pauses 1 ms. Soak: operators take hosts out and call them back while processes stop, are killed and replaced and writes of their state fail; a request that goes to a host that is out is a violation.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -77,6 +77,7 @@
 			n.discovery[k].Delay(by)
 		})
 	}},
+	{"suspend", 4, (*Fleet).suspend},
 	{"reconfigure", 4, (*Fleet).reconfigure},
 }
 
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -15,6 +15,8 @@
 // life is one process of a proxy, from its start to its end.
 type life struct {
 	name  string
+	node  *Node
+	admin string // where operators call
 	proc  *lab.Process
 	began time.Time
 
@@ -148,6 +150,7 @@
 	mu   sync.Mutex
 	now  *life
 	all  []*life
+	bans []*ban
 	busy bool // a fault that starts or ends a process is under way
 }
 
@@ -184,7 +187,7 @@
 		}
 		setup.Admin = admin
 	}
-	l := &life{name: fmt.Sprintf("n%d.%d", n.number, len(n.all)), began: time.Now()}
+	l := &life{node: n, admin: setup.Admin, name: fmt.Sprintf("n%d.%d", n.number, len(n.all)), began: time.Now()}
 	listed := setup.Known
 	var err error
 	if l.proc, err = n.fleet.launch(setup, n.number); err != nil {
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -55,6 +55,9 @@
 		if out.End == Left && out.Answer == Unanswered && x.at.Sub(out.EndedAt) > leftGrace+heldUp+o.slack {
 			o.broke("begun_after_left", "%s: at %s %v after its client left", who, x.host, x.at.Sub(out.EndedAt))
 		}
+		if since, out := a.life.node.banned(x.host, x.at); out && x.at.Sub(since) > banGrace+heldUp+o.slack {
+			o.broke("ban", "%s: at %s %v after its operators took it out; %s", who, x.host, x.at.Sub(since), a.life)
+		}
 		if since, told := o.record.outSince(a.life.heir(), x.host, x.at); told && x.at.Sub(since.at) > drainGrace+heldUp+o.slack {
 			o.broke("drain", "%s: at %s %v after its proxy was told that it is %s by %s; %s", who, x.host, x.at.Sub(since.at), since.state, since.by, a.life)
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"croftlock/internal/netio"
@@ -138,6 +139,9 @@
 	return p, nil
 }
 
+// hearAgain is the pause after a read that failed.
+const hearAgain = time.Millisecond
+
 func (k *Link) read(l *netio.Loop, from map[netip.AddrPort]int, take func(int, []byte)) {
 	k.receive(l, func(a netip.AddrPort) (func([]byte), bool) {
 		sender, known := from[a]
@@ -155,7 +159,11 @@
 			return
 		}
 		if err != nil {
-			continue // an earlier datagram of ours met a closed port: that says nothing of the next one
+			// An earlier datagram of ours met a closed port, which says nothing of the next one; or the kernel is short of memory, and may stay so.
+			if !errors.Is(err, syscall.ECONNREFUSED) {
+				time.Sleep(hearAgain)
+			}
+			continue
 		}
 		take, known := who(netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()))
 		if !known || n > Longest || waiting.Load() >= backlog {
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -12,6 +12,9 @@
 	handAtOnce = 16
 	// leaveEvery is how often leaving makes progress.
 	leaveEvery = 50 * time.Millisecond
+	// quietSteps is how many steps in a row have to find nothing left before the process ends: one that was held up does its step before it has looked
+	// at the connections that came meanwhile, and these wait in the queue that ends with it.
+	quietSteps = 2
 )
 
 // Newcomers are the connections on which no request has come yet.
@@ -32,6 +35,7 @@
 	moved int  // connections that were moved so far
 	all   int  // the most that there were to move
 	cut   bool // answerBy is over
+	quiet int  // steps in a row that found nothing left
 	done  func()
 }
 
@@ -62,6 +66,11 @@
 		unasked = c.newcomers.Dismiss(s.cut)
 	}
 	if passed > s.plan.moveFrom && open+pending+c.handing+unasked == 0 && c.sessions == 0 {
+		s.quiet++
+	} else {
+		s.quiet = 0
+	}
+	if s.quiet >= quietSteps {
 		s.end()
 		return
 	}
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -72,6 +72,30 @@
 	w.expect("end up ended", "outcome q 0 5 false")
 }
 
+// A process that was held up found nothing left in the first step after that, and ended before it had accepted who waited in the queue.
+func TestTheQueueIsLookedAtBeforeTheEnd(t *testing.T) {
+	w := newWorld(t)
+	left := false
+	w.core.Leave(func() { left = true })
+	w.now += int64(600 * time.Millisecond) // nothing runs meanwhile
+	w.loop.RunPending()
+	if left {
+		t.Fatal("it ends in its first step")
+	}
+	w.core.Admit("c") // the queue is looked at now
+	w.open("late")
+	w.expect("refuse late 500")
+	w.pass(300 * time.Millisecond)
+	if left {
+		t.Fatal("it does not wait for its client to hang up")
+	}
+	w.core.Left()
+	w.pass(200 * time.Millisecond)
+	if !left {
+		t.Error("it does not end")
+	}
+}
+
 // Whatever the deadlines, the moments of a shutdown come in order and before SIGKILL, and a request whose deadline counts whole has it whole.
 func TestScheduleEndsBeforeTheKill(t *testing.T) {
 	for _, deadline := range []time.Duration{0, time.Millisecond, 100, 400, 1000, 2000, 2999, 3000, 4800, 60000} {
