--- a/internal/lab/soak/notify.go
+++ b/internal/lab/soak/notify.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"sync/atomic"
 	"syscall"
 	"unsafe"
 
@@ -38,7 +39,7 @@
 func lockThread() { runtime.LockOSThread() }
 
 // serve answers on a notification descriptor until its process has ended, or the shim has.
-func (s *Shim) serve(fd int) {
+func (s *Shim) serve(fd int, ready *atomic.Bool) {
 	for {
 		select {
 		case <-s.ended:
@@ -53,20 +54,21 @@
 		case err != nil || poll[0].Revents&unix.POLLIN == 0:
 			return // nobody is left to be looked at
 		}
-		s.answer(fd)
+		s.answer(fd, ready.Load())
 	}
 }
 
-func (s *Shim) answer(fd int) {
+func (s *Shim) answer(fd int, ready bool) {
 	var q notification
 	if ioctl(fd, notifyReceive, unsafe.Pointer(&q)) != 0 {
 		return // the caller has been killed meanwhile
 	}
 	v := verdict{id: q.id}
-	if errno := s.fault(q.call, q.args[1]); errno != 0 {
-		v.errno = -int32(errno)
-	} else {
-		v.flags = notifyContinue
+	v.flags = notifyContinue
+	if ready {
+		if errno := s.fault(q.call, q.args[1]); errno != 0 {
+			v.errno, v.flags = -int32(errno), 0
+		}
 	}
 	ioctl(fd, notifySend, unsafe.Pointer(&v))
 }
--- a/internal/lab/soak/shim.go
+++ b/internal/lab/soak/shim.go
@@ -105,27 +105,29 @@
 // shimFD is where the process that is to be looked at sends the descriptor by which that is done.
 const shimFD = 3
 
-// Launch starts a process behind the shim. Its calls are left alone until it is ready.
+// Launch starts a process behind the shim. Its calls are left alone until it is ready: Go's own runtime ends a process whose first epoll_ctl fails.
 func (s *Shim) Launch(e *lab.Env, p lab.Setup) (*lab.Process, error) {
-	s.arm(false, 0)
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, err
 	}
 	theirs, ours := os.NewFile(uintptr(pair[0]), "shim"), os.NewFile(uintptr(pair[1]), "shim")
 	defer theirs.Close()
-	go s.attend(ours)
+	ready := new(atomic.Bool)
+	go s.attend(ours, ready)
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
 	p.Env = append(p.Env[:len(p.Env):len(p.Env)], shimEnv+"="+e.Croftlock)
 	p.Program, p.Files = self, []*os.File{theirs}
-	return e.Proxy(p)
+	proc, err := e.Proxy(p)
+	ready.Store(true)
+	return proc, err
 }
 
 // attend answers the kernel's questions about one process until it has ended.
-func (s *Shim) attend(from *os.File) {
+func (s *Shim) attend(from *os.File, ready *atomic.Bool) {
 	c, err := net.FileConn(from)
 	from.Close()
 	if err != nil {
@@ -146,7 +148,7 @@
 		return
 	}
 	defer unix.Close(fds[0])
-	s.serve(fds[0])
+	s.serve(fds[0], ready)
 }
 
 // Trouble has calls fail for a while, again and again, until the given time.
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -13,6 +13,7 @@
 func environment(t *testing.T) *lab.Env {
 	t.Helper()
 	t.Setenv(asProgram, "1")
+	t.Setenv("GORACE", "atexit_sleep_ms=0") // a program with the race detector else takes a second more to end, by that alone
 	return &lab.Env{Croftlock: os.Args[0], Dir: t.TempDir()}
 }
 
