--- a/internal/lab/soak/session.go
+++ b/internal/lab/soak/session.go
@@ -183,6 +183,8 @@
 	}
 	defer s.mu.Unlock()
 	switch {
+	case s.out.End != Open:
+		return false // its client has left meanwhile
 	case word == string(Moved) || word == string(Bye):
 		s.out.End, s.out.EndedAt = End(word), time.Now()
 		close(s.ended)
