A log that nobody reads holds nobody up

Every line was written to standard error by a blocking write: a reader that stops reading stopped the proxy with the line that filled the pipe, requests, watches and the shutdown with it. A line that would have to wait is left out now, and how many were is told with the next one that is taken. Test: TestALogThatNobodyReadsHoldsNobodyUp (hangs without).

--- /dev/null
+++ b/internal/logging/unblocked_test.go
@@ -0,0 +1,42 @@
+package logging
+
+import (
+	"bufio"
+	"os"
+	"strings"
+	"testing"
+)
+
+// A reader of the log that stops reading stopped the proxy with its next lines: every request waited for the pipe.
+func TestALogThatNobodyReadsHoldsNobodyUp(t *testing.T) {
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	u := NewUnblocked(w)
+	line := []byte("event=x " + strings.Repeat("y", 1000) + "\n")
+	const lines = 500 // far more than a pipe holds
+	for range lines {
+		if n, err := u.Write(line); n != len(line) || err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	dropped := u.dropped
+	if dropped == 0 || dropped > lines-16 {
+		t.Fatalf("%d of %d lines were left out", dropped, lines)
+	}
+	in := bufio.NewReader(r)
+	for range lines - dropped {
+		if got, err := in.ReadString('\n'); err != nil || got != string(line) {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+	u.Write([]byte("event=next\n"))
+	w.Close()
+	for _, want := range []string{"event=log_dropped lines=", "event=next\n"} {
+		if got, err := in.ReadString('\n'); err != nil || !strings.HasPrefix(got, want) {
+			t.Errorf("%q, %v; want %q", got, err, want)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,9 @@
 	return signals
 }
 
+// stderr is where the log goes. Whoever reads it may stop reading.
+var stderr = logging.NewUnblocked(os.Stderr)
+
 // Logs makes the log what the file says, in another form where one is given: the command line wins over the file, also
 // once that is read again.
 func Logs(file *settings.File, format string) {
@@ -78,7 +81,7 @@
 	if format != "" {
 		o.Format = format
 	}
-	slog.SetDefault(slog.New(logging.New(os.Stderr, o)))
+	slog.SetDefault(slog.New(logging.New(stderr, o)))
 }
 
 // Run runs the proxy until it has been told to stop and has nothing left to carry.
