The state has a spare file, and the loop never waits for a poller that watches no fence

At fault: netio/fence.go, newFence: netpoll's error for the fence's own watch was dropped, and the loop's first wait for the poller lasted for ever. The watch is made again each 5 ms.

hotrestart: a state that the disk has no room for is written over in place in a spare file that has its room from the start; a file that can't be synced is put into its place all the same, since the next process reads what the kernel holds; the later of the two is read, a torn one counts as none. Something newer does not wait for a retry's pause.

--- a/internal/hotrestart/disk_test.go
+++ b/internal/hotrestart/disk_test.go
@@ -75,3 +75,52 @@
 		t.Errorf("%+v", old)
 	}
 }
+
+// A disk without room for another file takes the state in place; the later of the two counts, and a torn one as none.
+func TestTheSpareFile(t *testing.T) {
+	dir := t.TempDir()
+	first, second := sample(), sample()
+	first.At, second.At, second.Rev = 5, 6, 8
+	if _, err := write(dir, first); err != nil {
+		t.Fatal(err)
+	}
+	rev := func(want int64) {
+		t.Helper()
+		if k, err := Read(dir, 10); err != nil || k == nil || k.Rev != want {
+			t.Fatalf("read %+v, %v; want version %d", k, err, want)
+		}
+	}
+	rev(7)
+	data, err := encode(second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	spare := filepath.Join(dir, spareFile)
+	if err := overwrite(spare, data); err != nil {
+		t.Fatal(err)
+	}
+	rev(8)
+	if info, err := os.Stat(spare); err != nil || info.Size() < leastSpare {
+		t.Errorf("%v, %v: written over it has lost its room", info, err)
+	}
+	if err := overwrite(spare, data[:len(data)/2]); err != nil { // a kill in the middle of the next one
+		t.Fatal(err)
+	}
+	if err := overwrite(spare, []byte("croftlock-state 1 99 0")); err != nil {
+		t.Fatal(err)
+	}
+	rev(7)
+	// What stands in a folder in which no file can be made is kept all the same: there is a file in the way of each new one's name.
+	second.At, second.Rev = 9, 9
+	if err := os.Remove(filepath.Join(dir, stateFile)); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.MkdirAll(filepath.Join(dir, stateFile, "in the way"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if kept, err := write(dir, second); !kept || err == nil {
+		t.Errorf("kept %t, %v", kept, err)
+	}
+	os.RemoveAll(filepath.Join(dir, stateFile))
+	rev(9)
+}
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -28,7 +28,7 @@
 	if k, err := Read(dir, now); k != nil || err != nil {
 		t.Fatalf("nothing kept gave %v, %v", k, err)
 	}
-	if err := write(dir, sample()); err != nil {
+	if _, err := write(dir, sample()); err != nil {
 		t.Fatal(err)
 	}
 	if k, err := Read(dir, now); err != nil || !reflect.DeepEqual(k, sample()) {
--- a/internal/hotrestart/state.go
+++ b/internal/hotrestart/state.go
@@ -13,7 +13,6 @@
 	"os"
 	"path/filepath"
 
-	"croftlock/internal/certs"
 	"croftlock/internal/proxy"
 )
 
@@ -42,6 +41,9 @@
 	if n, err := fmt.Sscanf(string(head), magic+" %d %x", &length, &sum); !ok || err != nil || n != 2 {
 		return nil, fmt.Errorf("it begins with %.40q, expected %q", head, magic)
 	}
+	if length >= 0 && length < len(body) && body[length] == 0 {
+		body = body[:length] // a spare file is larger than what it holds
+	}
 	if length != len(body) || sum != crc32.ChecksumIEEE(body) {
 		return nil, fmt.Errorf("%d bytes with checksum %08x, expected %d with %08x", len(body), crc32.ChecksumIEEE(body), length, sum)
 	}
@@ -55,8 +57,10 @@
 
 // Read gives what a process before this one has kept in dir; nil without an error: nothing. A file that can't be used is an
 // error that must not keep a proxy from starting.
-func Read(dir string, now int64) (*proxy.Kept, error) {
-	path := filepath.Join(dir, stateFile)
+func Read(dir string, now int64) (*proxy.Kept, error) { return newest(dir, now) }
+
+// readFile reads one file of the form; nil without an error: there is none, or one that was never written.
+func readFile(path string, now int64) (*proxy.Kept, error) {
 	info, err := os.Lstat(path)
 	if os.IsNotExist(err) {
 		return nil, nil
@@ -71,6 +75,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(data) > 0 && data[0] == 0 {
+		return nil, nil // room that was reserved, and nothing in it yet
+	}
 	k, err := decode(data, now)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -85,15 +92,3 @@
 		slog.Warn("state_not_set_aside", "reason", err)
 	}
 }
-
-// write replaces the file at once.
-func write(dir string, k *proxy.Kept) error {
-	data, err := encode(k)
-	if err != nil {
-		return err
-	}
-	if len(data) > mostState {
-		return fmt.Errorf("%d bytes are more than %d", len(data), mostState)
-	}
-	return certs.Replace(filepath.Join(dir, stateFile), data, 0o600)
-}
--- a/internal/hotrestart/store.go
+++ b/internal/hotrestart/store.go
@@ -58,7 +58,10 @@
 	pause := firstWriteAgain
 	for range s.wake {
 		for !s.writeNext(pause > firstWriteAgain) {
-			time.Sleep(pause)
+			select {
+			case <-s.wake: // something newer
+			case <-time.After(pause):
+			}
 			pause = min(2*pause, lastWriteAgain)
 		}
 		pause = firstWriteAgain
@@ -73,11 +76,12 @@
 	s.mu.Unlock()
 	var err error
 	if k != nil {
-		err = write(s.dir, k)
+		var kept bool
+		if kept, err = write(s.dir, k); err != nil && !again {
+			slog.Warn("state_not_kept", "dir", s.dir, "for_the_next_process", kept, "reason", err)
+		}
 	}
 	switch {
-	case err != nil && !again:
-		slog.Warn("state_not_kept", "dir", s.dir, "reason", err)
 	case err == nil && again:
 		slog.Info("state_kept", "dir", s.dir)
 	}
--- a/internal/netio/fence.go
+++ b/internal/netio/fence.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/binary"
+	"fmt"
+	"log/slog"
 	"net"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
@@ -29,23 +32,43 @@
 		return nil, err
 	}
 	f := &fence{fd: fd, passed: make(chan struct{}), release: make(chan struct{})}
-	events, err := netpoll.NewEventLoop(nil)
-	if err != nil {
-		return nil, err
-	}
-	go events.Serve(f) // for good
+	go f.serve()
 	return f, nil
 }
 
+// fenceAgain is the pause before netpoll is asked again to watch the fence. The loop waits meanwhile.
+const fenceAgain = 5 * time.Millisecond
+
+// serve has netpoll watch the fence, for good. Without it the loop would wait for ever as soon as it waits for the poller, so a kernel that has no
+// memory for one more watch is asked again.
+func (f *fence) serve() {
+	for {
+		events, err := netpoll.NewEventLoop(nil)
+		if err == nil {
+			err = events.Serve(f)
+		}
+		slog.Error("fence_failed", "reason", fmt.Sprint(err))
+		time.Sleep(fenceAgain)
+	}
+}
+
 // wait runs do once the poller has come here, and lets it go on after that. The gate is open meanwhile, so the poller
 // waits for nothing else and this takes microseconds.
 func (f *fence) wait(do func()) {
 	var one [8]byte
 	binary.NativeEndian.PutUint64(one[:], 1)
-	if _, err := unix.Write(f.fd, one[:]); err == nil {
-		<-f.passed
-		defer func() { f.release <- struct{}{} }()
+	for {
+		_, err := unix.Write(f.fd, one[:])
+		if err == unix.EINTR {
+			continue
+		}
+		if err != nil {
+			panic(fmt.Sprint("eventfd: ", err)) // it holds one at most, and is never closed
+		}
+		break
 	}
+	<-f.passed
+	defer func() { f.release <- struct{}{} }()
 	do()
 }
 
