--- a/internal/lab/soak/bans.go
+++ b/internal/lab/soak/bans.go
@@ -19,6 +19,10 @@
 // suspend has an operator take a host out at a proxy and call it back later, whatever becomes of the proxy's process meanwhile.
 func (f *Fleet) suspend(rng *rand.Rand) {
 	n, h := f.node(rng), f.host(rng)
+	if !n.takeBan(h.UID) {
+		return // each ban is called back by whoever made it
+	}
+	defer n.giveBan(h.UID)
 	if !n.operate(h.UID, "suspend") {
 		return
 	}
@@ -38,6 +42,23 @@
 	}
 }
 
+// takeBan keeps two operators from meaning the same host at one proxy at once.
+func (n *Node) takeBan(host string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.banning[host] {
+		return false
+	}
+	n.banning[host] = true
+	return true
+}
+
+func (n *Node) giveBan(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.banning, host)
+}
+
 // operate makes an operator's call at the process that runs, and tells whether it said yes.
 func (n *Node) operate(host, word string) bool {
 	l := n.Life()
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -151,7 +151,9 @@
 	now  *life
 	all  []*life
 	bans []*ban
-	busy bool // a fault that starts or ends a process is under way
+
+	banning map[string]bool // hosts that an operator takes out or calls back just now
+	busy    bool            // a fault that starts or ends a process is under way
 }
 
 // Life is the process that runs; nil: none does.
@@ -188,20 +190,44 @@
 		setup.Admin = admin
 	}
 	l := &life{node: n, admin: setup.Admin, name: fmt.Sprintf("n%d.%d", n.number, len(n.all)), began: time.Now()}
-	listed := setup.Known
+	n.told([]*life{l}, setup.Known, "its configuration")
+	n.mu.Lock()
+	n.all = append(n.all, l) // it asks discovery before it is ready
+	n.mu.Unlock()
 	var err error
 	if l.proc, err = n.fleet.launch(setup, n.number); err != nil {
+		l.mu.Lock()
+		l.gone = time.Now()
+		l.mu.Unlock()
 		return fmt.Errorf("%s: %w", l.name, err)
 	}
-	n.told(l, listed, "its configuration")
 	n.mu.Lock()
-	n.now, n.all = l, append(n.all, l)
+	n.now = l
 	n.mu.Unlock()
 	return nil
 }
 
+// running are the processes of the proxy that have not ended: two while one takes over from the other. They are one proxy, and what one is told both
+// have been told.
+func (n *Node) running() (out []*life) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.all {
+		if !l.over() {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // told notes what a list that was written says of hosts.
-func (n *Node) told(l *life, list fake.List, by string) {
+func (n *Node) told(lives []*life, list fake.List, by string) {
+	for _, l := range lives {
+		n.toldOne(l, list, by)
+	}
+}
+
+func (n *Node) toldOne(l *life, list fake.List, by string) {
 	at, named := time.Now(), map[string]bool{}
 	for _, e := range list.Targets {
 		named[e.UID] = true
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -99,6 +99,9 @@
 	}
 	for _, n := range f.nodes {
 		for _, l := range n.all {
+			if l.proc == nil {
+				continue
+			}
 			head := fmt.Sprintf("%s began %s", l, l.began.UTC().Format("15:04:05.000000"))
 			if err := write(l.name+".log", append([]string{head}, l.proc.Log("")...)); err != nil {
 				return err
@@ -123,6 +126,9 @@
 	}
 	for _, n := range f.nodes {
 		for _, l := range n.all {
+			if l.proc == nil {
+				continue // it did not start, which is told
+			}
 			r.Processes++
 			if !l.stopped.IsZero() {
 				r.Stopped++
--- a/internal/netio/attach.go
+++ b/internal/netio/attach.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 )
@@ -40,7 +42,7 @@
 		return nil // netpoll runs, and reads its configuration without a lock
 	}
 	current.gate = newGate()
-	err := netpoll.Configure(netpoll.Config{
+	err := startPoller(netpoll.Config{
 		PollerNum:  1,
 		BufferSize: 1024,
 		Runner: func(_ context.Context, f func()) {
@@ -54,9 +56,44 @@
 	if err == nil {
 		current.fence, err = newFence()
 	}
+	if err == nil {
+		current.fence.wait(func() {}) // from here on the loop can wait for the poller
+	}
+	return err
+}
+
+// How often, and how soon, the poller is started that could not be.
+const (
+	mostStarts = 50
+	startAgain = 20 * time.Millisecond
+)
+
+// startPoller has netpoll open its poller. netpoll does that when it is first used, on whatever goroutine, and panics there if the kernel has nothing
+// for it at that moment.
+func startPoller(c netpoll.Config) (err error) {
+	for range mostStarts {
+		if err = netpoll.Configure(c); err == nil {
+			err = openPoller()
+		}
+		if err == nil {
+			return nil
+		}
+		slog.Warn("poller_failed", "reason", err)
+		time.Sleep(startAgain)
+	}
 	return err
 }
 
+func openPoller() (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("netpoll: %v", p)
+		}
+	}()
+	netpoll.Initialize()
+	return nil
+}
+
 // netpollLog brings netpoll's own complaints into the form of this program's log.
 type netpollLog struct{}
 
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -54,6 +54,7 @@
 	over      bool  // Closed was called, or this side closed
 	until     int64 // over with a line still partly written: the moment at which its rest is given up
 	ending    bool  // Finish was called
+	reset     bool  // Abort was called
 	surplus   int   // what came in after that
 	linger    *Timer
 	gone      func()      // told once the descriptor is free
--- a/internal/netio/end.go
+++ b/internal/netio/end.go
@@ -111,6 +111,9 @@
 	c.ending = false
 	c.mu.Lock()
 	c.closing = true
+	if c.reset && c.fd >= 0 {
+		unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
 	c.mu.Unlock()
 	if !c.paused {
 		c.np.Close()
@@ -227,17 +230,11 @@
 	c.shut()
 }
 
-// Abort ends it with a reset.
+// Abort ends it with a reset, after the rest of a line that the peer has not taken yet: that may be the answer to its request.
 func (c *Conn) Abort() {
 	if c.over {
 		return
 	}
-	c.mu.Lock()
-	if c.fd >= 0 {
-		unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
-	}
-	c.mu.Unlock()
-	c.retry.Stop()
-	c.rest, c.layer = nil, nil
+	c.layer, c.reset = nil, true // a layer has nothing to say at a reset
 	c.Close()
 }
--- a/internal/netio/errno_test.go
+++ b/internal/netio/errno_test.go
@@ -1,6 +1,7 @@
 package netio
 
 import (
+	"errors"
 	"io"
 	"net"
 	"syscall"
@@ -39,6 +40,66 @@
 	}
 }
 
+// A host accepted and reset its connection 3 ms later, while the kernel took no bytes for the client: the reset that was passed on took the
+// acceptance with it, which was the client's answer.
+func TestAResetComesBehindTheAnswer(t *testing.T) {
+	_, addr, _ := serveOn(t, failing(syscall.ENOBUFS, 3), func(c *Conn) {
+		c.Write([]byte("UP x\r\n"))
+		c.Abort()
+	})
+	c := dial(t, addr)
+	c.Write([]byte("."))
+	got, err := io.ReadAll(c)
+	if string(got) != "UP x\r\n" || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+// The loop stops accepting while the poller waits for it with a connection in its hand: each waited for the other, and a process that handed over stood
+// still.
+func TestStoppingWhileAConnectionIsTaken(t *testing.T) {
+	l := NewLoop()
+	if err := Attach(l); err != nil {
+		t.Fatal(err)
+	}
+	n, err := Bind("127.0.0.1:0", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Serve(l, n, 1024, func(c *Conn) Handler {
+		c.FinishWith([]byte("here\r\n"))
+		return nobody{}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, n.Addr().String()) // nothing runs the loop yet, so the poller waits for it
+	for l.idle() {
+		time.Sleep(time.Millisecond)
+	}
+	done := make(chan struct{})
+	go func() {
+		n.Stop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the loop waits for a poller that waits for it")
+	}
+	go l.Run()
+	t.Cleanup(l.Stop)
+	if got, err := io.ReadAll(c); string(got) != "here\r\n" {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+// idle tells whether nothing waits for the loop.
+func (l *Loop) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue) == 0
+}
+
 // A write that fails for good ends its connection, and the line counts as not written.
 func TestAWriteThatFailsIsTold(t *testing.T) {
 	for _, err := range []error{syscall.EPIPE, syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
--- a/internal/netio/listen.go
+++ b/internal/netio/listen.go
@@ -40,12 +40,14 @@
 // out it would let go of the queue, take it up again beside the poller, up to a second late, or never.
 func (n *Listener) Accept() (net.Conn, error) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	if n.stopped {
 		n.detached = true
+		n.mu.Unlock()
 		return nil, errStopped
 	}
 	c, err := n.Listener.Accept()
+	take := n.take
+	n.mu.Unlock() // the loop may wait for it, and is waited for below
 	if err != nil {
 		slog.Warn("accept_failed", "addr", n.addr, "reason", err)
 		if scarce(err) {
@@ -54,7 +56,7 @@
 		return nil, nil
 	}
 	if c != nil {
-		n.take(c.(netpoll.Conn).Fd())
+		take(c.(netpoll.Conn).Fd())
 	}
 	return nil, nil
 }
--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -128,7 +128,10 @@
 func (c *Conn) watchAgain(err error) {
 	c.refused++
 	slog.Warn("watch_failed", "times", c.refused, "reason", err)
-	if c.refused >= mostWatches || c.fd < 0 {
+	c.mu.Lock()
+	none := c.fd < 0
+	c.mu.Unlock()
+	if c.refused >= mostWatches || none {
 		c.loop.Post(func() { c.fail(&Error{Stage: Up, Cause: Dropped, Detail: err}) })
 		return
 	}
