--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -98,11 +98,13 @@
 			d.Set(h.Entry("up"))
 		}
 		d.OnWritten(func(l fake.List) {
+			n.hold(l)
 			if lives := n.running(); len(lives) > 0 {
 				n.told(lives, l, fmt.Sprintf("discovery %d, version %d, whole %t", k, l.Rev, l.All))
 			}
 		})
 	}
+	n.hold(n.discovery[0].List())
 	dir := filepath.Join(f.env.Dir, fmt.Sprintf("tmp%d", i))
 	if err := os.Mkdir(dir, 0o700); err != nil {
 		return err
