A process that could not hand over in this moment is asked again

Ruled out: the core (never asked), accept (no line in the newer one's log). At fault: node/predecessor.go, which asked again only where it was told busy, and hotrestart/offer.go, which took every failed connect for nobody. It asks for 2 s now. Test: TestAnAnswerThatBreaksOffIsAnError. Open: a process that really can't hand over still has a queue of its own as it ends.

--- a/internal/hotrestart/disk_test.go
+++ b/internal/hotrestart/disk_test.go
@@ -1,6 +1,8 @@
 package hotrestart
 
 import (
+	"errors"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -124,3 +126,26 @@
 	os.RemoveAll(filepath.Join(dir, stateFile))
 	rev(9)
 }
+
+// A process that closes the connection before it has answered, as one does that has no memory for it in that moment, was taken for one that can't hand
+// over: the new process served beside it. It is an error now, after which the caller asks again, and the next answer counts.
+func TestAnAnswerThatBreaksOffIsAnError(t *testing.T) {
+	dir := t.TempDir()
+	ln, err := net.Listen("unix", filepath.Join(dir, door))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for range 2 {
+			if c, err := ln.Accept(); err == nil {
+				c.Close()
+			}
+		}
+	}()
+	for range 2 {
+		if p, h, err := Ask(dir, "x:1", 10); err == nil || errors.Is(err, ErrBusy) || p != nil || h != nil {
+			t.Errorf("got %v, %v, %v", p, h, err)
+		}
+	}
+}
--- a/internal/hotrestart/offer.go
+++ b/internal/hotrestart/offer.go
@@ -7,20 +7,24 @@
 	"net"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"croftlock/internal/netio"
 )
 
 // Ask asks the process that serves at listen, and keeps its things in dir, to hand over. It gives nil without an error where
-// there is none that answers.
+// there is none. After an error there may be one that can hand over when it is asked again.
 func Ask(dir, listen string, now int64) (*Partner, *Handoff, error) {
 	path, clean := short(dir)
 	defer clean()
 	c, err := net.DialTimeout("unix", path, askWithin)
-	if err != nil {
+	if errors.Is(err, syscall.ENOENT) || errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, nil, nil // no file, or nobody behind it any more
 	}
+	if err != nil {
+		return nil, nil, err
+	}
 	conn := c.(*net.UnixConn)
 	conn.SetReadDeadline(time.Now().Add(askWithin))
 	err = send(conn, &message{Kind: kindAsk, Listen: listen})
--- a/internal/node/predecessor.go
+++ b/internal/node/predecessor.go
@@ -17,10 +17,15 @@
 		p *hotrestart.Partner
 		h *hotrestart.Handoff
 	}
+	began := time.Now()
 	a, err := patiently(func() (answer, error) {
 		p, h, err := hotrestart.Ask(dir, cfg.Listen, now)
 		return answer{p, h}, err
-	}, func(err error) bool { return errors.Is(err, hotrestart.ErrBusy) })
+	}, func(err error) bool {
+		// A process that could not answer in this moment is worth asking again: beside it, with a queue of its own, this one would serve, and what
+		// waits in the old one's queue as that ends is lost.
+		return errors.Is(err, hotrestart.ErrBusy) || time.Since(began) < askFor
+	})
 	if errors.Is(err, hotrestart.ErrBusy) {
 		return nil, nil, err
 	}
@@ -41,6 +46,9 @@
 	return nil, &hotrestart.Handoff{Kept: k, Listener: -1, Datagram: -1}, nil
 }
 
+// askFor is for how long a process is asked that does not answer as it should: this one has 6 s to be ready.
+const askFor = 2 * time.Second
+
 // How often a state file is read that the disk does not give, and how soon again.
 const (
 	mostReads = 10
