--- a/internal/node/floors.go
+++ b/internal/node/floors.go
@@ -13,7 +13,7 @@
 )
 
 // lay begins to tell the other members of hosts that drain or are gone, and to go by what they tell, where the operators want it.
-func (r *replacing) lay() {
+func (r *replacement) lay() {
 	if !r.flooring.On || r.members == nil {
 		return
 	}
--- a/internal/node/joined.go
+++ b/internal/node/joined.go
@@ -10,7 +10,7 @@
 
 // join begins to take part in the membership of the fleet, where the operators want it; a process that replaces another does so
 // once it has taken over, in the same place: to the others it is one member with a new life.
-func (r *replacing) join(o members.Options, now bool) (err error) {
+func (r *replacement) join(o members.Options, now bool) (err error) {
 	r.joining, r.began = o, time.Now()
 	if o.On && now {
 		r.members, err = members.Start(r.loop, o, r.cfg.Name, r.began, r.platform())
@@ -23,7 +23,7 @@
 }
 
 // own begins to take part in the fleet's work, where the operators want it. Membership has to be on.
-func (r *replacing) own() (err error) {
+func (r *replacement) own() (err error) {
 	if !r.owning.On {
 		return nil
 	}
@@ -39,16 +39,16 @@
 }
 
 // leave gives the fleet's work back, and then tells the others that this process ends in order.
-func (r *replacing) leave() {
+func (r *replacement) leave() {
 	r.owners.Leave(func() { r.members.Leave() })
 }
 
-func (r *replacing) platform() members.Platform {
+func (r *replacement) platform() members.Platform {
 	return members.Platform{Link: r.peers, Peers: len(r.cfg.Peers.Peers), Me: r.cfg.Settings.Me}
 }
 
 // rejoin is join for a process that has come to be the one that serves; the other one may hold the address a moment longer.
-func (r *replacing) rejoin() {
+func (r *replacement) rejoin() {
 	if !r.joining.On || r.handed {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,7 +112,7 @@
 	if n := cfg.Probers(); n > 0 {
 		core.SetProber(lineproto.NewProbes(loop, open, cfg.Reports, n))
 	}
-	r := &replacing{cfg: cfg, loop: loop, core: core}
+	r := &replacement{cfg: cfg, loop: loop, core: core}
 	var old *hotrestart.Partner
 	var handed *hotrestart.Handoff
 	if r.dir = os.Getenv("TMPDIR"); cfg.Admin == "" {
--- a/internal/node/partner.go
+++ b/internal/node/partner.go
@@ -10,8 +10,8 @@
 
 // Take stops accepting, and says what this process knows.
 func (p partner) Take() *proxy.Kept {
-	r := p.replacing
-	if r.with == p.of && r.older {
+	r := p.replacement
+	if r.partner == p.of && r.older {
 		r.handed = true
 		r.owners.Leave(func() { r.members.Yield() })
 		r.front.Stop()
@@ -29,8 +29,8 @@
 
 // Taken takes what the old process knew last, and begins.
 func (p partner) Taken(k *proxy.Kept) {
-	r := p.replacing
-	if r.with != p.of || !r.waits {
+	r := p.replacement
+	if r.partner != p.of || !r.waits {
 		return
 	}
 	if k != nil {
@@ -48,8 +48,8 @@
 
 // Listed takes the list of the other process, where it is newer than this one's: the two are one proxy, and this one may not be watching yet.
 func (p partner) Listed(k *proxy.Kept) {
-	r := p.replacing
-	if r.with != p.of || r.older || len(k.Hosts) == 0 {
+	r := p.replacement
+	if r.partner != p.of || r.older || len(k.Hosts) == 0 {
 		return
 	}
 	if err := k.Valid(r.loop.Now()); err != nil {
@@ -62,7 +62,7 @@
 }
 
 func (p partner) ByHand(id string, out bool) {
-	r := p.replacing
+	r := p.replacement
 	r.core.ToldByHand(id, out)
 	if !r.handed && !r.waits {
 		r.store.Keep(r.keep(false), nil)
@@ -74,18 +74,18 @@
 
 // Sessions counts the other process's downstreams with this one's, and its descriptors that are nobody's in particular.
 func (p partner) Sessions(n int) {
-	if r := p.replacing; r.with == p.of && !r.older {
+	if r := p.replacement; r.partner == p.of && !r.older {
 		r.core.Elsewhere(n + r.cfg.Spare()/2)
 	}
 }
 
 // Gone goes on alone.
 func (p partner) Gone() {
-	r := p.replacing
-	if r.with != p.of {
+	r := p.replacement
+	if r.partner != p.of {
 		return
 	}
-	r.with = nil
+	r.partner = nil
 	debug.SetMemoryLimit(r.cfg.MemoryLimit())
 	slog.Info("partner_gone", "older", r.older)
 	if !r.older {
--- a/internal/node/partner_test.go
+++ b/internal/node/partner_test.go
@@ -20,7 +20,7 @@
 		FallMultiple: 2, ColdFrom: 0.2, AskWithin: 1e10, ConnectTimeout: 1e8}
 	l := netio.NewLoop()
 	core := proxy.New(l, nil, proxy.Options{Sessions: 1, Settings: settings})
-	r := &replacing{loop: l, core: core, watch: cluster.NewClient(l, nil, "127.0.0.1:2", 1, 7, nil)}
+	r := &replacement{loop: l, core: core, watch: cluster.NewClient(l, nil, "127.0.0.1:2", 1, 7, nil)}
 	known := proxy.Change{Kind: brain.ListCached, Version: 7, Hosts: []proxy.HostEntry{host("a", brain.Ready), host("b", brain.Ready)}}
 	if err := core.Run(func(fx brain.Effects) (proxy.Decider, error) { return brain.New(settings, 1, fx) }, r.watch, known); err != nil {
 		t.Fatal(err)
@@ -33,8 +33,8 @@
 		}
 		return brain.Departed
 	}
-	r.with = &hotrestart.Partner{}
-	old := partner{r, r.with}
+	r.partner = &hotrestart.Partner{}
+	old := partner{r, r.partner}
 	for _, c := range []struct {
 		from string
 		rev  int64
--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -47,24 +47,24 @@
 	}
 }
 
-// replacing is the part of a proxy that outlives its process. Its methods run on the loop.
-type replacing struct {
-	cfg    *platform.Config
-	dir    string
-	loop   *netio.Loop
-	core   *proxy.Core
-	watch  *cluster.Client
-	front  *lineproto.Front
-	on     *netio.Listener
-	peers  *peers.Link // nil: there are none
-	store  *hotrestart.Store
-	door   *hotrestart.Endpoint
-	dirty  bool                // the list has changed since it was written
-	with   *hotrestart.Partner // nil: this is the only process
-	older  bool                // and it is the one to stay no longer
-	handed bool                // the other one accepts
-	waits  bool                // this one does not accept yet
-	gave   brain.Memory        // what the other one was told as it took over
+// replacement is the part of a proxy that outlives its process. Its methods run on the loop.
+type replacement struct {
+	cfg     *platform.Config
+	dir     string
+	loop    *netio.Loop
+	core    *proxy.Core
+	watch   *cluster.Client
+	front   *lineproto.Front
+	on      *netio.Listener
+	peers   *peers.Link // nil: there are none
+	store   *hotrestart.Store
+	door    *hotrestart.Endpoint
+	dirty   bool                // the list has changed since it was written
+	partner *hotrestart.Partner // nil: this is the only process
+	older   bool                // and it is the one to stay no longer
+	handed  bool                // the other one accepts
+	waits   bool                // this one does not accept yet
+	gave    brain.Memory        // what the other one was told as it took over
 
 	members *members.Agent // nil: off, or another process's still
 	owners  *owners.Agent  // the same
@@ -77,16 +77,16 @@
 }
 
 // keep is what the next process is to know.
-func (r *replacing) keep(yield bool) *proxy.Kept {
+func (r *replacement) keep(yield bool) *proxy.Kept {
 	k := r.core.Keep(yield)
 	k.Discovery, k.Rev = r.watch.Source()
 	return k
 }
 
 // ByHand keeps an operator's word, and passes it on. done is called once, also where the disk hangs.
-func (r *replacing) ByHand(id string, out bool, done func()) {
-	if r.with != nil {
-		r.with.ByHand(id, out)
+func (r *replacement) ByHand(id string, out bool, done func()) {
+	if r.partner != nil {
+		r.partner.ByHand(id, out)
 	}
 	if r.handed || r.waits {
 		done() // the file is the other process's, and it has been told
@@ -104,7 +104,7 @@
 }
 
 // Listed has a changed list kept, soon.
-func (r *replacing) Listed() {
+func (r *replacement) Listed() {
 	if r.dirty || r.handed || r.waits {
 		return
 	}
@@ -118,7 +118,7 @@
 }
 
 // news takes a list, and takes it for the sign that discovery speaks to this process.
-func (r *replacing) news(ch proxy.Change) {
+func (r *replacement) news(ch proxy.Change) {
 	r.core.Listed(ch)
 	if ch.Kind == brain.ListFailed {
 		return
@@ -126,32 +126,32 @@
 	r.take()
 	if r.CanHand() && len(ch.Hosts) > 0 {
 		list := r.keep(false)
-		r.with.Listed(&proxy.Kept{At: list.At, Discovery: list.Discovery, Rev: list.Rev, Hosts: list.Hosts})
+		r.partner.Listed(&proxy.Kept{At: list.At, Discovery: list.Discovery, Rev: list.Rev, Hosts: list.Hosts})
 	}
 }
 
 // Standing hands an open connection to the process that takes over.
-func (r *replacing) Standing(s *proxy.Standing, goodbye []byte, done func()) {
+func (r *replacement) Standing(s *proxy.Standing, goodbye []byte, done func()) {
 	if !r.CanHand() {
 		s.Down.Discard(goodbye)
 		s.Up.Discard(nil)
 		done()
 		return
 	}
-	r.with.Standing(s, goodbye, func() { r.loop.Post(done) })
+	r.partner.Standing(s, goodbye, func() { r.loop.Post(done) })
 }
 
 // CanHand tells whether there is a process that takes over.
-func (r *replacing) CanHand() bool { return r.with != nil && r.older && r.handed }
+func (r *replacement) CanHand() bool { return r.partner != nil && r.older && r.handed }
 
 // offer lets the next process ask.
-func (r *replacing) offer() {
+func (r *replacement) offer() {
 	if r.door != nil {
 		r.door.Close()
 	}
 	var err error
 	r.door, err = hotrestart.Offer(r.loop, r.dir, r.welcome, func(p *hotrestart.Partner) {
-		r.with, r.older = p, true
+		r.partner, r.older = p, true
 		debug.SetMemoryLimit(r.cfg.MemoryLimit() / 2)
 		p.Run(r.loop, partner{r, p})
 	})
@@ -160,9 +160,9 @@
 	}
 }
 
-func (r *replacing) welcome(listen string) (*hotrestart.Handoff, error) {
+func (r *replacement) welcome(listen string) (*hotrestart.Handoff, error) {
 	switch {
-	case r.with != nil:
+	case r.partner != nil:
 		return nil, errors.New("two processes are at it")
 	case listen != r.cfg.Listen:
 		return nil, fmt.Errorf("this one serves %s, not %s", r.cfg.Listen, listen)
@@ -178,7 +178,7 @@
 }
 
 // serve accepts clients, hears the other proxies, and lets the next process ask.
-func (r *replacing) serve() error {
+func (r *replacement) serve() error {
 	if err := r.front.Serve(); err != nil {
 		return err
 	}
@@ -193,7 +193,7 @@
 }
 
 // mustServe is serve for a process that has nothing else to do.
-func (r *replacing) mustServe() {
+func (r *replacement) mustServe() {
 	if err := r.serve(); err != nil {
 		slog.Error("listener_lost", "addr", r.cfg.Listen, "reason", err)
 		os.Exit(1)
@@ -201,8 +201,8 @@
 }
 
 // begin has a new process take over, once it has heard from discovery itself or has waited long enough.
-func (r *replacing) begin(p *hotrestart.Partner) {
-	r.with, r.waits = p, true
+func (r *replacement) begin(p *hotrestart.Partner) {
+	r.partner, r.waits = p, true
 	r.core.HandOver(true)
 	debug.SetMemoryLimit(r.cfg.MemoryLimit() / 2)
 	p.Run(r.loop, partner{r, p})
@@ -212,36 +212,36 @@
 }
 
 // take tells the old process, once.
-func (r *replacing) take() {
+func (r *replacement) take() {
 	if r.waits && !r.handed {
 		r.handed = true // asked for; until it is answered the other one accepts
-		r.with.Take()
+		r.partner.Take()
 		r.loop.After(takenWithin, r.accept)
 	}
 }
 
 // accept begins to take clients.
-func (r *replacing) accept() {
+func (r *replacement) accept() {
 	if !r.waits {
 		return
 	}
 	r.waits, r.handed = false, false
 	r.mustServe()
 	r.rejoin()
-	slog.Info("taken_over", "partner", r.with != nil)
+	slog.Info("taken_over", "partner", r.partner != nil)
 	r.store.Keep(r.keep(false), nil)
 }
 
 // tell tells the new process how many descriptors are still held here.
-func (r *replacing) tell() {
-	if r.with != nil && r.older {
-		r.with.Sessions(r.core.Sessions())
+func (r *replacement) tell() {
+	if r.partner != nil && r.older {
+		r.partner.Sessions(r.core.Sessions())
 		r.loop.After(tellEvery, r.tell)
 	}
 }
 
 // partner hears the other process. What a former partner had still to say counts for nothing.
 type partner struct {
-	*replacing
+	*replacement
 	of *hotrestart.Partner
 }
--- a/internal/proxy/allowed.go
+++ b/internal/proxy/allowed.go
@@ -15,18 +15,18 @@
 }
 
 // SetAllowance gives the core the limits that hold over the fleet. It is called before clients come.
-func (c *Core) SetAllowance(a Allowance) { c.allow = a }
+func (c *Core) SetAllowance(a Allowance) { c.allowance = a }
 
 // allowed goes on with a request once its account has room for one more connection, over all proxies; where it has none the request is refused, with
 // advice that is spread by its id.
 func (c *Core) allowed(r *Request, account string, on func()) {
-	if c.allow == nil || account == "" || !c.allow.Bounded(account) {
+	if c.allowance == nil || account == "" || !c.allowance.Bounded(account) {
 		on()
 		return
 	}
 	h := fnv.New32a()
 	h.Write([]byte(r.ask.ID))
-	c.allow.Take(account, float64(h.Sum32()%1000)/1000, func(over string, advice time.Duration) {
+	c.allowance.Take(account, float64(h.Sum32()%1000)/1000, func(over string, advice time.Duration) {
 		switch {
 		case over != "" && r.answered:
 		case over != "":
@@ -35,7 +35,7 @@
 			}
 			r.refuse(c.advice(advice))
 		case r.answered:
-			c.allow.Release(account) // its client has left meanwhile
+			c.allowance.Release(account) // its client has left meanwhile
 		default:
 			r.slot = account
 			c.guard(r, on)
@@ -46,7 +46,7 @@
 // free gives back what the request counts against.
 func (r *Request) free() {
 	if r.slot != "" {
-		r.core.allow.Release(r.slot)
+		r.core.allowance.Release(r.slot)
 		r.slot = ""
 	}
 }
@@ -54,16 +54,16 @@
 // holdAll counts the connections that stand already against the limits of their accounts: those from before this process's first version, or from
 // before their account had limits.
 func (c *Core) holdAll() {
-	if c.allow == nil {
+	if c.allowance == nil {
 		return
 	}
 	for _, r := range c.requests {
 		if a := r.out; a == nil || !a.up || r.slot != "" {
 			continue
 		}
-		if account := c.gate.Account(c.tenantOf(r)); account != "" && c.allow.Bounded(account) {
+		if account := c.enforcer.Account(c.tenantOf(r)); account != "" && c.allowance.Bounded(account) {
 			r.slot = account
-			c.allow.Hold(account)
+			c.allowance.Hold(account)
 		}
 	}
 }
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -62,23 +62,23 @@
 	discovery Discovery
 	peers     Peers           // nil: there are none, or the settings forbid it
 	prober    Prober          // nil: the settings do not permit probes
-	gate      *rules.Enforcer // nil: no rules that the fleet agrees on
-	allow     Allowance       // nil: no limits that hold over the fleet
+	enforcer  *rules.Enforcer // nil: no rules that the fleet agrees on
+	allowance Allowance       // nil: no limits that hold over the fleet
 	make      func(fx brain.Effects) (Decider, error)
 	main      *pool // the only one where no rules split the hosts
 	pools     map[string]*pool
 	classes   map[string]int
 	tenants   map[string]int
 
-	hosts    map[string]*host
-	hand     *maintenance.Registry // the hosts that operators have taken out
-	floors   Watermarks            // nil: every proxy goes by its own list alone
-	pacer    Pacer                 // nil: clients leave as it suits this proxy
-	turns    []func() bool         // clients that wait for it
-	asking   bool
-	figures  *metrics.Table
-	monitor  *invariant.Monitor
-	requests map[string]*Request
+	hosts      map[string]*host
+	suspended  *maintenance.Registry // the hosts that operators have taken out
+	floors     Watermarks            // nil: every proxy goes by its own list alone
+	pacer      Pacer                 // nil: clients leave as it suits this proxy
+	pacedMoves []func() bool         // clients that wait for it
+	pacerAsked bool
+	figures    *metrics.Table
+	monitor    *invariant.Monitor
+	requests   map[string]*Request
 
 	// The module is single-threaded and its effects must not call it: they are kept in effects while it runs, and
 	// what they cause is kept in calls until they have all been carried out.
@@ -139,7 +139,7 @@
 	for i, k := range opt.Settings.Classes {
 		c.classes[k.Name], names[i] = i, k.Name
 	}
-	c.hand, c.figures = maintenance.New(), metrics.New(names)
+	c.suspended, c.figures = maintenance.New(), metrics.New(names)
 	c.monitor = invariant.NewMonitor(func(r invariant.Rule, id string) { slog.Error("invariant_broken", "rule", r, "request", id) })
 	for i, t := range opt.Settings.Tenants {
 		c.tenants[t.Name] = i
--- a/internal/proxy/kept.go
+++ b/internal/proxy/kept.go
@@ -91,10 +91,10 @@
 // Inherit takes over what operators have said. It comes before Run.
 func (c *Core) Inherit(k *Kept) {
 	for _, id := range k.Known {
-		c.hand.Listed(id)
+		c.suspended.Listed(id)
 	}
 	for _, b := range k.Out {
-		c.hand.Set(b.ID, true, b.Since)
+		c.suspended.Set(b.ID, true, b.Since)
 	}
 }
 
@@ -105,7 +105,7 @@
 
 // Keep is what the next process is to know. With yield, this one gives up its cold budgets.
 func (c *Core) Keep(yield bool) *Kept {
-	k := &Kept{At: c.loop.Now(), Out: c.hand.All(), Known: c.hand.IDs(), Memory: c.main.module.Remember(yield)}
+	k := &Kept{At: c.loop.Now(), Out: c.suspended.All(), Known: c.suspended.IDs(), Memory: c.main.module.Remember(yield)}
 	for _, p := range c.pools {
 		if p != c.main {
 			k.Memory.Servers = append(k.Memory.Servers, p.module.Remember(yield).Servers...)
--- a/internal/proxy/list.go
+++ b/internal/proxy/list.go
@@ -95,7 +95,7 @@
 	if tracing() && (h.state != e.State || h.listed.Since != e.Since || h.endpoint == "") {
 		slog.Debug("host", "host", e.ID, "zone", e.Zone, "state", int(e.State), "weight", e.Weight, "since_ms", e.Since/1e6)
 	}
-	c.hand.Listed(e.ID)
+	c.suspended.Listed(e.ID)
 	if h.endpoint == "" || e.Since != h.listed.Since {
 		h.since = c.started(e.Since)
 	}
--- a/internal/proxy/paced.go
+++ b/internal/proxy/paced.go
@@ -20,29 +20,29 @@
 
 // paced sends a client away in its turn. send tells whether there was still one to send.
 func (c *Core) paced(send func() bool) {
-	if c.pacer == nil || c.leaving || len(c.turns) >= mostPaced {
+	if c.pacer == nil || c.leaving || len(c.pacedMoves) >= mostPaced {
 		send()
 		return
 	}
-	c.turns = append(c.turns, send)
+	c.pacedMoves = append(c.pacedMoves, send)
 	c.takeTurns()
 }
 
 func (c *Core) takeTurns() {
-	if c.asking || len(c.turns) == 0 {
+	if c.pacerAsked || len(c.pacedMoves) == 0 {
 		return
 	}
-	c.asking = true
-	c.pacer.May(len(c.turns), func(n int) {
-		c.asking = false
-		for n > 0 && len(c.turns) > 0 {
-			send := c.turns[0]
-			c.turns = c.turns[1:]
+	c.pacerAsked = true
+	c.pacer.May(len(c.pacedMoves), func(n int) {
+		c.pacerAsked = false
+		for n > 0 && len(c.pacedMoves) > 0 {
+			send := c.pacedMoves[0]
+			c.pacedMoves = c.pacedMoves[1:]
 			if send() {
 				n--
 			}
 		}
-		if len(c.turns) > 0 {
+		if len(c.pacedMoves) > 0 {
 			c.loop.After(pacedEvery, c.takeTurns)
 		}
 	})
--- a/internal/proxy/paced_test.go
+++ b/internal/proxy/paced_test.go
@@ -51,8 +51,8 @@
 	for range mostPaced + 10 {
 		c.paced(send)
 	}
-	if len(c.turns) > mostPaced {
-		t.Errorf("%d wait", len(c.turns))
+	if len(c.pacedMoves) > mostPaced {
+		t.Errorf("%d wait", len(c.pacedMoves))
 	}
 }
 
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -55,10 +55,10 @@
 
 // poolOf is the pool that a host is in by the rules that hold here now.
 func (c *Core) poolOf(h *host) *pool {
-	if c.gate == nil {
+	if c.enforcer == nil {
 		return c.main
 	}
-	return c.pool(c.gate.Pool(h.id, h.listed.Kind, h.zone))
+	return c.pool(c.enforcer.Pool(h.id, h.listed.Kind, h.zone))
 }
 
 // choose gives the first of some pools that has a host that may be used; nil: none has.
@@ -68,7 +68,7 @@
 	}
 	for _, n := range names {
 		for _, h := range c.hosts {
-			if h.state == brain.Ready && h.pool != nil && h.pool.name == n && c.gate.Usable(h.id) {
+			if h.state == brain.Ready && h.pool != nil && h.pool.name == n && c.enforcer.Usable(h.id) {
 				return h.pool
 			}
 		}
--- a/internal/proxy/rules.go
+++ b/internal/proxy/rules.go
@@ -11,16 +11,16 @@
 
 // SetRules gives the core the rules on which the fleet agrees. It is called before clients come.
 func (c *Core) SetRules(g *rules.Enforcer) {
-	c.gate = g
+	c.enforcer = g
 	c.Repool()
 }
 
 // ruled says what the fleet's rules make of a request, and logs by which version it was decided.
 func (c *Core) ruled(tenant, class string, q *brain.Request) (v rules.Verdict) {
-	if c.gate == nil {
+	if c.enforcer == nil {
 		return v
 	}
-	v = c.gate.Judge(namespace.Ask{Tenant: tenant, Class: class, Key: q.Key, Group: q.Group, Zone: c.opt.Settings.Zone})
+	v = c.enforcer.Judge(namespace.Ask{Tenant: tenant, Class: class, Key: q.Key, Group: q.Group, Zone: c.opt.Settings.Zone})
 	if tracing() {
 		pool := ""
 		if len(v.Pools) > 0 {
@@ -43,7 +43,7 @@
 
 // again is the second look, right before an attempt: the process may have slept since the first one, and rules may have changed.
 func (c *Core) again(r *Request, h *host) (v rules.Verdict, how int) {
-	if c.gate == nil || r.adopted {
+	if c.enforcer == nil || r.adopted {
 		return v, stillRight
 	}
 	v = c.ruled(r.tenant, c.opt.Settings.Classes[r.ask.Class].Name, &r.ask)
@@ -52,7 +52,7 @@
 		return v, refusedNow
 	case v.Pools != nil && !slices.Contains(v.Pools, r.pool.name), v.Pools == nil && r.pool != c.main:
 		return v, elsewhere
-	case !c.gate.Usable(h.id), c.gate.Pool(h.id, h.listed.Kind, h.zone) != r.pool.name:
+	case !c.enforcer.Usable(h.id), c.enforcer.Pool(h.id, h.listed.Kind, h.zone) != r.pool.name:
 		return v, passed
 	}
 	return v, stillRight
--- a/internal/proxy/standing.go
+++ b/internal/proxy/standing.go
@@ -116,7 +116,7 @@
 			m.Note(now, q.ID, 0, brain.NoteLoad, a.load)
 		}
 	})
-	if c.hand.Out(h.id) {
+	if c.suspended.Out(h.id) {
 		c.leaveHost(h, r)
 	}
 	return r, a
--- a/internal/proxy/hand.go
+++ b/internal/proxy/suspend.go
@@ -15,7 +15,7 @@
 	switch {
 	case e.State != brain.Ready:
 		return e.State
-	case c.hand.Out(e.ID):
+	case c.suspended.Out(e.ID):
 		return brain.Suspended
 	case c.belowFloor(e):
 		return brain.Draining
@@ -26,7 +26,7 @@
 // Suspend has nothing more go to a host from now on, or ends that; twice is as once. done hears whether any list has ever
 // named the host.
 func (c *Core) Suspend(id string, out bool, done func(known bool)) {
-	if !c.hand.Known(id) {
+	if !c.suspended.Known(id) {
 		done(false)
 		return
 	}
@@ -42,12 +42,12 @@
 
 // setByHand has a host's ban, or the end of it, take effect.
 func (c *Core) setByHand(id string, out bool) {
-	ban, now, was := c.hand.Ban(id), c.loop.Now(), c.hand.Out(id)
-	if !c.hand.Set(id, out, now) {
+	ban, now, was := c.suspended.Ban(id), c.loop.Now(), c.suspended.Out(id)
+	if !c.suspended.Set(id, out, now) {
 		return
 	}
 	slog.Info("by_hand", "host", id, "out", out)
-	if c.hand.Out(id) != was {
+	if c.suspended.Out(id) != was {
 		c.treat(id, out, ban)
 	}
 }
@@ -55,11 +55,11 @@
 // SuspendForFleet takes the list of hosts that are out for the whole fleet, whole: a host that is no longer on it comes back.
 func (c *Core) SuspendForFleet(ids []string) {
 	bans := map[string]maintenance.Ban{}
-	for _, id := range c.hand.IDs() {
-		bans[id] = c.hand.Ban(id)
+	for _, id := range c.suspended.IDs() {
+		bans[id] = c.suspended.Ban(id)
 	}
-	for _, id := range c.hand.SetFleet(ids, c.loop.Now()) {
-		out := c.hand.Out(id)
+	for _, id := range c.suspended.SetFleet(ids, c.loop.Now()) {
+		out := c.suspended.Out(id)
 		slog.Info("by_hand", "host", id, "out", out, "fleet", true)
 		c.treat(id, out, bans[id])
 	}
@@ -94,7 +94,7 @@
 	c.loop.After(maintenance.Leave(r.ask.ID), func() {
 		c.paced(func() bool {
 			_, there := h.up[r]
-			if there = there && c.hand.Out(h.id); there {
+			if there = there && c.suspended.Out(h.id); there {
 				r.move(brain.Cancelled)
 			}
 			return there
@@ -124,7 +124,7 @@
 			continue
 		}
 		n.Hosts++
-		if c.hand.Out(id) || h.pool != nil && h.pool.module.Avoids(now, id) {
+		if c.suspended.Out(id) || h.pool != nil && h.pool.module.Avoids(now, id) {
 			n.Avoided++
 		}
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -47,7 +47,7 @@
 	r.overdue.Stop()
 	delete(a.host.trying, a)
 	a.host.up[r] = struct{}{}
-	if c.hand.Out(a.host.id) {
+	if c.suspended.Out(a.host.id) {
 		c.leaveHost(a.host, r) // it was on its way before the operators' word
 	}
 	c.counts.Served++
