A connect that this machine has nothing for is made again, and blames no host

A connect that failed for want of a descriptor, a port or memory of this machine (ENFILE, EADDRNOTAVAIL, ENOBUFS, ...) or was interrupted was told to the module as the host's failure, which shunned sound hosts for seconds. It is made again each 5 ms within its time; what says something of the host is told at once as before. Test: TestAConnectOutlivesAMachineShortOfThings.

--- a/internal/netio/dial.go
+++ b/internal/netio/dial.go
@@ -19,8 +19,13 @@
 	waiting []*Dial
 	busy    map[string]int
 	share   int
+
+	dial func(network, addr string, timeout time.Duration) (netpoll.Connection, error) // netpoll's; tests put another in its place
 }
 
+// dialAgain is the pause before a connect is made again that this machine had nothing for.
+const dialAgain = 5 * time.Millisecond
+
 // Dial is one connection being opened.
 type Dial struct {
 	dialer   *Dialer
@@ -35,7 +40,7 @@
 
 // NewDialer starts n dialers.
 func NewDialer(l *Loop, n int) *Dialer {
-	d := &Dialer{loop: l, busy: map[string]int{}, share: max(1, n/4)}
+	d := &Dialer{loop: l, busy: map[string]int{}, share: max(1, n/4), dial: netpoll.DialConnection}
 	d.ready = sync.NewCond(&d.mu)
 	for range n {
 		go d.work()
@@ -120,14 +125,29 @@
 	}
 }
 
+// connect makes the connection within the dial's time. What this machine has no descriptor, port or memory for says nothing of the host, and is tried
+// again: told as the host's failure it has a sound one shunned for seconds.
+func (d *Dialer) connect(q *Dial) (np netpoll.Connection, err error) {
+	err = errors.New("no time left")
+	for {
+		left := time.Duration(q.deadline - d.loop.Now())
+		d.mu.Lock()
+		over := left <= 0 || q.dropped
+		d.mu.Unlock()
+		if over {
+			return nil, err
+		}
+		if np, err = d.dial("tcp", q.addr, left); err == nil || !scarce(err) {
+			return np, err
+		}
+		time.Sleep(dialAgain)
+	}
+}
+
 func (d *Dialer) work() {
 	for {
 		q := d.next()
-		var np netpoll.Connection
-		fault := error(errors.New("no time left"))
-		if left := time.Duration(q.deadline - d.loop.Now()); left > 0 {
-			np, fault = netpoll.DialConnection("tcp", q.addr, left)
-		}
+		np, fault := d.connect(q)
 		d.mu.Lock()
 		if d.busy[q.addr]--; d.busy[q.addr] == 0 {
 			delete(d.busy, q.addr)
--- a/internal/netio/errno_test.go
+++ b/internal/netio/errno_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -153,6 +154,32 @@
 	}
 }
 
+// A machine without descriptors or ports for a moment had its sound hosts shunned for seconds, one connect each. A host that refuses is told at once.
+func TestAConnectOutlivesAMachineShortOfThings(t *testing.T) {
+	l, addr, _ := serve(t, func(*Conn) {})
+	d := NewDialer(l, 1)
+	real := d.dial
+	for _, c := range []struct {
+		err    error
+		stands bool
+	}{{syscall.ENFILE, true}, {syscall.EADDRNOTAVAIL, true}, {syscall.ENOBUFS, true}, {syscall.ECONNREFUSED, false}, {syscall.EHOSTUNREACH, false}} {
+		tries := 0
+		d.dial = func(network, addr string, timeout time.Duration) (netpoll.Connection, error) {
+			if tries++; tries <= 3 {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", c.err)}
+			}
+			return real(network, addr, timeout)
+		}
+		stood := make(chan bool)
+		l.Post(func() {
+			d.Dial(addr, 10*time.Second, 1024, nobody{}, func(c *Conn, err *Error) { stood <- err == nil })
+		})
+		if got := <-stood; got != c.stands || c.stands && tries != 4 || !c.stands && tries != 1 {
+			t.Errorf("%v: stands %t after %d tries", c.err, got, tries)
+		}
+	}
+}
+
 // flaky is a listener's queue whose accept fails in one way after the other.
 type flaky struct {
 	netpoll.Listener
--- a/internal/netio/listen.go
+++ b/internal/netio/listen.go
@@ -61,9 +61,15 @@
 	return nil, nil
 }
 
-// scarce tells whether the kernel is out of something, which it may stay for a while.
+// scarce tells whether this machine is out of something, which it may stay for a while.
 func scarce(err error) bool {
-	return err == syscall.EMFILE || err == syscall.ENFILE || err == syscall.ENOBUFS || err == syscall.ENOMEM
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC, syscall.EADDRNOTAVAIL, syscall.EAGAIN,
+		syscall.EINTR} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
 }
 
 // Stop leaves what comes from now on to whoever else holds the socket.
