Every close, move and failure says why at debug level

At debug level the log had attempts, outcomes, refusals and calls on discovery, and not why a client's connection ended, a host's ended, a client was moved, a request failed or a connection without a request was closed: failed, moved, client_ended, host_ended, newcomer_ended. Nothing is written or put together above that level.

--- a/internal/lineproto/downstream.go
+++ b/internal/lineproto/downstream.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+	"context"
+	"log/slog"
 	"time"
 
 	"croftlock/internal/netio"
@@ -143,6 +145,13 @@
 	}
 }
 
+// trace logs why a connection without a request ends.
+func (d *downstream) trace(reason string) {
+	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		slog.Debug("newcomer_ended", "reason", reason, "bytes", len(d.conn.Input()), "pinged", d.pinged)
+	}
+}
+
 // late ends a connection whose first line has not come in time: what began as a line gets an answer.
 func (d *downstream) late() {
 	if len(d.conn.Input()) > 0 {
@@ -155,6 +164,7 @@
 // dismiss ends a connection on which nothing has been said. A request may be on its way in this very moment, so the client is
 // told to come again: a close alone would leave that request without an answer.
 func (d *downstream) dismiss() {
+	d.trace("rested")
 	if d.pinged {
 		d.finish() // the front's own
 		return
@@ -165,6 +175,7 @@
 // drop ends a newcomer for the sake of the next.
 func (d *downstream) drop() {
 	d.idle.Stop()
+	d.trace("makes_room")
 	switch {
 	case d.conn.Over():
 	case len(d.conn.Input()) > 0:
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -32,6 +32,9 @@
 	r.core.counts.Failed++
 	r.rec.Failed(r.core.loop.Now())
 	r.core.figures.Ended(r.ask.Class, how)
+	if tracing() {
+		slog.Debug("failed", "request", r.ask.ID, "attempts", r.attempts, "state", r.state(), "left_ms", (r.deadline-r.core.loop.Now())/1e6)
+	}
 	r.answer(r.down.Fail)
 }
 
@@ -80,6 +83,9 @@
 		return
 	}
 	r.core.counts.Moved++
+	if tracing() {
+		slog.Debug("moved", "request", r.ask.ID, "host", a.host.id, "status", status.String(), "leaving", r.core.leaving)
+	}
 	r.rec.Released()
 	r.down.Move()
 	a.conn.End(netio.Ended)
@@ -122,6 +128,9 @@
 
 // DownstreamEnded says that the client has gone, or was cut off.
 func (r *Request) DownstreamEnded(err *netio.Error) {
+	if tracing() {
+		slog.Debug("client_ended", "request", r.ask.ID, "answered", r.answered, "state", r.state(), "reason", err)
+	}
 	if err.Cause == netio.Dropped {
 		r.rec.Dropped() // it was this side that ended it
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -123,6 +123,9 @@
 	default:
 		a.req.core.counts.Lost++
 	}
+	if tracing() {
+		slog.Debug("host_ended", "request", a.req.ask.ID, "host", a.host.id, "status", status.String(), "reason", err)
+	}
 	a.req.rec.Released()
 	a.req.down.End(err.Cause)
 	a.outcome(status)
