A replacement hears of lists before it has taken over

The list was passed on only after the hand-over. It is now from the moment there are two. At fault: node/replace.go, news.

--- a/internal/node/replace.go
+++ b/internal/node/replace.go
@@ -124,7 +124,7 @@
 		return
 	}
 	r.take()
-	if r.CanHand() && len(ch.Hosts) > 0 {
+	if r.partner != nil && r.older && len(ch.Hosts) > 0 { // also before it has taken over: this one may be gone by then
 		list := r.keep(false)
 		r.partner.Listed(&proxy.Kept{At: list.At, Discovery: list.Discovery, Rev: list.Rev, Hosts: list.Hosts})
 	}
