A line that is given up while it waits for the kernel does not go out

At fault: proxy/list.go, connecting: a drain, a repeat's window and a new address ended an attempt only while its connection was opening, not while its line waited; and lineproto/upstream.go, End: an attempt that was given up while its line waited was closed as any other, and Close delivers what waits, up to 1 s later, though the attempt counted as one that has not run. Its socket is dropped with the line now, and whatever is not written whole is taken back.

--- a/internal/lineproto/upstream.go
+++ b/internal/lineproto/upstream.go
@@ -134,11 +134,13 @@
 		u.drop()
 		u.drop = nil
 	}
-	if u.conn != nil {
-		if cause == netio.Broke {
-			u.conn.Abort()
-		} else {
-			u.conn.Close()
-		}
+	switch {
+	case u.conn == nil:
+	case u.stage == netio.Sending:
+		u.conn.Drop() // what is left of the line must not go out: the attempt counts as one that has not run
+	case cause == netio.Broke:
+		u.conn.Abort()
+	default:
+		u.conn.Close()
 	}
 }
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -43,6 +43,9 @@
 	return &Loop{wake: make(chan struct{}, 1), ended: make(chan struct{}), clock: clock, sendmsg: sendmsg}
 }
 
+// SetSend puts another system call in the place of the one that writes to sockets, for tests of what fails. It is called before Run.
+func (l *Loop) SetSend(send func(fd int, p []byte) (int, error)) { l.sendmsg = send }
+
 // Now is the loop's time in nanoseconds since 1970.
 func (l *Loop) Now() int64 { return l.clock() }
 
--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -79,6 +79,28 @@
 	w.expect("outcome q 1 2 false")
 }
 
+// A first line that waits for the kernel is something new as well: it went out to a host that had been told to drain since, and a repeat after hosts had
+// ceased to discard it.
+func TestListActsOnLinesThatWait(t *testing.T) {
+	w := newWorld(t)
+	w.on = func(e string) {
+		if e == "request q" {
+			w.fx.Send("q", "A", 0)
+		}
+	}
+	w.open("q")
+	w.ups[0].stage = netio.Sending
+	w.seen = nil
+	w.core.Listed(Change{Kind: brain.ListDelta, Hosts: []HostEntry{{Endpoint: "at-A", Entry: brain.Entry{ID: "A", State: brain.Draining}}}})
+	w.expect("members 0 1", "end up dropped", "outcome q 0 2 false")
+
+	w = keyed(t)
+	w.ups[1].stage = netio.Sending
+	w.seen = nil
+	w.pass(210 * time.Millisecond)
+	w.expect("end up ended", "outcome q 1 7 false", "refuse q 0")
+}
+
 // A leaving proxy refuses newcomers, moves those it serves once the front sends no more, and is done when all are gone.
 func TestLeave(t *testing.T) {
 	w := newWorld(t)
--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -130,7 +130,7 @@
 // state names what a request waits for.
 func state(r *Request, permitted bool) string {
 	switch {
-	case r.out != nil && r.out.connecting():
+	case r.out != nil && r.out.unsent():
 		return "a connection"
 	case r.out != nil:
 		return "a host's answer"
--- a/internal/proxy/list.go
+++ b/internal/proxy/list.go
@@ -71,7 +71,7 @@
 			c.prober.Forget(id)
 		}
 		for a := range h.trying {
-			if a.connecting() && !a.req.adopted {
+			if a.unsent() && !a.req.adopted {
 				a.finish(brain.Full, netio.Dropped)
 			}
 		}
@@ -105,12 +105,13 @@
 	}
 	h.endpoint = e.Endpoint
 	for a := range h.trying {
-		if a.connecting() {
+		if a.unsent() {
 			a.conn.End(netio.Dropped) // it goes on towards the new address
 			a.dial()
 		}
 	}
 }
 
-// connecting tells whether nothing of the attempt has reached its host yet.
-func (a *upstreamRequest) connecting() bool { return a.conn.Stage() == netio.Connecting }
+// unsent tells whether the attempt's line is not written whole yet, so that its host can't act on it. It may be on its way in parts, or wait for a
+// kernel that takes nothing.
+func (a *upstreamRequest) unsent() bool { return a.conn.Stage() < netio.Sent }
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -136,7 +136,7 @@
 		})
 	}
 	for a := range h.trying {
-		if a.connecting() && !a.req.adopted && a.req.pool == from {
+		if a.unsent() && !a.req.adopted && a.req.pool == from {
 			a.finish(brain.Full, netio.Dropped)
 		}
 	}
--- a/internal/proxy/repeat.go
+++ b/internal/proxy/repeat.go
@@ -75,7 +75,7 @@
 	}
 	c := a.req.core
 	a.repeatTimer = c.loop.After(time.Duration(deadline-c.loop.Now()), func() {
-		if a.connecting() {
+		if a.unsent() {
 			a.finish(brain.Moot, netio.Ended) // no fault of the host's
 		}
 	})
