Read over: one write loop, one way to watch a listener, to wrap and to dup a socket

Twins of this change joined, behaviour as before: Conn.send and a handed-over part's goodbye share sendSome; the fence and the listener share watchListener; accepted and handed-over sockets share pausedConn; two dups of a descriptor share secondNumber; the soak's hosts use fake.Reset; the platform's 0.15 s stands once (invariant.HeldUp). Monitor.Closed, which nobody called, is gone; store.go and unblocked.go lose a nesting.

--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -88,14 +88,14 @@
 		{Kind: "trickles", Reason: "timeout", Config: sound, Raw: func(c net.Conn, config *tls.Config) {
 			tls.Server(&trickle{c}, config).Handshake()
 		}},
-		{Kind: "resets-at-once", Reason: "broken_off", Raw: func(c net.Conn, _ *tls.Config) { reset(c) }},
+		{Kind: "resets-at-once", Reason: "broken_off", Raw: func(c net.Conn, _ *tls.Config) { Reset(c) }},
 		{Kind: "resets-after-hello", Reason: "broken_off", Raw: func(c net.Conn, _ *tls.Config) {
 			c.Read(make([]byte, 4096))
-			reset(c)
+			Reset(c)
 		}},
 		{Kind: "resets-in-its-flight", Reason: "broken_off", Config: sound, Raw: func(c net.Conn, config *tls.Config) {
 			tls.Server(&cutOff{Conn: c, left: 200}, config).Handshake()
-			reset(c)
+			Reset(c)
 		}},
 		{Kind: "ends-after-hello", Reason: "broken_off", Raw: func(c net.Conn, _ *tls.Config) { c.Read(make([]byte, 4096)) }},
 		{Kind: "garbage", Reason: "not_tls", Raw: func(c net.Conn, _ *tls.Config) {
@@ -104,7 +104,7 @@
 		}},
 		{Kind: "resets-after-handshake", Reason: "", Stood: true, Config: sound, Raw: func(c net.Conn, config *tls.Config) {
 			tls.Server(c, config).Handshake()
-			reset(c)
+			Reset(c)
 		}},
 		{Kind: "floods-key-updates", Reason: "", Stood: true, Config: sound, Raw: floodKeyUpdates},
 		{Kind: "renegotiates", Reason: "", Stood: true, Old: true, Config: sound, Raw: renegotiate},
@@ -133,7 +133,8 @@
 	return Config(func() *tls.Certificate { return c }, nil), nil
 }
 
-func reset(c net.Conn) {
+// Reset ends a connection with a reset.
+func Reset(c net.Conn) {
 	if t, ok := c.(interface{ SetLinger(int) error }); ok {
 		t.SetLinger(0)
 	}
--- a/internal/hotrestart/store.go
+++ b/internal/hotrestart/store.go
@@ -81,12 +81,10 @@
 			slog.Warn("state_not_kept", "dir", s.dir, "for_the_next_process", kept, "reason", err)
 		}
 	}
-	switch {
-	case err == nil && again:
-		slog.Info("state_kept", "dir", s.dir)
-	}
 	if err != nil {
 		s.giveBack(k)
+	} else if again {
+		slog.Info("state_kept", "dir", s.dir)
 	}
 	for _, f := range done {
 		s.loop.Post(f)
--- a/internal/invariant/invariant_test.go
+++ b/internal/invariant/invariant_test.go
@@ -43,7 +43,7 @@
 		if got := r.Begin(c.at, c.to); got != c.want {
 			t.Errorf("%+v: %v", c, got)
 		}
-		r.Began(c.at+heldUp, c.to)
+		r.Began(c.at+int64(HeldUp), c.to)
 		if m.Counts.Broken[c.want] != 1 && c.want != None {
 			t.Errorf("%+v: carried out all the same, and not counted: %v", c, m.Counts)
 		}
--- a/internal/invariant/record.go
+++ b/internal/invariant/record.go
@@ -8,7 +8,7 @@
 	case r.begun >= r.Attempts:
 		r.Monitor.broke(AttemptLimit, r.ID)
 	default:
-		r.Monitor.broke(r.begin(now-heldUp, h), r.ID)
+		r.Monitor.broke(r.begin(now-int64(HeldUp), h), r.ID)
 	}
 	r.begun++
 	r.out, r.written = true, false
@@ -20,7 +20,7 @@
 	if !r.out || r.written {
 		r.Monitor.broke(OneAttempt, r.ID)
 	}
-	r.Monitor.broke(r.begin(now-heldUp, h), r.ID)
+	r.Monitor.broke(r.begin(now-int64(HeldUp), h), r.ID)
 	r.written = true
 	if r.ranAt == 0 {
 		r.ranAt, r.ranIn = begun, h
--- a/internal/invariant/request.go
+++ b/internal/invariant/request.go
@@ -10,9 +10,9 @@
 // answerSlack is how late an answer may be: later than this a request counts as lost, and not just as late.
 const answerSlack = int64(500 * time.Millisecond)
 
-// heldUp is how long a process may be held up between a decision and its effect. Deadlines and windows allow for that, so an action counts as
+// HeldUp is how long a process may be held up between a decision and its effect. Deadlines and windows allow for that, so an action counts as
 // against them only where it comes later.
-const heldUp = int64(150 * time.Millisecond)
+const HeldUp = 150 * time.Millisecond
 
 // Host is what the rules have to know of an upstream host.
 type Host struct {
--- a/internal/invariant/rules.go
+++ b/internal/invariant/rules.go
@@ -57,9 +57,6 @@
 // Close says that the process has answered for all that it holds: nothing begins from here on.
 func (m *Monitor) Close() { m.closed = true }
 
-// Closed tells whether it has.
-func (m *Monitor) Closed() bool { return m.closed }
-
 // hold counts an action that a rule held back.
 func (m *Monitor) hold(r Rule) Rule {
 	if r != None {
--- a/internal/lab/soak/host.go
+++ b/internal/lab/soak/host.go
@@ -59,7 +59,7 @@
 	h.listener.Close()
 	for c, a := range h.conns {
 		a.end("host")
-		resetConn(c)
+		fake.Reset(c)
 	}
 }
 
@@ -99,18 +99,11 @@
 	for c, a := range h.conns {
 		if i++; i%part == 0 {
 			a.end("host")
-			resetConn(c)
+			fake.Reset(c)
 		}
 	}
 }
 
-func resetConn(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		t.SetLinger(0)
-	}
-	c.Close()
-}
-
 func (h *Host) accept(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -171,7 +164,7 @@
 		return false
 	case h.resets.Load():
 		a.end("host")
-		resetConn(c)
+		fake.Reset(c)
 		return false
 	case h.errs.Load():
 		a.says("ERR")
--- a/internal/logging/unblocked.go
+++ b/internal/logging/unblocked.go
@@ -27,19 +27,15 @@
 func (u *Unblocked) Write(line []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.ready() {
-		u.dropped++
-		return len(line), nil
-	}
-	if u.dropped > 0 {
+	if u.dropped > 0 && u.ready() {
 		if _, err := fmt.Fprintf(u.to, "event=log_dropped lines=%d level=warn\n", u.dropped); err != nil {
 			return 0, err
 		}
 		u.dropped = 0
-		if !u.ready() {
-			u.dropped++
-			return len(line), nil
-		}
+	}
+	if !u.ready() {
+		u.dropped++
+		return len(line), nil
 	}
 	if len(line) > longestLine {
 		line = append(line[:longestLine-1:longestLine-1], '\n')
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -53,8 +53,8 @@
 	pause     time.Duration
 	over      bool  // Closed was called, or this side closed
 	until     int64 // over with a line still partly written: the moment at which its rest is given up
-	ending    bool  // Finish was called
 	reset     bool  // Abort was called
+	ending    bool  // Finish was called
 	surplus   int   // what came in after that
 	linger    *Timer
 	gone      func()      // told once the descriptor is free
@@ -65,7 +65,7 @@
 	mu        sync.Mutex
 	fd        int
 	detaching bool // netpoll's close callback means a pause, not the end
-	closing   bool // and with this it is this side's own doing
+	closing   bool // it means that this side has closed the connection
 }
 
 // newConn wraps a connection of netpoll's that stands. Reading pauses while its input is at the limit.
@@ -78,6 +78,11 @@
 	return c
 }
 
+// pausedConn wraps a socket that stands and that netpoll does not watch yet; resume has it watched.
+func pausedConn(l *Loop, fd, limit int, h Handler) *Conn {
+	return &Conn{loop: l, in: NewBuffer(limit + overshoot), limit: limit, fd: fd, paused: true, handler: h}
+}
+
 // sizeBuffers bounds what the kernel holds for the connection.
 func (c *Conn) sizeBuffers() {
 	unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_RCVBUF, kernelBuffer)
--- a/internal/netio/end.go
+++ b/internal/netio/end.go
@@ -77,22 +77,30 @@
 	if err != nil || info.State != tcpEstablished {
 		return false
 	}
-	fd, err := unix.FcntlInt(uintptr(c.fd), unix.F_DUPFD_CLOEXEC, 0)
-	if err != nil {
+	fd := secondNumber(c.fd)
+	if fd < 0 {
 		return false
 	}
 	c.fd = fd
 	return true
 }
 
+// secondNumber gives a socket another descriptor; under 0: there is none to be had.
+func secondNumber(fd int) int {
+	second, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return -1
+	}
+	return second
+}
+
 // goOn has netpoll watch a socket again that it has let go of. tail came in before that.
 func (c *Conn) goOn(tail []byte) {
+	c.paused = true
 	if c.over && !c.ending {
-		c.paused = true
 		c.shut()
 		return
 	}
-	c.paused = true
 	switch {
 	case c.over:
 		c.discarded(len(tail))
--- a/internal/netio/fence.go
+++ b/internal/netio/fence.go
@@ -43,11 +43,7 @@
 // memory for one more watch is asked again.
 func (f *fence) serve() {
 	for {
-		events, err := netpoll.NewEventLoop(nil)
-		if err == nil {
-			err = events.Serve(f)
-		}
-		slog.Error("fence_failed", "reason", fmt.Sprint(err))
+		slog.Error("fence_failed", "reason", fmt.Sprint(watchListener(f)))
 		time.Sleep(fenceAgain)
 	}
 }
--- a/internal/netio/listen.go
+++ b/internal/netio/listen.go
@@ -165,10 +165,7 @@
 // stay.
 func (n *Listener) serve() {
 	for range mostServes {
-		events, err := netpoll.NewEventLoop(nil)
-		if err == nil {
-			err = events.Serve(n)
-		}
+		err := watchListener(n)
 		if errors.Is(err, errStopped) {
 			return
 		}
@@ -179,11 +176,20 @@
 	os.Exit(1)
 }
 
+// watchListener has netpoll watch a listener until that ends, and tells why it did.
+func watchListener(l netpoll.Listener) error {
+	events, err := netpoll.NewEventLoop(nil)
+	if err != nil {
+		return err
+	}
+	return events.Serve(l)
+}
+
 // taken begins a connection that was accepted, on the loop.
 func taken(l *Loop, fd, limit int, accept func(c *Conn) Handler) {
 	unix.SetNonblock(fd, true)
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-	c := &Conn{loop: l, in: NewBuffer(limit + overshoot), limit: limit, fd: fd, paused: true, handler: nobody{}}
+	c := pausedConn(l, fd, limit, nobody{})
 	c.sizeBuffers()
 	c.guard(func() {
 		if h := accept(c); !c.Over() {
--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -96,10 +96,7 @@
 // handToPoller has netpoll watch the socket. netpoll closes what it can't take, so the socket has another number meanwhile, where there is one
 // to be had.
 func (c *Conn) handToPoller(fd int) (err error) {
-	spare, dupErr := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
-	if dupErr != nil {
-		spare = -1
-	}
+	spare := secondNumber(fd)
 	current.park(func() {
 		var np netpoll.Connection
 		if np, err = netpoll.NewFDConnection(fd); err == nil {
--- a/internal/netio/release.go
+++ b/internal/netio/release.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"log/slog"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -71,7 +70,7 @@
 // netpoll would read as fast as the peer sends until the callbacks are in place, and a connection whose input nobody has taken
 // must not grow with each process it comes to.
 func Resume(l *Loop, p Parts, limit int, h Handler, done func(*Conn)) error {
-	c := &Conn{loop: l, in: NewBuffer(limit + overshoot), limit: limit, fd: p.FD, paused: true, handler: h}
+	c := pausedConn(l, p.FD, limit, h)
 	if c.in.Append(p.In) < len(p.In) || len(p.Rest) > mostSaid {
 		unix.Close(p.FD)
 		return errors.New("more left over than a connection may have")
@@ -86,21 +85,6 @@
 	return nil
 }
 
-// say writes what the kernel takes at once.
-func say(fd int, p []byte) {
-	for len(p) > 0 {
-		n, err := sendmsg(fd, p)
-		if err == syscall.EINTR {
-			continue
-		}
-		if err != nil {
-			slog.Warn("goodbye_lost", "bytes", len(p), "reason", err)
-			return
-		}
-		p = p[n:]
-	}
-}
-
 // Discard gives this process's hold on the socket up. Where nobody else goes on with it there is a last line to say: the rest of a
 // line that is partly written and the last one go out, as far as the kernel takes them at once.
 func (p Parts) Discard(last []byte) {
@@ -108,7 +92,10 @@
 		return
 	}
 	if len(last) > 0 {
-		say(p.FD, append(bytes.Clone(p.Rest), last...))
+		words := append(bytes.Clone(p.Rest), last...)
+		if n, err := sendSome(sendmsg, p.FD, words); n < len(words) {
+			slog.Warn("goodbye_lost", "bytes", len(words)-n, "reason", err)
+		}
 	}
 	unix.Close(p.FD)
 }
--- a/internal/netio/write.go
+++ b/internal/netio/write.go
@@ -100,8 +100,16 @@
 func (c *Conn) send(p []byte) (done int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.fd >= 0 && done < len(p) {
-		n, err := c.loop.sendmsg(c.fd, p[done:])
+	if c.fd < 0 {
+		return len(p), nil
+	}
+	return sendSome(c.loop.sendmsg, c.fd, p)
+}
+
+// sendSome writes what the kernel takes right now. It gives no error where the kernel takes no more for the moment.
+func sendSome(call func(fd int, p []byte) (int, error), fd int, p []byte) (done int, err error) {
+	for done < len(p) {
+		n, err := call(fd, p[done:])
 		switch {
 		case err == nil:
 			done += n
--- a/internal/proxy/schedule.go
+++ b/internal/proxy/schedule.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"croftlock/brain"
+	"croftlock/internal/invariant"
 )
 
 // What the platform grants a process between SIGTERM and SIGKILL: the longest deadline of any class, counted as countedDeadline at most,
@@ -15,7 +16,7 @@
 
 const (
 	// holdUp is how long a process may be kept from running between two of its steps.
-	holdUp = 150 * time.Millisecond
+	holdUp = invariant.HeldUp
 	// frontNotices is how long after its SIGTERM a proxy still gets new connections; clients moved before could come
 	// straight back to it.
 	frontNotices = 450 * time.Millisecond
