Read over: one question whether the log takes debug lines, a list checked once

logging.Tracing stands for three copies of the same question; a list that comes with the last word of a replaced process is checked with it and not again; TestListActsOnLinesThatWait uses the set-up that stands in leave_test.go. Behaviour as before. Race detector clean on proxy, lineproto, logging, cluster, node, soak.

--- a/internal/cluster/call.go
+++ b/internal/cluster/call.go
@@ -1,13 +1,13 @@
 package cluster
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"time"
 
 	"croftlock/brain"
+	"croftlock/internal/logging"
 	"croftlock/internal/netio"
 	"croftlock/internal/proxy"
 )
@@ -121,7 +121,7 @@
 
 // trace logs how the call ended.
 func (q *call) trace(ch proxy.Change, err error) {
-	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+	if logging.Tracing() {
 		slog.Debug("discovery_call", "addr", q.client.addr, "target", q.target, "reused", q.reused, "ms", (q.client.loop.Now()-q.began)/1e6,
 			"rev", ch.Version, "hosts", len(ch.Hosts), "err", err)
 	}
--- a/internal/lineproto/downstream.go
+++ b/internal/lineproto/downstream.go
@@ -2,10 +2,10 @@
 
 import (
 	"container/list"
-	"context"
 	"log/slog"
 	"time"
 
+	"croftlock/internal/logging"
 	"croftlock/internal/netio"
 	"croftlock/internal/proxy"
 )
@@ -147,7 +147,7 @@
 
 // trace logs why a connection without a request ends.
 func (d *downstream) trace(reason string) {
-	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+	if logging.Tracing() {
 		slog.Debug("newcomer_ended", "reason", reason, "bytes", len(d.conn.Input()), "pinged", d.pinged)
 	}
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -44,6 +44,10 @@
 	}}
 }
 
+// Tracing tells whether the log takes lines of the debug level. Asked before a line is put together: with 80 proxies to
+// a few machines, what each of them spends on lines that nobody reads is time that clients wait.
+func Tracing() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
+
 // New makes a handler that writes to w.
 func New(w io.Writer, o Options) slog.Handler {
 	var level slog.Level
--- a/internal/node/partner.go
+++ b/internal/node/partner.go
@@ -38,7 +38,7 @@
 		if err := k.Valid(r.loop.Now()); err != nil {
 			slog.Warn("handover_odd", "reason", err)
 		} else {
-			p.Listed(k)
+			p.takeList(k)
 			r.core.Inherit(k)
 			r.core.Recall(k.Memory)
 		}
@@ -49,13 +49,21 @@
 // Listed takes the list of the other process, where it is newer than this one's: the two are one proxy, and this one may not be watching yet.
 func (p partner) Listed(k *proxy.Kept) {
 	r := p.replacement
-	if r.partner != p.of || r.older || len(k.Hosts) == 0 {
+	if r.partner != p.of || r.older {
 		return
 	}
 	if err := k.Valid(r.loop.Now()); err != nil {
 		slog.Warn("handover_odd", "reason", err)
 		return
 	}
+	p.takeList(k)
+}
+
+func (p partner) takeList(k *proxy.Kept) {
+	r := p.replacement
+	if len(k.Hosts) == 0 {
+		return
+	}
 	if from, rev := r.watch.Source(); k.Discovery == from && k.Rev > rev {
 		r.core.Listed(proxy.Change{Kind: brain.ListCached, Version: k.Rev, Hosts: k.Hosts})
 	}
--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -82,15 +82,8 @@
 // A first line that waits for the kernel is something new as well: it went out to a host that had been told to drain since, and a repeat after hosts had
 // ceased to discard it.
 func TestListActsOnLinesThatWait(t *testing.T) {
-	w := newWorld(t)
-	w.on = func(e string) {
-		if e == "request q" {
-			w.fx.Send("q", "A", 0)
-		}
-	}
-	w.open("q")
+	w := sending(t)
 	w.ups[0].stage = netio.Sending
-	w.seen = nil
 	w.core.Listed(Change{Kind: brain.ListDelta, Hosts: []HostEntry{{Endpoint: "at-A", Entry: brain.Entry{ID: "A", State: brain.Draining}}}})
 	w.expect("members 0 1", "end up dropped", "outcome q 0 2 false")
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -1,13 +1,13 @@
 package proxy
 
 import (
-	"context"
 	"log/slog"
 	"math"
 	"time"
 
 	"croftlock/brain"
 	"croftlock/internal/invariant"
+	"croftlock/internal/logging"
 	"croftlock/internal/metrics"
 	"croftlock/internal/netio"
 )
@@ -61,9 +61,8 @@
 	waiting     []int64   // when the client's lines went up that no line has come back for
 }
 
-// tracing tells whether the log takes the life of each request. Asked before a line is put together: with 80 proxies to
-// a few machines, what each of them spends on lines that nobody reads is time that clients wait.
-func tracing() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
+// tracing tells whether the log takes the life of each request.
+func tracing() bool { return logging.Tracing() }
 
 // send begins an attempt.
 func (c *Core) send(p *pool, id, server string, timeout brain.Time) {
