--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -39,7 +39,11 @@
 	if p.run == "" {
 		return nil, fmt.Errorf("no run line in the deploy file")
 	}
-	p.dir, err = os.MkdirTemp("", "review")
+	base := os.TempDir()
+	if len(base) > 50 {
+		base = "/tmp" // the operators' Unix sockets lie below it, and their paths are limited
+	}
+	p.dir, err = os.MkdirTemp(base, "review")
 	return p, err
 }
 
