--- a/review/standin/platform.go
+++ b/review/testdata/standin/platform.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -47,22 +48,29 @@
 	return p, err
 }
 
-// freePort returns a free loopback address for TCP or UDP.
+// given holds the ports that freePort has returned.
+var given sync.Map
+
+// freePort returns a free loopback address for TCP or UDP. Its port is below those that the system gives to outgoing connections, one
+// of which could otherwise take it before the proxy listens.
 func freePort(network string) string {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-		if err != nil {
-			panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		if _, known := given.LoadOrStore(address, true); known {
+			continue
+		}
+		if network == "udp" {
+			if c, err := net.ListenPacket("udp4", address); err == nil {
+				c.Close()
+				return address
+			}
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
 		}
-		defer c.Close()
-		return c.LocalAddr().String()
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // proxy is one proxy: its addresses, its configuration and its private folder stay the same when its process is replaced.
