Hot restart: the new process acts by the fleet's rules from the first client on

Cause: what a request is judged by was part of the owner agent. The new process accepted clients before its agent ran, and gave the agent up for good when the old process still held the operators' socket. A core without an enforcer refuses nothing: in the trace rules_applied is missing. Change: enforcer and quota client live as long as the process. The old process hands over its version with the rest of the lease, counted from the request. Without one the new process waits up to 1 s for a lease, then does as when_cut says. A socket in use no longer stops an agent; other failures are retried.

--- a/internal/app/command/rulesrig_test.go
+++ b/internal/app/command/rulesrig_test.go
@@ -15,6 +15,7 @@
 	"croftlock/internal/fleet/owneragent"
 	"croftlock/internal/fleet/rules"
 	"croftlock/internal/testbed/experiment"
+	"croftlock/internal/testbed/fake"
 )
 
 // startRulesRig starts a rig, which is a set of proxy processes with one host. Its five processes,
@@ -22,11 +23,18 @@
 // rules may be applied at once, is 1 s. extra is added to the owners section of the settings file; DIR in it
 // stands for a process's directory. The test's end stops the processes.
 func startRulesRig(t *testing.T, extra string) *experiment.Rig {
+	t.Helper()
+	return startRulesRigWithHosts(t, extra, time.Second, nil)
+}
+
+// startRulesRigWithHosts is startRulesRig with another agree_within, and with the hosts of a discovery
+// service. If discovery is nil, no host is reachable.
+func startRulesRigWithHosts(t *testing.T, extra string, agreeWithin time.Duration, discovery *fake.Discovery) *experiment.Rig {
 	t.Helper()
 	rigSlots <- struct{}{}
 	t.Cleanup(func() { <-rigSlots })
-	rig, err := experiment.NewRigWithOptions(&experiment.Env{Croftlock: os.Args[0], Dir: t.TempDir()}, experiment.RigOptions{Processes: 5, Seed: 3, Key: sealKey, LogLevel: "debug",
-		SettingsSections: `(owners (on on) (voters "n0 n1 n2") (rules on) (agree_within 1s) (socket "DIR/owners.sock")` + extra + `)`, Env: asProgram})
+	rig, err := experiment.NewRigWithOptions(&experiment.Env{Croftlock: os.Args[0], Dir: t.TempDir()}, experiment.RigOptions{Processes: 5, Seed: 3, Key: sealKey, LogLevel: "debug", Discovery: discovery,
+		SettingsSections: `(owners (on on) (voters "n0 n1 n2") (rules on) (agree_within ` + agreeWithin.String() + `) (socket "DIR/owners.sock")` + extra + `)`, Env: asProgram})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/app/node/fleet.go
+++ b/internal/app/node/fleet.go
@@ -4,14 +4,15 @@
 	"log/slog"
 	"time"
 
+	"croftlock/internal/dataplane/hotrestart"
 	"croftlock/internal/fleet/memberagent"
 	"croftlock/internal/fleet/owneragent"
 	"croftlock/internal/fleet/watermark"
 	"croftlock/internal/operations/settings"
 )
 
-// rejoinInterval is the time until rejoinFleet is called again after the member agent failed to start.
-const rejoinInterval = 250 * time.Millisecond
+// rejoinInterval is the time until an agent that failed to start is started again.
+const rejoinInterval = 50 * time.Millisecond
 
 // fleet holds the settings file's options for the fleet, which are the proxies that cooperate, and
 // the agents that use the options.
@@ -20,6 +21,10 @@
 	ownerOptions     owneragent.Options
 	watermarkOptions watermark.Options
 
+	// enforcement holds the fleet's rules and limits from the start of this process, whether or not
+	// its agents run. It is nil if rules are off.
+	enforcement *owneragent.Enforcement
+
 	// Each agent is nil if it is disabled, or not started yet because another process of this
 	// proxy serves.
 	members    *memberagent.Agent // takes part in membership
@@ -32,7 +37,8 @@
 	return fleet{memberOptions: membershipOptions(file), ownerOptions: ownerOptions(file), watermarkOptions: watermarkOptions(file)}
 }
 
-// joinFleet starts the agents that the settings file enables. An error must end the process's start.
+// joinFleet starts the agents that the settings file enables. An error must end the process's start,
+// unless an unresponsive process of this proxy may hold what the agents need.
 func (p *process) joinFleet() (err error) {
 	if p.fleet.memberOptions.Enabled {
 		p.fleet.members, err = p.startMembers()
@@ -46,9 +52,9 @@
 
 // rejoinFleet restarts the agents after this process has taken over from another one, or serves
 // again because its successor ended. Other proxies consider it the same member with a new
-// incarnation. If the member agent does not start, rejoinFleet is called again after rejoinInterval,
-// since the other process may still hold the address. Nothing happens if membership is disabled or
-// this process has handed over.
+// incarnation. An agent that does not start is started again after rejoinInterval, since the other
+// process may still hold the address. Nothing happens if membership is disabled or this process has
+// handed over.
 func (p *process) rejoinFleet() {
 	if !p.fleet.memberOptions.Enabled || p.restart.phase == handedOver {
 		return
@@ -63,8 +69,19 @@
 	}
 	p.fleet.members = members
 	p.startWatermarks()
+	p.restartOwners(members)
+}
+
+// restartOwners starts the owner agent for members, which is the member agent, and tries again after
+// rejoinInterval if that fails. It does nothing if that member agent was replaced or this process has
+// handed over.
+func (p *process) restartOwners(members *memberagent.Agent) {
+	if p.fleet.members != members || p.restart.phase == handedOver {
+		return
+	}
 	if err := p.startOwners(); err != nil {
-		slog.Warn("owners_off", "reason", err)
+		slog.Warn("owners_delayed", "reason", err)
+		p.loop.After(rejoinInterval, func() { p.restartOwners(members) })
 	}
 }
 
@@ -84,20 +101,43 @@
 		return nil
 	}
 	var err error
-	if f.owners, err = owneragent.Start(p.loop, f.ownerOptions, p.cfg.Name, f.members, p.core.SetFleetSuspensions); err != nil {
+	if f.owners, err = owneragent.Start(p.loop, f.ownerOptions, p.cfg.Name, f.members, f.enforcement, p.core.SetFleetSuspensions); err != nil {
 		return err
 	}
 	if f.owners.PacesMigrations() {
 		p.core.SetPacer(f.owners)
 	}
-	if enforcer := f.owners.Enforcer(); enforcer != nil {
-		p.core.SetQuota(f.owners)
-		p.core.SetRules(enforcer)
+	if f.enforcement != nil {
 		f.owners.OnRulesChanged(p.core.ReassignPools)
 	}
 	return nil
 }
 
+// newEnforcement creates what this process enforces of the fleet's rules and limits, unless rules are
+// off.
+func (p *process) newEnforcement() {
+	f := &p.fleet
+	if f.memberOptions.Enabled {
+		f.enforcement = owneragent.NewEnforcement(p.loop, f.ownerOptions, f.memberOptions.IntendedSize(len(p.cfg.Peers.Peers)))
+	}
+}
+
+// enforceRules makes the core enforce the fleet's rules and limits, unless rules are off, beginning
+// with the version in handoff, if there is one. Without a lease the core does as the settings say for
+// a process that is cut off. enforceRules is called before this process accepts clients.
+func (p *process) enforceRules(handoff *hotrestart.Handoff) {
+	if p.fleet.enforcement == nil {
+		return
+	}
+	p.core.SetQuota(p.fleet.enforcement)
+	p.core.SetRules(p.fleet.enforcement.Rules())
+	p.core.RestoreRules(handoff.Snapshot.Rules, p.fleet.enforcement.At(handoff.RequestedAt))
+}
+
+// canEnforce reports whether this process may act by a version of the fleet's rules now, or rules are
+// off.
+func (f *fleet) canEnforce() bool { return f.enforcement == nil || f.enforcement.Rules().CanAct() }
+
 // announceLeave releases the fleet's jobs that this process owns, and then announces its shutdown to
 // the other members.
 func (p *process) announceLeave() {
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -79,6 +79,7 @@
 	if err != nil {
 		return err
 	}
+	p.newEnforcement()
 	old, handoff, err := p.findPredecessor()
 	if err != nil {
 		return err
@@ -87,9 +88,10 @@
 	if err != nil {
 		return err
 	}
+	p.enforceRules(handoff)
 	p.openPeers(handoff.DatagramFD)
 	if old == nil { // an old process remains the fleet's member for this proxy until the takeover
-		if err := p.joinFleet(); err != nil {
+		if err := p.joinFleetAtStart(); err != nil {
 			return err
 		}
 	}
@@ -108,6 +110,19 @@
 	return nil
 }
 
+// joinFleetAtStart starts the fleet's agents in a process that no other one hands over to. If an
+// unresponsive process of this proxy serves beside this one, agents that fail are started again until
+// that process ends; otherwise it returns the error.
+func (p *process) joinFleetAtStart() error {
+	err := p.joinFleet()
+	if err == nil || !p.restart.besideUnresponsive {
+		return err
+	}
+	slog.Warn("membership_delayed", "reason", err)
+	p.loop.After(rejoinInterval, p.rejoinFleet)
+	return nil
+}
+
 // makeCore creates the core and its connector to upstream hosts. It returns the maximum number of
 // downstreams, which are connections of clients, that the core accepts.
 func (p *process) makeCore(tls upstreamtls.Options) (maxDownstreams int, err error) {
@@ -147,7 +162,7 @@
 		p.restart.dir = os.Getenv("TMPDIR")
 	}
 	if p.restart.dir != "" {
-		if old, handoff, err = requestOrReadHandoff(p.cfg, p.restart.dir, p.loop.Now()); err != nil {
+		if old, handoff, err = p.requestOrReadHandoff(p.restart.dir, p.loop.Now()); err != nil {
 			return nil, nil, err
 		}
 		p.restart.store = hotrestart.NewStore(p.loop, p.restart.dir)
--- a/internal/app/node/partner.go
+++ b/internal/app/node/partner.go
@@ -55,6 +55,9 @@
 	}
 	e.applyList(s)
 	e.core.RestoreSuspensions(s)
+	if e.fleet.enforcement != nil {
+		e.core.RestoreRules(s.Rules, e.fleet.enforcement.At(e.restart.takeOverRequestedAt))
+	}
 	e.core.RestoreBalancer(s.Balancer)
 }
 
--- a/internal/app/node/predecessor.go
+++ b/internal/app/node/predecessor.go
@@ -43,13 +43,14 @@
 // handoff is nil if there is no stored state either. The only error is ErrBusy: the serving process
 // rejects the handover because it already has a partner, is shutting down, or serves another
 // address. The caller must then end this process. now is the loop's time in nanoseconds.
-func requestOrReadHandoff(cfg *platform.Config, dir string, now int64) (partner *hotrestart.Partner, handoff *hotrestart.Handoff, err error) {
-	partner, handoff, err = requestHandover(cfg, dir, now)
+func (p *process) requestOrReadHandoff(dir string, now int64) (partner *hotrestart.Partner, handoff *hotrestart.Handoff, err error) {
+	partner, handoff, err = requestHandover(p.cfg, dir, now)
 	if errors.Is(err, hotrestart.ErrBusy) {
 		return nil, nil, err
 	}
 	if err != nil {
-		slog.Warn("hot_restart_failed", "reason", err) // the other process continues to serve beside this one
+		slog.Warn("hot_restart_failed", "reason", err)
+		p.restart.besideUnresponsive = true
 	}
 	if partner != nil {
 		return partner, handoff, nil
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -20,6 +20,12 @@
 	// takenOverWait is the maximum time that a new process waits for the old one's last snapshot
 	// (its state) before it serves.
 	takenOverWait = 700 * time.Millisecond
+	// joinWait is the maximum time that a process waits for a lease to act by the fleet's rules before
+	// it accepts clients in a hot restart. Meanwhile clients wait in the accept queue. It waits only
+	// if the other process has handed over no lease that is still valid.
+	joinWait = time.Second
+	// joinCheckInterval is the time between two checks for that lease.
+	joinCheckInterval = 10 * time.Millisecond
 	// downstreamReportInterval is the interval at which an old process reports its number of
 	// downstreams, the connections of its clients.
 	downstreamReportInterval = 250 * time.Millisecond
@@ -33,8 +39,9 @@
 
 // restartPhase specifies which process of the proxy accepts clients, as far as this process knows.
 //
-// A new process starts in awaitingList and changes to takingOver and then to serving. The old one
-// changes from serving to handedOver, and back to serving if the new one ends first. The platform
+// A new process starts in awaitingList and changes to takingOver, joiningFleet and then serving. The
+// old one changes from serving to handedOver, and by joiningFleet back to serving if the new one ends
+// first. The platform
 // sends SIGTERM to the old process once the new one is ready; the old one hands over its
 // connections as it shuts down.
 type restartPhase int
@@ -43,6 +50,7 @@
 	serving      restartPhase = iota // this process accepts clients
 	awaitingList                     // the old process accepts clients; this one waits for its own list from discovery
 	takingOver                       // the old process accepts clients until it answers this one's request to stop
+	joiningFleet                     // no process accepts clients; this one waits for a lease to act by the fleet's rules
 	handedOver                       // the new process accepts clients
 )
 
@@ -55,6 +63,8 @@
 		return "awaiting_list"
 	case takingOver:
 		return "taking_over"
+	case joiningFleet:
+		return "joining_fleet"
 	case handedOver:
 		return "handed_over"
 	}
@@ -68,10 +78,12 @@
 	endpoint        *hotrestart.Endpoint // accepts handover requests; nil before this process serves
 	listSavePending bool                 // whether a timer will store a changed endpoint list
 
-	phase        restartPhase
-	partner      *hotrestart.Partner // the other process; nil if there is none
-	isOld        bool                // whether this process is the old one of the two; false if there is no partner
-	yieldedState balancer.Snapshot   // the decision module's state that the new process received when it took over
+	phase               restartPhase
+	partner             *hotrestart.Partner // the other process; nil if there is none
+	isOld               bool                // whether this process is the old one of the two; false if there is no partner
+	besideUnresponsive  bool                // whether another process serves that did not answer the request for a handover
+	takeOverRequestedAt time.Time           // when this process, the new one, asked the old one to stop accepting clients
+	yieldedState        balancer.Snapshot   // the decision module's state that the new process received when it took over
 }
 
 // serve starts accepting clients and the other proxies' datagrams. If hot restarts are enabled, it
@@ -124,6 +136,8 @@
 	case !p.core.Ready():
 		return nil, errShuttingDown
 	}
+	// The new process starts with what is left of this one's lease when it takes over.
+	p.fleet.owners.RenewRulesLease()
 	h := &hotrestart.Handoff{Snapshot: p.snapshot(false), ListenerFD: p.listener.Fd(), DatagramFD: -1}
 	if p.peers != nil {
 		h.DatagramFD = p.peers.Fd()
@@ -167,21 +181,46 @@
 		return
 	}
 	p.restart.phase = takingOver
+	p.restart.takeOverRequestedAt = time.Now()
 	p.restart.partner.SendTakeOver()
 	p.loop.After(takenOverWait, p.becomeServing)
 }
 
-// becomeServing makes a new process accept clients, join the fleet and store its state. It is called
+// becomeServing makes a new process join the fleet, accept clients and store its state. It is called
 // when the old process answers the request to stop or ends, or after takenOverWait. It does nothing
-// if this process already serves.
+// if this process already serves or is about to.
 func (p *process) becomeServing() {
 	if p.restart.phase != awaitingList && p.restart.phase != takingOver {
 		return
 	}
+	p.joinAndServe(func() { slog.Info("hot_restart_taken_over", "partner", p.restart.partner != nil) })
+}
+
+// joinAndServe makes this process the fleet's member for this proxy in a hot restart, then accepts
+// clients, calls served and stores the state. It accepts clients at once if it may act by the fleet's
+// rules, and otherwise when it may or after joinWait.
+func (p *process) joinAndServe(served func()) {
+	p.restart.phase = joiningFleet
+	p.rejoinFleet()
+	p.serveOnceJoined(p.loop.Now()+int64(joinWait), served)
+}
+
+// serveOnceJoined completes joinAndServe. deadline is on the loop's clock. It does nothing if the
+// phase is not joiningFleet any more, or if this process is shutting down.
+func (p *process) serveOnceJoined(deadline int64, served func()) {
+	if p.restart.phase != joiningFleet || !p.core.Ready() {
+		return
+	}
+	if !p.fleet.canEnforce() {
+		if p.loop.Now() < deadline {
+			p.loop.After(joinCheckInterval, func() { p.serveOnceJoined(deadline, served) })
+			return
+		}
+		slog.Warn("serving_without_lease", "waited_ms", joinWait.Milliseconds())
+	}
 	p.restart.phase = serving
 	p.mustServe()
-	p.rejoinFleet()
-	slog.Info("hot_restart_taken_over", "partner", p.restart.partner != nil)
+	served()
 	p.save(nil)
 }
 
@@ -202,11 +241,8 @@
 // takeBack makes an old process serve again after the new one has ended. This process then accepts
 // the clients that wait in the accept queue of the shared listening socket.
 func (p *process) takeBack() {
-	p.restart.phase = serving
 	p.core.RestoreBalancer(p.restart.yieldedState) // recovers the slow-start budgets yielded to the new process
-	p.mustServe()
-	p.rejoinFleet()
-	slog.Warn("hot_restart_taken_back", "downstreams", p.core.Downstreams())
+	p.joinAndServe(func() { slog.Warn("hot_restart_taken_back", "downstreams", p.core.Downstreams()) })
 }
 
 // reportDownstreams sends the number of remaining downstreams to the new process now and every
--- a/internal/dataplane/hotrestart/request.go
+++ b/internal/dataplane/hotrestart/request.go
@@ -32,7 +32,9 @@
 type Handoff struct {
 	Snapshot   *proxy.Snapshot
 	ListenerFD int // descriptor of the listening socket, owned by the receiver; negative if there is no old process
-	DatagramFD int // descriptor of the socket for datagrams to other proxies, owned by the receiver; negative if there is none
+	// RequestedAt is when the receiver asked for the handoff. It is zero for a stored state.
+	RequestedAt time.Time
+	DatagramFD  int // descriptor of the socket for datagrams to other proxies, owned by the receiver; negative if there is none
 }
 
 // close closes the received descriptors.
@@ -47,11 +49,13 @@
 	if conn == nil {
 		return nil, nil, err
 	}
+	requestedAt := time.Now()
 	h, err := requestHandoff(conn, listen, now)
 	if err != nil {
 		conn.Close()
 		return nil, nil, err
 	}
+	h.RequestedAt = requestedAt
 	return newPartner(conn), h, nil
 }
 
--- a/internal/dataplane/proxy/fleetrules.go
+++ b/internal/dataplane/proxy/fleetrules.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"slices"
+	"time"
 
 	"croftlock/internal/balancer"
 	"croftlock/internal/fleet/namespace"
@@ -16,12 +17,30 @@
 	quota    Quota           // nil if there are no limits over the fleet
 }
 
-// SetRules sets the rules on which the fleet agrees. It is called before the core accepts clients.
+// SetRules sets the rules on which the fleet agrees. It is called after Run and before the core
+// accepts clients.
 func (c *Core) SetRules(e *rules.Enforcer) {
 	c.fleet.enforcer = e
 	c.ReassignPools()
 }
 
+// RestoreRules makes this process act by a version of the rules that the other process of this proxy
+// held, for the rest of its lease. requestedAt is when this process asked for it, on the clock of the
+// enforcer. held may be nil, and is ignored if this process has no rules. An invalid version is logged
+// and ignored: without a version, requests are treated as without a lease.
+func (c *Core) RestoreRules(held *rules.HeldLease, requestedAt int64) {
+	if c.fleet.enforcer == nil || held == nil {
+		return
+	}
+	if err := c.fleet.enforcer.Restore(held, requestedAt); err != nil {
+		slog.Warn("rules_not_restored", "reason", err)
+		return
+	}
+	version, remaining := c.fleet.enforcer.ActiveVersion()
+	slog.Info("rules_restored", "version", version, "lease_ms", remaining/int64(time.Millisecond))
+	c.ReassignPools()
+}
+
 // applyRules returns the verdict of the fleet's rules on a request, and logs it with the rules
 // version. Without rules it returns the zero Verdict, which rejects nothing.
 func (c *Core) applyRules(tenant, class string, attributes *balancer.Request) (v rules.Verdict) {
--- a/internal/dataplane/proxy/snapshot.go
+++ b/internal/dataplane/proxy/snapshot.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"croftlock/internal/balancer"
+	"croftlock/internal/fleet/rules"
 	"croftlock/internal/operations/maintenance"
 )
 
@@ -29,6 +30,9 @@
 	Suspended  []maintenance.Suspension `json:"Out"`   // hosts that operators suspended by calls at this proxy, not for the fleet of all proxies
 	KnownHosts []string                 `json:"Known"` // every host that an operator's call may suspend or resume
 	Balancer   balancer.Snapshot        `json:"Memory"`
+	// Rules is the version of the fleet's rules that the writer acts by, with the rest of its lease. It
+	// is nil if rules are off, before the first version, or if an earlier build wrote the snapshot.
+	Rules *rules.HeldLease `json:"Rules,omitempty"`
 }
 
 // Bounds of a Snapshot. This program does not write one that exceeds them.
@@ -52,6 +56,9 @@
 		slog.Warn("clock_stepped", "between", "processes", "ms", offset/1e6)
 		s.shift(offset)
 	}
+	if s.Rules != nil && !live {
+		s.Rules.Remaining = 0 // how long ago the lease was stored is unknown
+	}
 	for i := range s.Suspended {
 		s.Suspended[i].Since = min(s.Suspended[i].Since, now) // a suspension is in force even if its time is in the future
 	}
@@ -141,9 +148,15 @@
 }
 
 // RestoreBalancer restores the state of the other process's decision module, s, in this process's.
-// It is called after Run.
+// The balancer of each pool restores the hosts that it knows. RestoreBalancer is called after Run.
 func (c *Core) RestoreBalancer(s balancer.Snapshot) {
 	c.notify(nil, c.pools.main, func(now balancer.Time, m Balancer) { m.Restore(now, s) })
+	hostsOnly := balancer.Snapshot{Servers: s.Servers}
+	for _, p := range c.pools.byName {
+		if p != c.pools.main {
+			c.notify(nil, p, func(now balancer.Time, m Balancer) { m.Restore(now, hostsOnly) })
+		}
+	}
 }
 
 // Snapshot returns the state for the next process, without Discovery and Revision, which the caller
@@ -156,6 +169,9 @@
 		KnownHosts: c.hosts.suspensions.KnownHosts(),
 		Balancer:   c.pools.main.balancer.Snapshot(yield),
 	}
+	if c.fleet.enforcer != nil {
+		s.Rules = c.fleet.enforcer.HeldLease()
+	}
 	for _, p := range c.pools.byName {
 		if p != c.pools.main {
 			s.Balancer.Servers = append(s.Balancer.Servers, p.balancer.Snapshot(yield).Servers...)
--- a/internal/fleet/memberagent/options.go
+++ b/internal/fleet/memberagent/options.go
@@ -43,6 +43,18 @@
 // usesPlatform reports whether the platform specifies the addresses, as the section has none.
 func (o Options) usesPlatform() bool { return len(o.Peers) == 0 && len(o.Seeds) == 0 }
 
+// IntendedSize returns the intended number of members. platformProxies is the number of the platform's
+// proxies.
+func (o Options) IntendedSize(platformProxies int) int {
+	switch {
+	case o.FleetSize > 0:
+		return o.FleetSize
+	case o.usesPlatform():
+		return platformProxies
+	}
+	return max(len(o.Peers), len(o.Seeds))
+}
+
 // Section returns the declaration of the settings section.
 func Section() settings.Section {
 	return settings.Section{Name: "membership", Doc: "which of a fleet's proxies are there", Bind: func(f *settings.FieldSet) any {
--- a/internal/fleet/memberagent/socket.go
+++ b/internal/fleet/memberagent/socket.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -26,6 +27,32 @@
 // Error implements error.
 func (e *SocketInUseError) Error() string { return fmt.Sprintf("socket %s is in use", e.Path) }
 
+// listenForReports calls serveReports. While another process listens on the socket, such as the old one of
+// a hot restart that has not left the fleet yet, it retries each socketRetryInterval: the Agent does its
+// work without the socket meanwhile. It logs only the first such failure.
+func (a *Agent) listenForReports(path string) error {
+	err := a.serveReports(path)
+	if inUse := new(SocketInUseError); errors.As(err, &inUse) {
+		slog.Info("members_socket_in_use", "socket", inUse.Path)
+		a.loop.After(socketRetryInterval, func() { a.retryReports(path) })
+		return nil
+	}
+	return err
+}
+
+// retryReports calls serveReports until the socket is not in use any more or the Agent has stopped.
+func (a *Agent) retryReports(path string) {
+	if a.closed {
+		return
+	}
+	err := a.serveReports(path)
+	if inUse := new(SocketInUseError); errors.As(err, &inUse) {
+		a.loop.After(socketRetryInterval, func() { a.retryReports(path) })
+	} else if err != nil {
+		slog.Warn("members_socket_off", "reason", err)
+	}
+}
+
 // serveReports starts a goroutine that answers each connection to the Unix socket with one report. The event
 // loop makes the report.
 func (a *Agent) serveReports(path string) error {
--- a/internal/fleet/owneragent/agent.go
+++ b/internal/fleet/owneragent/agent.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -30,8 +31,9 @@
 	startedAt   time.Time
 	loop        *netio.Loop
 	members     *memberagent.Agent
+	enforcement *Enforcement // nil if rules are off
 	worker      *worker
-	socket      *adminSocket // nil if no socket is configured
+	socket      *adminSocket // nil if no socket is configured, or while another process uses it
 	leaveState  leaveState
 
 	// worker
@@ -61,18 +63,23 @@
 // ErrMembershipOff is returned by Start if membership is off.
 var ErrMembershipOff = errors.New("owners: membership is off")
 
-// viewInterval is the time between two updates of the worker's view of the members.
-const viewInterval = 250 * time.Millisecond
+const (
+	// viewInterval is the time between two updates of the worker's view of the members.
+	viewInterval = 250 * time.Millisecond
+	// socketRetryInterval is the time between two attempts to listen at a socket that is in use.
+	socketRetryInterval = 100 * time.Millisecond
+)
 
 // Start starts the agent of the process with this member name. It must be called on the loop.
-// applySuspended is called on the loop with the complete list of hosts that are suspended
-// fleet-wide, each time that this process accepts a list.
-func Start(l *netio.Loop, o Options, name string, m *memberagent.Agent, applySuspended func(hosts []string)) (*Agent, error) {
+// enforcement is what this process enforces of the fleet's rules, or nil if rules are off; at most one
+// Agent may use it at a time. applySuspended is called on the loop with the complete list of hosts
+// that are suspended fleet-wide, each time that this process accepts a list.
+func Start(l *netio.Loop, o Options, name string, m *memberagent.Agent, enforcement *Enforcement, applySuspended func(hosts []string)) (*Agent, error) {
 	if m == nil {
 		return nil, ErrMembershipOff
 	}
 	now := time.Now()
-	a := &Agent{options: o, name: name, incarnation: uint64(now.UnixMilli()), startedAt: now, loop: l, members: m,
+	a := &Agent{options: o, name: name, incarnation: uint64(now.UnixMilli()), startedAt: now, loop: l, members: m, enforcement: enforcement,
 		worker: newWorker(), fence: &ownership.Fence{Faults: Faults.Ownership}}
 	a.transport = fragment.New(m.MaxPayload(), uint32(a.incarnation), transportEffects{a})
 	a.queries = newQueries(a)
@@ -80,11 +87,9 @@
 	a.jobs = newJobRunner(a)
 	a.addJobs(applySuspended)
 	if o.Socket != "" {
-		socket, err := listenAdmin(o.Socket, a.serveRequest)
-		if err != nil {
-			return nil, fmt.Errorf("owners: %w", err)
+		if err := a.startAdminSocket(); err != nil {
+			return nil, err
 		}
-		a.socket = socket
 	}
 	m.Attach(payloadChannel, a.receiveDatagram)
 	a.refreshView()
@@ -92,6 +97,44 @@
 	return a, nil
 }
 
+// startAdminSocket starts to serve operators at the socket. While another process serves there, such
+// as the old one of a hot restart that has not left the fleet yet, it retries each
+// socketRetryInterval: the agent does its work without the socket meanwhile. It logs only the first
+// such failure.
+func (a *Agent) startAdminSocket() error {
+	err := a.listenAtSocket()
+	if inUse := new(memberagent.SocketInUseError); errors.As(err, &inUse) {
+		slog.Info("owners_socket_in_use", "socket", inUse.Path)
+		a.loop.After(socketRetryInterval, a.retryAdminSocket)
+		return nil
+	}
+	return err
+}
+
+// retryAdminSocket calls listenAtSocket until the socket is not in use any more or the agent has
+// stopped.
+func (a *Agent) retryAdminSocket() {
+	if a.worker.stopping() {
+		return
+	}
+	err := a.listenAtSocket()
+	if inUse := new(memberagent.SocketInUseError); errors.As(err, &inUse) {
+		a.loop.After(socketRetryInterval, a.retryAdminSocket)
+	} else if err != nil {
+		slog.Warn("owners_socket_off", "reason", err)
+	}
+}
+
+// listenAtSocket serves operators at the socket that the options name.
+func (a *Agent) listenAtSocket() error {
+	socket, err := listenAdmin(a.options.Socket, a.serveRequest)
+	if err != nil {
+		return fmt.Errorf("owners: %w", err)
+	}
+	a.socket = socket
+	return nil
+}
+
 // addJobs adds the jobs that this process can own. It is called before the worker starts.
 func (a *Agent) addJobs(applySuspended func(hosts []string)) {
 	fleetSize := max(1, a.members.FleetSize())
@@ -206,7 +249,7 @@
 	a.core.SetUnheardBy(a.unheardBy)
 	a.core.Tick(now)
 	a.transport.Tick(now)
-	a.rules.tick(now)
+	a.rules.tick()
 	a.quota.tick(now)
 	a.jobs.step(now)
 }
--- a/internal/fleet/owneragent/agent_test.go
+++ b/internal/fleet/owneragent/agent_test.go
@@ -138,3 +138,21 @@
 		return strings.Contains(r.Store, "unreadable") && len(r.Owned) == 0
 	})
 }
+
+// TestSocketInUse guards against an agent that does not start, and so leaves its process without leases,
+// because the old process of a hot restart still serves operators at the socket. The agent starts, and
+// serves there once the other process has stopped.
+func TestSocketInUse(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "owners.sock")
+	other, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent := startAlone(t, Options{Socket: path, Rules: RulesOptions{Enabled: true, LeaseDuration: time.Second, OnLeaseLapse: "refuse"}})
+	eventually(t, "the agent gets no lease while the socket is in use", agent.enforcement.rules.CanAct)
+	other.Close()
+	eventually(t, "the agent does not serve at the socket after the other process has stopped", func() bool {
+		reply, err := SendRequest(path, Request{Command: "owners"})
+		return err == nil && reply.Error == ""
+	})
+}
--- a/internal/fleet/owneragent/harness_test.go
+++ b/internal/fleet/owneragent/harness_test.go
@@ -73,7 +73,7 @@
 			return
 		}
 		o.Enabled, o.Group, o.Voters, o.MaxStoreKB = true, "g", []string{"a"}, 8192
-		agent, err = Start(loop, o, "a", members, func([]string) {})
+		agent, err = Start(loop, o, "a", members, NewEnforcement(loop, o, 1), func([]string) {})
 		started <- err
 	})
 	if err := <-started; err != nil {
--- a/internal/fleet/owneragent/rules.go
+++ b/internal/fleet/owneragent/rules.go
@@ -33,14 +33,14 @@
 // rulesState applies the agreed rules in this process. It is the zero value if rules are off.
 type rulesState struct {
 	enforcer  *rules.Enforcer // nil if rules are off
-	member    *rules.Member
-	onChanged func() // called on the worker when this process acts by another version; may be nil
+	member    *rules.Member   // its times are on the enforcer's clock
+	onChanged func()          // called on the worker when this process acts by another version; may be nil
 }
 
 // tick steps the member, unless rules are off.
-func (r *rulesState) tick(now int64) {
+func (r *rulesState) tick() {
 	if r.member != nil {
-		r.member.Step(now)
+		r.member.Step(r.enforcer.Now())
 	}
 }
 
@@ -52,31 +52,32 @@
 	}
 }
 
-// addRules adds the enforcer, the member and the publisher's job. It is called before the worker
-// starts.
+// addRules adds the member and the publisher's job. It is called before the worker starts.
 func (a *Agent) addRules() {
-	o := a.options.Rules
-	if !o.Enabled {
+	if a.enforcement == nil {
 		return
 	}
+	o := a.options.Rules
 	leaseDuration := int64(o.LeaseDuration)
-	enforcer := &rules.Enforcer{Now: a.now, KeepLastVersion: o.OnLeaseLapse == "keep", LapsedRetryAfter: o.LeaseDuration}
+	enforcer := a.enforcement.rules
 	member := &rules.Member{LeaseDuration: leaseDuration, MaxEntries: o.MaxEntries, Enforcer: enforcer, VersionChanged: a.rules.versionChanged}
-	source := a.queries.newSource(func(tag uint64, body []byte) { member.ReplyReceived(a.now(), tag, body) })
+	source := a.queries.newSource(func(tag uint64, body []byte) { member.ReplyReceived(enforcer.Now(), tag, body) })
 	member.SendQuery = func(tag uint64, body []byte) { a.queries.send(source, rulesJob, tag, body) }
 	if Faults.ExtendRulesLease {
 		member.LeaseDuration *= lapseFaultFactor
 	}
 	a.rules.enforcer, a.rules.member = enforcer, member
-	a.jobs.add(rulesJob, &rules.Publisher{LeaseDuration: leaseDuration, NotificationReceived: member.NotificationReceived, WallClock: func() int64 { return time.Now().UnixMilli() }})
+	a.jobs.add(rulesJob, &rules.Publisher{LeaseDuration: leaseDuration, NotificationReceived: func(int64) { member.NotificationReceived(enforcer.Now()) },
+		WallClock: func() int64 { return time.Now().UnixMilli() }})
 }
 
-// Enforcer returns the Enforcer that evaluates requests, or nil if a is nil or rules are off.
-func (a *Agent) Enforcer() *rules.Enforcer {
-	if a == nil {
-		return nil
+// RenewRulesLease requests a new lease to act by the rules now, before the next regular renewal. It does
+// nothing if a is nil or rules are off.
+func (a *Agent) RenewRulesLease() {
+	if a == nil || a.enforcement == nil {
+		return
 	}
-	return a.rules.enforcer
+	a.worker.post(func() { a.rules.member.NotificationReceived(a.enforcement.now()) })
 }
 
 // OnRulesChanged registers f, which is called on the loop once now and each time that this process
--- a/internal/fleet/rules/compiled.go
+++ b/internal/fleet/rules/compiled.go
@@ -13,6 +13,7 @@
 // compiledVersion is a version with the lookup tables that evaluate requests.
 type compiledVersion struct {
 	version                 *Version
+	encoded                 []byte                 // the version as HeldLease contains it
 	refusalRetryAfterMillis map[refusalKey]uint32  // 0 means no Retry-After
 	excludedHosts           map[string]struct{}    // by host ID
 	namespaces              *namespace.Compiled    // nil if there are only the main pool and no routes
@@ -24,6 +25,7 @@
 func compileVersion(v *Version) *compiledVersion {
 	c := &compiledVersion{
 		version:                 v,
+		encoded:                 compress(v.Encode()),
 		refusalRetryAfterMillis: make(map[refusalKey]uint32, len(v.Refusals)),
 		excludedHosts:           make(map[string]struct{}, len(v.ExcludedHosts)),
 	}
--- a/internal/fleet/rules/member.go
+++ b/internal/fleet/rules/member.go
@@ -12,7 +12,7 @@
 // Member renews a process's lease and compiles the staged version. Every process of the fleet has
 // one. Its methods must be called from one goroutine, while any goroutine may read its Enforcer.
 type Member struct {
-	LeaseDuration Time // nanoseconds; the same as the publisher's
+	LeaseDuration Time // nanoseconds; the same as the publisher's. All times are on the clock Enforcer.Now
 	MaxEntries    int  // maximum number of entries of a version; 0 means no limit
 	Enforcer      *Enforcer
 	// SendQuery sends a query to the publisher. The caller passes the reply to ReplyReceived with
@@ -79,7 +79,7 @@
 // requestLease sends a query that requests a lease and reports the versions of this process.
 func (m *Member) requestLease(now Time) {
 	if m.versions == nil {
-		m.versions = map[Hash]*compiledVersion{}
+		m.initVersions()
 	}
 	tag := m.queries.start(now, m.LeaseDuration)
 	number, _ := m.Enforcer.ActiveVersion()
@@ -93,6 +93,17 @@
 	m.SendQuery(tag, q.encode())
 }
 
+// initVersions makes the version that the Enforcer acts by, if there is one, known to the member: an
+// earlier Member or another process of this proxy has received it. The publisher does not send a version
+// that a query reports as active.
+func (m *Member) initVersions() {
+	m.versions = map[Hash]*compiledVersion{}
+	if active := m.Enforcer.active.Load(); active != nil {
+		hash := active.version.Hash()
+		m.versions[hash], m.ready = active.compiledVersion, versionID{active.version.Number, hash}
+	}
+}
+
 // ReplyReceived applies a reply: it compiles the versions in it and applies the lease. The lease
 // counts from when it was requested, so that a late reply does not prolong it. Unexpected and
 // malformed replies are ignored.
@@ -122,12 +133,7 @@
 // applyLease makes a version the active one until its lease ends. It ignores a late reply with an
 // older version or an earlier end, so that a member never goes back to an older version.
 func (m *Member) applyLease(hash Hash, v *compiledVersion, leaseEnd Time) {
-	old := m.Enforcer.active.Load()
-	if old != nil && (old.version.Number > v.version.Number || old.version.Number == v.version.Number && old.leaseEnd >= leaseEnd) {
-		return
-	}
-	m.Enforcer.active.Store(&leasedVersion{v, leaseEnd})
-	if m.active == hash {
+	if !m.Enforcer.apply(&leasedVersion{v, leaseEnd}) || m.active == hash {
 		return
 	}
 	m.active = hash
