Hot restart: an id in use at one process is rejected by the other

Cause: the ids in use are in the tables of two processes, and each looked at its own; so also at the old process, for clients accepted before the handover. Change: the old process hands its open ids over; each process asks the other about an id that the other may have, and rejects without an answer. A resumed connection keeps its id. A request releases its quota even if its table entry has been replaced.

--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -102,7 +102,7 @@
 		return err
 	}
 	if old != nil {
-		p.beginTakeover(old)
+		p.beginTakeover(old, handoff.Snapshot.OpenIDs)
 	} else if err := p.serve(); err != nil {
 		return fmt.Errorf("listen: accepting clients at %s: %v", p.cfg.Listen, err)
 	}
--- a/internal/app/node/partner.go
+++ b/internal/app/node/partner.go
@@ -28,7 +28,7 @@
 	if e.isCurrent() && e.restart.isOld {
 		e.becomeHandedOver()
 	}
-	s := e.snapshot(true)
+	s := e.snapshotForPartner(true)
 	e.restart.yieldedState = s.Balancer
 	return s
 }
@@ -36,7 +36,13 @@
 // TakenOver makes this process, the new one, apply the old one's last state s and serve. s is nil
 // if the old process sent no state. TakenOver does nothing if this process already serves.
 func (e partnerEvents) TakenOver(s *proxy.Snapshot) {
-	if !e.isCurrent() || e.restart.phase != awaitingList && e.restart.phase != takingOver {
+	if !e.isCurrent() || e.restart.isOld {
+		return
+	}
+	if s != nil {
+		e.core.SetOtherProcessIDs(s.OpenIDs) // even if the answer is late and this process serves already
+	}
+	if e.restart.phase != awaitingList && e.restart.phase != takingOver {
 		return
 	}
 	if s != nil {
@@ -107,6 +113,20 @@
 	}
 }
 
+// IDQuestion answers whether this process has a request with an ID.
+func (e partnerEvents) IDQuestion(id string, answer func(inUse bool)) {
+	if e.isCurrent() {
+		e.core.AnswerIDInUse(id, answer)
+	}
+}
+
+// IDAnswer passes on the other process's answer whether it has a request with an ID.
+func (e partnerEvents) IDAnswer(id string, inUse bool) {
+	if e.isCurrent() {
+		e.core.IDAnswered(id, inUse)
+	}
+}
+
 // Gone handles the end of the other process. This one gets the whole memory limit again. A new
 // process serves if it did not serve yet; an old one that has handed over serves again, unless it is
 // shutting down.
@@ -116,6 +136,7 @@
 	}
 	r := &e.restart
 	r.partner = nil
+	e.core.OtherProcessEnded()
 	debug.SetMemoryLimit(e.cfg.MemoryLimit())
 	slog.Info("hot_restart_partner_gone", "older", r.isOld)
 	if !r.isOld {
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -138,7 +138,7 @@
 	}
 	// The new process starts with what is left of this one's lease when it takes over.
 	p.fleet.owners.RenewRulesLease()
-	h := &hotrestart.Handoff{Snapshot: p.snapshot(false), ListenerFD: p.listener.Fd(), DatagramFD: -1}
+	h := &hotrestart.Handoff{Snapshot: p.snapshotForPartner(false), ListenerFD: p.listener.Fd(), DatagramFD: -1}
 	if p.peers != nil {
 		h.DatagramFD = p.peers.Fd()
 	}
@@ -162,10 +162,11 @@
 }
 
 // beginTakeover prepares this process, the new one, to take over from old as soon as it has its own
-// endpoint list from discovery, or after ownListWait.
-func (p *process) beginTakeover(old *hotrestart.Partner) {
+// endpoint list from discovery, or after ownListWait. openIDs holds the IDs of the old one's requests.
+func (p *process) beginTakeover(old *hotrestart.Partner, openIDs []string) {
 	p.restart.phase = awaitingList
 	p.core.SetHandedOver(true)
+	p.core.SetOtherProcessIDs(openIDs) // as of the handover request; the answer to takeOver has the final ones
 	p.runPartner(old)
 	p.discovery.FetchList()
 	// Watches the list now, because the decision module would poll only later and meanwhile assign
@@ -234,6 +235,9 @@
 		p.peers.StopReceiving()
 	}
 	p.core.SetHandedOver(true)
+	if p.restart.partner.AnswersIDQuestions() {
+		p.core.ConfirmAllIDs()
+	}
 	slog.Info("hot_restart_handed_over", "downstreams", p.core.Downstreams())
 	p.reportDownstreams()
 }
@@ -262,3 +266,11 @@
 	s.Discovery, s.Revision = p.discovery.Source()
 	return s
 }
+
+// snapshotForPartner returns the state for the other process of a hot restart: snapshot, with what is of
+// use only while this process runs.
+func (p *process) snapshotForPartner(yieldSlowStart bool) *proxy.Snapshot {
+	s := p.snapshot(yieldSlowStart)
+	s.OpenIDs = p.core.OpenIDs()
+	return s
+}
--- a/internal/app/node/successor.go
+++ b/internal/app/node/successor.go
@@ -70,6 +70,13 @@
 	p.restart.partner.HandOver(s, migrationLine, func() { p.loop.Post(done) })
 }
 
+// AskIDInUse asks the other process whether it has a request with an ID.
+func (p *process) AskIDInUse(id string) {
+	if p.restart.partner != nil {
+		p.restart.partner.SendIDQuestion(id)
+	}
+}
+
 // AcceptsHandovers reports whether another process has taken over and accepts connections.
 func (p *process) AcceptsHandovers() bool {
 	return p.restart.partner != nil && p.restart.isOld && p.restart.phase == handedOver
--- a/internal/dataplane/hotrestart/endpoint.go
+++ b/internal/dataplane/hotrestart/endpoint.go
@@ -95,8 +95,8 @@
 		return
 	}
 	c.SetReadDeadline(time.Time{})
-	p := newPartner(c)
-	if err := send(c, welcome{*h}); err != nil {
+	p := newPartner(c, m.protocol)
+	if err := send(c, welcome{*h, protocolVersion}); err != nil {
 		slog.Warn("hot_restart_failed", "reason", err)
 		p.Close()
 	}
--- a/internal/dataplane/hotrestart/message.go
+++ b/internal/dataplane/hotrestart/message.go
@@ -23,9 +23,16 @@
 	Suspended   bool                        `json:"Out,omitempty"`      // whether the host HostID is suspended; false if it was resumed
 	Downstreams int                         `json:"Sessions,omitempty"` // number of downstreams, the connections of clients
 	Connection  *proxy.HandedOverConnection `json:"Standing,omitempty"`
-	Reason      string                      `json:"Reason,omitempty"` // why a handover is rejected
+	Reason      string                      `json:"Reason,omitempty"`    // why a handover is rejected
+	Protocol    int                         `json:"Protocol,omitempty"`  // the sender's protocolVersion; 0 if an earlier build sent the message
+	RequestID   string                      `json:"RequestID,omitempty"` // ID of a client's request
+	InUse       bool                        `json:"InUse,omitempty"`     // whether the sender has a request with RequestID
 }
 
+// protocolVersion is the version of the messages that this build sends. A message of a kind that version 0
+// lacks is sent only to a process that has named this version.
+const protocolVersion = 1
+
 // The kinds of messages, as written on the wire.
 const (
 	kindRequest     = "ask"
@@ -37,6 +44,8 @@
 	kindList        = "listed"
 	kindDownstreams = "sessions"
 	kindConnection  = "standing"
+	kindIDQuestion  = "id_question" // from protocol version 1 on
+	kindIDAnswer    = "id_answer"   // from protocol version 1 on
 )
 
 // noDescriptors is embedded by messages that carry no descriptors.
@@ -47,17 +56,23 @@
 // handoverRequest, from the new process to the old, requests the handover.
 type handoverRequest struct {
 	noDescriptors
-	listen string // the address that clients use at the new process
+	listen   string // the address that clients use at the new process
+	protocol int    // the new process's protocolVersion
 }
 
-func (m handoverRequest) envelope() envelope { return envelope{Kind: kindRequest, Listen: m.listen} }
+func (m handoverRequest) envelope() envelope {
+	return envelope{Kind: kindRequest, Listen: m.listen, Protocol: m.protocol}
+}
 
 // welcome, from the old process to the new, hands over the sockets and a snapshot of the state. It
 // carries one or two descriptors: the listening socket, and the datagram socket if there is one.
-type welcome struct{ Handoff }
+type welcome struct {
+	Handoff
+	protocol int // the old process's protocolVersion
+}
 
 func (m welcome) envelope() envelope {
-	return envelope{Kind: kindWelcome, Snapshot: m.Snapshot, HasDatagram: m.DatagramFD >= 0}
+	return envelope{Kind: kindWelcome, Snapshot: m.Snapshot, HasDatagram: m.DatagramFD >= 0, Protocol: m.protocol}
 }
 
 func (m welcome) descriptors() []int {
@@ -131,6 +146,28 @@
 
 func (m connection) descriptors() []int { return []int{m.Downstream.FD, m.Upstream.FD} }
 
+// idQuestion, in either direction, asks whether the receiver has a request with an ID. The answer is
+// idAnswer.
+type idQuestion struct {
+	noDescriptors
+	requestID string
+}
+
+func (m idQuestion) envelope() envelope {
+	return envelope{Kind: kindIDQuestion, RequestID: m.requestID}
+}
+
+// idAnswer answers an idQuestion.
+type idAnswer struct {
+	noDescriptors
+	requestID string
+	inUse     bool
+}
+
+func (m idAnswer) envelope() envelope {
+	return envelope{Kind: kindIDAnswer, RequestID: m.requestID, InUse: m.inUse}
+}
+
 // unexpectedMessage is a message of a kind that this version does not know, or one that lacks a part
 // that its kind requires.
 type unexpectedMessage struct {
@@ -146,9 +183,9 @@
 func decode(e *envelope, fds []int) message {
 	switch {
 	case e.Kind == kindWelcome && e.Snapshot != nil && len(fds) == 1 && !e.HasDatagram:
-		return welcome{Handoff{Snapshot: e.Snapshot, ListenerFD: fds[0], DatagramFD: -1}}
+		return welcome{Handoff{Snapshot: e.Snapshot, ListenerFD: fds[0], DatagramFD: -1}, e.Protocol}
 	case e.Kind == kindWelcome && e.Snapshot != nil && len(fds) == 2 && e.HasDatagram:
-		return welcome{Handoff{Snapshot: e.Snapshot, ListenerFD: fds[0], DatagramFD: fds[1]}}
+		return welcome{Handoff{Snapshot: e.Snapshot, ListenerFD: fds[0], DatagramFD: fds[1]}, e.Protocol}
 	case e.Kind == kindConnection && e.Connection != nil && len(fds) == 2:
 		e.Connection.Downstream.FD, e.Connection.Upstream.FD = fds[0], fds[1]
 		return connection{e.Connection}
@@ -156,7 +193,7 @@
 	closeDescriptors(fds)
 	switch e.Kind {
 	case kindRequest:
-		return handoverRequest{listen: e.Listen}
+		return handoverRequest{listen: e.Listen, protocol: e.Protocol}
 	case kindRejection:
 		return rejection{reason: e.Reason}
 	case kindTakeOver:
@@ -170,5 +207,11 @@
 	case kindDownstreams:
 		return downstreamCount{count: e.Downstreams}
 	}
+	switch {
+	case e.Kind == kindIDQuestion && e.RequestID != "":
+		return idQuestion{requestID: e.RequestID}
+	case e.Kind == kindIDAnswer && e.RequestID != "":
+		return idAnswer{requestID: e.RequestID, inUse: e.InUse}
+	}
 	return unexpectedMessage{kind: e.Kind}
 }
--- a/internal/dataplane/hotrestart/partner.go
+++ b/internal/dataplane/hotrestart/partner.go
@@ -32,6 +32,11 @@
 	// ConnectionReceived is called with an open connection that the partner hands over. This process
 	// now owns the connection's two sockets.
 	ConnectionReceived(c *proxy.HandedOverConnection)
+	// IDQuestion is called when the partner asks whether this process has a request with an ID. answer may
+	// be called later, on the loop.
+	IDQuestion(id string, answer func(inUse bool))
+	// IDAnswer is called with the partner's answer whether it has a request with an ID.
+	IDAnswer(id string, inUse bool)
 	// Gone is called once, when the connection to the partner has ended.
 	Gone()
 }
@@ -40,6 +45,7 @@
 // goroutine; Run must be called once.
 type Partner struct {
 	conn      *net.UnixConn
+	protocol  int                // the partner's protocolVersion; 0 if it runs an earlier build
 	queue     chan queuedMessage // messages to write, at most maxQueuedMessages
 	closeOnce sync.Once
 	closed    chan struct{} // closed by Close
@@ -70,9 +76,10 @@
 	h.done()
 }
 
-// newPartner returns the Partner at the other end of c. Run must be called to exchange messages.
-func newPartner(c *net.UnixConn) *Partner {
-	return &Partner{conn: c, queue: make(chan queuedMessage, maxQueuedMessages), closed: make(chan struct{})}
+// newPartner returns the Partner at the other end of c, which has named this version of the protocol. Run
+// must be called to exchange messages.
+func newPartner(c *net.UnixConn, protocol int) *Partner {
+	return &Partner{conn: c, protocol: protocol, queue: make(chan queuedMessage, maxQueuedMessages), closed: make(chan struct{})}
 }
 
 // Run starts one goroutine that reads messages from the partner and one that writes queued messages to
@@ -156,6 +163,10 @@
 		events.DownstreamCount(max(0, m.count))
 	case connection:
 		events.ConnectionReceived(m.HandedOverConnection)
+	case idQuestion:
+		events.IDQuestion(m.requestID, func(inUse bool) { p.send(idAnswer{requestID: m.requestID, inUse: inUse}) })
+	case idAnswer:
+		events.IDAnswer(m.requestID, m.inUse)
 	default:
 		closeDescriptors(m.descriptors())
 		// For example, a later version may send a kind that this one does not know.
@@ -204,6 +215,13 @@
 // still has.
 func (p *Partner) SendDownstreamCount(n int) { p.send(downstreamCount{count: n}) }
 
+// AnswersIDQuestions reports whether the partner answers whether it has a request with an ID. An earlier
+// build does not.
+func (p *Partner) AnswersIDQuestions() bool { return p.protocol >= 1 }
+
+// SendIDQuestion asks the partner whether it has a request with an ID. Events.IDAnswer reports the answer.
+func (p *Partner) SendIDQuestion(id string) { p.send(idQuestion{requestID: id}) }
+
 // Close closes the connection to the partner. If Run was called, Events.Gone follows. Close may be
 // called more than once.
 func (p *Partner) Close() {
--- a/internal/dataplane/hotrestart/partner_test.go
+++ b/internal/dataplane/hotrestart/partner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -30,6 +31,13 @@
 	connection.Downstream.Discard([]byte("x"))
 	connection.Upstream.Discard(nil)
 }
+func (s *recordedEvents) IDQuestion(id string, answer func(inUse bool)) {
+	s.events <- "question " + id
+	answer(id == "used")
+}
+func (s *recordedEvents) IDAnswer(id string, inUse bool) {
+	s.events <- fmt.Sprintf("answer %s %t", id, inUse)
+}
 func (s *recordedEvents) Gone() { s.events <- "gone" }
 
 // expect waits up to 10 s for the next event and fails the test unless it is want.
@@ -123,6 +131,15 @@
 	newEvents.expect(t, "downstreams")
 	toNew.SendListChanged(sampleSnapshot())
 	newEvents.expect(t, "list 127.0.0.1:1")
+	if !toOld.AnswersIDQuestions() || !toNew.AnswersIDQuestions() {
+		t.Error("a process of this build is said not to answer questions about IDs")
+	}
+	toOld.SendIDQuestion("used")
+	oldEvents.expect(t, "question used")
+	newEvents.expect(t, "answer used true")
+	toNew.SendIDQuestion("free")
+	newEvents.expect(t, "question free")
+	oldEvents.expect(t, "answer free false")
 	checkQueuedClientIsAccepted(t, h.ListenerFD, listener, file)
 	toNew.Close()
 	newEvents.expect(t, "gone")
--- a/internal/dataplane/hotrestart/recorded_test.go
+++ b/internal/dataplane/hotrestart/recorded_test.go
@@ -46,8 +46,8 @@
 // the golden file, and that the recorded messages can be read.
 func TestRecordedMessages(t *testing.T) {
 	messages := []message{
-		handoverRequest{listen: "127.0.0.1:3"},
-		welcome{Handoff{Snapshot: fullSnapshot(), ListenerFD: 8, DatagramFD: 9}},
+		handoverRequest{listen: "127.0.0.1:3", protocol: protocolVersion},
+		welcome{Handoff{Snapshot: fullSnapshot(), ListenerFD: 8, DatagramFD: 9}, protocolVersion},
 		rejection{reason: "why"},
 		takeOver{},
 		takenOver{snapshot: fullSnapshot()},
@@ -55,6 +55,8 @@
 		listChanged{snapshot: fullSnapshot()},
 		downstreamCount{count: 12},
 		connection{fullConnection()},
+		idQuestion{requestID: "r"},
+		idAnswer{requestID: "r", inUse: true},
 	}
 	var lines []byte
 	for _, m := range messages {
@@ -77,6 +79,19 @@
 	}
 }
 
+// TestMessagesOfEarlierBuild checks that a request and a handover of a build without questions about IDs
+// are read, and that this build does not ask such a process.
+func TestMessagesOfEarlierBuild(t *testing.T) {
+	request, isRequest := decode(&envelope{Kind: kindRequest, Listen: "127.0.0.1:3"}, nil).(handoverRequest)
+	if !isRequest || newPartner(nil, request.protocol).AnswersIDQuestions() {
+		t.Errorf("the request of an earlier build is read as %+v, %t, want one whose sender answers no questions", request, isRequest)
+	}
+	reply, isWelcome := decode(&envelope{Kind: kindWelcome, Snapshot: sampleSnapshot()}, []int{1 << 20}).(welcome)
+	if !isWelcome || newPartner(nil, reply.protocol).AnswersIDQuestions() || len(reply.Snapshot.OpenIDs) > 0 {
+		t.Errorf("the handover of an earlier build is read as %+v, %t, want one whose sender answers no questions", reply, isWelcome)
+	}
+}
+
 // TestUnexpectedMessages checks that a message that lacks a required part, or has an unknown kind, is
 // decoded as unexpectedMessage.
 func TestUnexpectedMessages(t *testing.T) {
--- a/internal/dataplane/hotrestart/request.go
+++ b/internal/dataplane/hotrestart/request.go
@@ -38,7 +38,7 @@
 }
 
 // close closes the received descriptors.
-func (h *Handoff) close() { closeDescriptors(welcome{*h}.descriptors()) }
+func (h *Handoff) close() { closeDescriptors(welcome{Handoff: *h}.descriptors()) }
 
 // RequestHandover requests a handover from the process that serves clients at listen and has its
 // private directory at dir. It returns nil values and a nil error if there is no such process. After
@@ -50,13 +50,13 @@
 		return nil, nil, err
 	}
 	requestedAt := time.Now()
-	h, err := requestHandoff(conn, listen, now)
+	m, err := requestHandoff(conn, listen, now)
 	if err != nil {
 		conn.Close()
 		return nil, nil, err
 	}
-	h.RequestedAt = requestedAt
-	return newPartner(conn), h, nil
+	m.RequestedAt = requestedAt
+	return newPartner(conn, m.protocol), &m.Handoff, nil
 }
 
 // dialServing connects to the process that serves and has its private directory at dir. It returns
@@ -76,9 +76,9 @@
 
 // requestHandoff sends a request for a handover and reads the answer. If the process that serves
 // rejects the request, the error matches ErrBusy. now is as in RequestHandover.
-func requestHandoff(conn *net.UnixConn, listen string, now int64) (*Handoff, error) {
+func requestHandoff(conn *net.UnixConn, listen string, now int64) (*welcome, error) {
 	conn.SetReadDeadline(time.Now().Add(answerTimeout))
-	if err := send(conn, handoverRequest{listen: listen}); err != nil {
+	if err := send(conn, handoverRequest{listen: listen, protocol: protocolVersion}); err != nil {
 		return nil, err
 	}
 	e, fds, err := receive(conn)
@@ -95,7 +95,7 @@
 			return nil, err
 		}
 		conn.SetReadDeadline(time.Time{})
-		return &m.Handoff, nil
+		return &m, nil
 	case connection:
 		closeDescriptors(m.descriptors())
 	}
--- a/internal/dataplane/proxy/core.go
+++ b/internal/dataplane/proxy/core.go
@@ -51,6 +51,7 @@
 	migrations migrationPacer
 	expiry     *certexpiry.Planner // nil if no connection migrates because of its certificate
 	handover   handover
+	otherIDs   otherProcessIDs
 	monitor    *invariant.Monitor
 	counters   counters
 
--- a/internal/dataplane/proxy/handover.go
+++ b/internal/dataplane/proxy/handover.go
@@ -22,6 +22,9 @@
 	// migrationLine. HandOver calls done on the loop once the connection has left this process; the
 	// process must not exit before that.
 	HandOver(connection *HandedOverConnection, migrationLine []byte, done func())
+	// AskIDInUse asks the other process whether it has a request with an ID. The answer, if there is
+	// one, is passed to Core.IDAnswered.
+	AskIDInUse(id string)
 	// AcceptsHandovers reports whether a next process is running and can take over connections now.
 	AcceptsHandovers() bool
 }
@@ -141,7 +144,7 @@
 	r.record.TakenOver()
 	r.attempt = a
 	h.established[r] = struct{}{}
-	c.requests[r.attributes.ID] = r
+	c.replaceRequest(r)
 	c.admission.downstreams++ // without a check of the limit: the connection is already open
 	c.counters.resumed++
 	c.notify(nil, r.pool, a.reportAdopted)
@@ -151,6 +154,22 @@
 	return r, a
 }
 
+// replaceRequest adds a resumed request to the table. Another request with its ID, which came here
+// because the other process could not be asked, ends: the resumed one was first.
+func (c *Core) replaceRequest(r *Request) {
+	id := r.attributes.ID
+	delete(c.otherIDs.open, id)
+	if other := c.requests[id]; other != nil {
+		slog.Warn("resumed_id_in_use", "request", id, "answered", other.answered())
+		if other.isOpen() {
+			other.migrate(balancer.Cancelled)
+		} else {
+			c.failIDInUse(other)
+		}
+	}
+	c.requests[id] = r
+}
+
 // resumedHost returns the host of a connection that was handed over. If the endpoint list no longer
 // contains it, resumedHost adds it in state Removed, so that its connections stay open.
 func (c *Core) resumedHost(id string) *host {
--- a/internal/dataplane/proxy/localreply.go
+++ b/internal/dataplane/proxy/localreply.go
@@ -17,12 +17,14 @@
 	blockedByInvariant                           // a rule forbids the attempt at the host at which it is open
 	adoptionAttemptEnded                         // the attempt at the host at which it is open has failed
 	balancerUnresponsive                         // the decision module did not answer, or panicked
+	idInUse                                      // a request at the other process of a hot restart has the same ID
+	idNotConfirmed                               // the other process of a hot restart did not answer whether it has the ID
 )
 
 // String returns the reason's name in the log.
 func (r localReplyReason) String() string {
 	names := [...]string{"balancer", "shutting_down", "rules", "no_usable_host", "quota_exceeded", "retry_unsafe", "host_not_listed", "invariant", "attempt_ended",
-		"balancer_unresponsive"}
+		"balancer_unresponsive", "id_in_use", "id_not_confirmed"}
 	if r < 0 || int(r) >= len(names) {
 		return fmt.Sprintf("localReplyReason(%d)", int(r))
 	}
--- a/internal/dataplane/proxy/open.go
+++ b/internal/dataplane/proxy/open.go
@@ -40,7 +40,7 @@
 	r.record = invariant.Request{Monitor: c.monitor, ID: opening.ID, Class: r.class(), Deadline: r.deadline, MaxAttempts: c.opt.Settings.MaxAttempts}
 	c.requests[opening.ID] = r
 	if opening.StickyHost != "" {
-		r.adopt(opening.StickyHost)
+		c.confirmID(r, func() { r.adopt(opening.StickyHost) })
 		return r
 	}
 	if tracing() {
@@ -48,7 +48,7 @@
 			"returned", opening.Returned, "ms", wait.Milliseconds())
 	}
 	r.overdueTimer = c.loop.After(wait+overdueGrace, r.failUnresponsive)
-	c.acquireQuota(r, verdict.Account, r.requestPlacement)
+	c.confirmID(r, func() { c.acquireQuota(r, verdict.Account, r.requestPlacement) })
 	return r
 }
 
--- a/internal/dataplane/proxy/request.go
+++ b/internal/dataplane/proxy/request.go
@@ -106,10 +106,13 @@
 // from the core's table and releases its quota.
 func (r *Request) removeIfDone() {
 	r.becomeClosed()
-	if r.attempt == nil && r.core.requests[r.attributes.ID] == r {
+	if r.attempt != nil {
+		return
+	}
+	if r.core.requests[r.attributes.ID] == r {
 		delete(r.core.requests, r.attributes.ID)
-		r.releaseQuota()
 	}
+	r.releaseQuota()
 }
 
 // requestTable holds the requests that are not done yet, by ID.
--- a/internal/dataplane/proxy/snapshot.go
+++ b/internal/dataplane/proxy/snapshot.go
@@ -15,6 +15,7 @@
 // Reasons for which Snapshot.Check rejects a Snapshot.
 var (
 	errTooManyHosts     = errors.New("snapshot: too many hosts")
+	errTooManyOpenIDs   = errors.New("snapshot: too many IDs of requests")
 	errHostIDLength     = errors.New("snapshot: host ID length out of range")
 	errFutureSuspension = errors.New("snapshot: host suspended in the future")
 	errImplausibleHost  = errors.New("snapshot: address, state, weight or start of a host out of range")
@@ -30,6 +31,9 @@
 	Suspended  []maintenance.Suspension `json:"Out"`   // hosts that operators suspended by calls at this proxy, not for the fleet of all proxies
 	KnownHosts []string                 `json:"Known"` // every host that an operator's call may suspend or resume
 	Balancer   balancer.Snapshot        `json:"Memory"`
+	// OpenIDs holds the IDs of the writer's requests. It is set only in a snapshot that a running process
+	// sends to the next one.
+	OpenIDs []string `json:"OpenIDs,omitempty"`
 	// Rules is the version of the fleet's rules that the writer acts by, with the rest of its lease. It
 	// is nil if rules are off, before the first version, or if an earlier build wrote the snapshot.
 	Rules *rules.HeldLease `json:"Rules,omitempty"`
@@ -38,7 +42,8 @@
 // Bounds of a Snapshot. This program does not write one that exceeds them.
 const (
 	maxHosts    = 4096 // listed, and suspended; known hosts may be twice as many
-	maxIDLength = 256  // bytes
+	maxOpenIDs  = 4096
+	maxIDLength = 256 // bytes
 )
 
 // minClockStep is the minimum difference, in nanoseconds, between two processes' clocks that counts
@@ -90,6 +95,9 @@
 		return fmt.Errorf("%w: %d listed and %d suspended, at most %d each; %d known, at most %d", errTooManyHosts,
 			len(s.Hosts), len(s.Suspended), maxHosts, len(s.KnownHosts), 2*maxHosts)
 	}
+	if len(s.OpenIDs) > maxOpenIDs {
+		return fmt.Errorf("%w: %d, at most %d", errTooManyOpenIDs, len(s.OpenIDs), maxOpenIDs)
+	}
 	for _, suspension := range s.Suspended {
 		if suspension.Since > now {
 			return fmt.Errorf("%w: %.40q at %d ns, now %d ns", errFutureSuspension, suspension.ID, suspension.Since, now)
