Migrations: a lost request for permits no longer holds up all later ones

Cause: the agent that was asked for permits stops in a hot restart and never answers, so clients of a suspended host at the old process, and after a take-back, never migrated. Change: a request without a reply within 1 s is repeated; a stopped agent allows this process's own share of the rate. Result: TestLostPermitRequest passes; it does not compile without the change, so it was not run there.

--- a/internal/dataplane/proxy/migrations.go
+++ b/internal/dataplane/proxy/migrations.go
@@ -16,6 +16,9 @@
 const (
 	// pacerInterval is the pause before permits are requested again for clients that still wait.
 	pacerInterval = 100 * time.Millisecond
+	// pacerReplyTimeout is the time after which a request for permits counts as lost. The agent that was
+	// asked may have stopped, since another process of this proxy has taken over.
+	pacerReplyTimeout = time.Second
 	// maxPendingMigrations limits the clients that wait for a permit. Further ones migrate at once,
 	// as without a pacer. A proxy's file descriptors limit the number of its clients in any case.
 	maxPendingMigrations = 4096
@@ -29,6 +32,7 @@
 	unpaced   bool          // migrations need no permits any more, since the process is shutting down
 	pending   []func() bool // the migrations that wait for a permit
 	requested bool          // a request for permits has no reply yet
+	requests  int           // number of requests for permits so far
 }
 
 // submit calls migrate once a permit is granted, or at once if none is needed. migrate reports
@@ -48,7 +52,18 @@
 		return
 	}
 	p.requested = true
-	p.pacer.RequestMigrations(len(p.pending), p.permitsGranted)
+	p.requests++
+	request := p.requests
+	reply := func(n int) {
+		if p.requested && p.requests == request {
+			p.permitsGranted(n)
+		}
+	}
+	timeout := p.loop.After(pacerReplyTimeout, func() { reply(0) })
+	p.pacer.RequestMigrations(len(p.pending), func(n int) {
+		timeout.Stop()
+		reply(n)
+	})
 }
 
 // permitsGranted migrates n clients, and requests permits again after pacerInterval for those that
--- a/internal/dataplane/proxy/migrations_test.go
+++ b/internal/dataplane/proxy/migrations_test.go
@@ -54,3 +54,30 @@
 		t.Errorf("%d clients wait for a permit, want at most %d", len(pacer.pending), maxPendingMigrations)
 	}
 }
+
+// TestLostPermitRequest guards against clients of a suspended host that never migrate, because the agent
+// that was asked for permits has stopped in a hot restart.
+func TestLostPermitRequest(t *testing.T) {
+	now := int64(1e18)
+	loop := netio.NewLoopAt(func() int64 { return now })
+	asked := &fakePacer{}
+	pacer := &migrationPacer{loop: loop, pacer: asked}
+	migrated := 0
+	pacer.submit(func() bool { migrated++; return true })
+	lost := asked.done
+	for range 2 { // the timeout, then the pause before the next request
+		now += int64(pacerReplyTimeout)
+		loop.RunPending()
+	}
+	if len(asked.wants) != 2 {
+		t.Fatalf("%d requests for permits after the first one was lost, want 2", len(asked.wants))
+	}
+	lost(1)
+	if migrated != 0 {
+		t.Error("a late reply migrates a client, want that its permits have lapsed")
+	}
+	asked.done(1)
+	if migrated != 1 {
+		t.Errorf("%d clients migrated with the second reply, want 1", migrated)
+	}
+}
--- a/internal/fleet/owneragent/migrations.go
+++ b/internal/fleet/owneragent/migrations.go
@@ -12,13 +12,19 @@
 }
 
 // RequestMigrations requests permits to migrate up to want clients now. It calls done on the loop
-// with the number allowed, or at once with want if the rate of migrations is not limited. done is
-// never called if the worker's inbox is full or the agent has stopped.
+// with the number allowed, or at once with want if the rate of migrations is not limited. Once the
+// agent has stopped, as in the old process of a hot restart, it allows what a process may migrate
+// without permits of the job's owner. done is not called if the worker's inbox is full or the agent
+// is about to stop.
 func (a *Agent) RequestMigrations(want int, done func(allowed int)) {
 	if a == nil || a.migrationPacer == nil {
 		done(want)
 		return
 	}
+	if a.worker.stopped() {
+		done(a.migrationPacer.Allow(a.now(), want)) // only the loop uses the pacer now
+		return
+	}
 	a.worker.post(func() {
 		allowed := a.migrationPacer.Allow(a.now(), want)
 		a.loop.Post(func() { done(allowed) })
--- a/internal/fleet/owneragent/worker.go
+++ b/internal/fleet/owneragent/worker.go
@@ -48,8 +48,7 @@
 
 // post queues f for the worker. If the inbox is full, as while a disk hangs, f is dropped. Most
 // callers repeat the call or limit their wait: datagrams, the view, queries about quota and by
-// operators, and Leave. Two do not: RequestMigrations, which then never calls done, and
-// OnRulesChanged, which then does not register f.
+// operators, migrations, and Leave. OnRulesChanged does not: it then does not register f.
 func (w *worker) post(f func()) {
 	select {
 	case w.inbox <- f:
@@ -104,6 +103,16 @@
 	}
 }
 
+// stopped reports whether the worker's goroutine has ended.
+func (w *worker) stopped() bool {
+	select {
+	case <-w.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // stop stops the worker and waits for its goroutine to end, at most for stopTimeout. Later calls do
 // nothing.
 func (w *worker) stop() {
