--- a/internal/app/node/fleet.go
+++ b/internal/app/node/fleet.go
@@ -138,6 +138,19 @@
 // off.
 func (f *fleet) canEnforce() bool { return f.enforcement == nil || f.enforcement.Rules().CanAct() }
 
+// knowsSuspensions reports whether this process knows which hosts are suspended for the fleet as well as
+// the other process of a hot restart does, or hosts can't be suspended for the fleet.
+func (p *process) knowsSuspensions() bool {
+	o := p.fleet.ownerOptions
+	if !p.fleet.memberOptions.Enabled || !o.Enabled || !o.SuspendHosts {
+		return true
+	}
+	return p.restart.hasFleetState || p.core.FleetSuspensionsKnown()
+}
+
+// readyToServe reports whether this process has what the fleet demands of one that serves.
+func (p *process) readyToServe() bool { return p.fleet.canEnforce() && p.knowsSuspensions() }
+
 // announceLeave releases the fleet's jobs that this process owns, and then announces its shutdown to
 // the other members.
 func (p *process) announceLeave() {
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -190,6 +190,7 @@
 		// proxy is sent every new list, and the client receives the lists from it.
 		p.discovery.FollowAgent()
 	}
+	p.core.RestoreResumptions(handoff.Snapshot.Resumed)
 	p.core.RestoreBalancer(handoff.Snapshot.Balancer)
 	return list, nil
 }
--- a/internal/app/node/partner.go
+++ b/internal/app/node/partner.go
@@ -64,6 +64,7 @@
 	if e.fleet.enforcement != nil {
 		e.core.RestoreRules(s.Rules, e.fleet.enforcement.At(e.restart.takeOverRequestedAt))
 	}
+	e.core.RestoreResumptions(s.Resumed)
 	e.core.RestoreBalancer(s.Balancer)
 }
 
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -20,9 +20,10 @@
 	// takenOverWait is the maximum time that a new process waits for the old one's last snapshot
 	// (its state) before it serves.
 	takenOverWait = 700 * time.Millisecond
-	// joinWait is the maximum time that a process waits for a lease to act by the fleet's rules before
-	// it accepts clients in a hot restart. Meanwhile clients wait in the accept queue. It waits only
-	// if the other process has handed over no lease that is still valid.
+	// joinWait is the maximum time that a process waits for a lease to act by the fleet's rules, and for
+	// the fleet's suspensions, before it accepts clients in a hot restart. Meanwhile clients wait in the
+	// accept queue. It waits only if the other process has handed over no lease that is still valid, or
+	// is of an earlier build, which hands over neither.
 	joinWait = time.Second
 	// joinCheckInterval is the time between two checks for that lease.
 	joinCheckInterval = 10 * time.Millisecond
@@ -82,6 +83,7 @@
 	partner             *hotrestart.Partner // the other process; nil if there is none
 	isOld               bool                // whether this process is the old one of the two; false if there is no partner
 	besideUnresponsive  bool                // whether another process serves that did not answer the request for a handover
+	hasFleetState       bool                // whether this process has the fleet's suspensions as far as its proxy knows them
 	takeOverRequestedAt time.Time           // when this process, the new one, asked the old one to stop accepting clients
 	yieldedState        balancer.Snapshot   // the decision module's state that the new process received when it took over
 }
@@ -149,6 +151,7 @@
 // newProcessConnected makes this process the old one of a hot restart, with partner as the new one.
 func (p *process) newProcessConnected(partner *hotrestart.Partner) {
 	p.restart.isOld = true
+	p.restart.hasFleetState = true
 	p.runPartner(partner)
 }
 
@@ -166,7 +169,8 @@
 func (p *process) beginTakeover(old *hotrestart.Partner, openIDs []string) {
 	p.restart.phase = awaitingList
 	p.core.SetHandedOver(true)
-	p.core.SetOtherProcessIDs(openIDs) // as of the handover request; the answer to takeOver has the final ones
+	p.restart.hasFleetState = old.AnswersIDQuestions() // an earlier build does not hand over the fleet's suspensions
+	p.core.SetOtherProcessIDs(openIDs)                 // as of the handover request; the answer to takeOver has the final ones
 	p.runPartner(old)
 	p.discovery.FetchList()
 	// Watches the list now, because the decision module would poll only later and meanwhile assign
@@ -199,7 +203,7 @@
 
 // joinAndServe makes this process the fleet's member for this proxy in a hot restart, then accepts
 // clients, calls served and stores the state. It accepts clients at once if it may act by the fleet's
-// rules, and otherwise when it may or after joinWait.
+// rules and knows the fleet's suspensions, and otherwise when it does or after joinWait.
 func (p *process) joinAndServe(served func()) {
 	p.restart.phase = joiningFleet
 	p.rejoinFleet()
@@ -212,12 +216,12 @@
 	if p.restart.phase != joiningFleet || !p.core.Ready() {
 		return
 	}
-	if !p.fleet.canEnforce() {
+	if !p.readyToServe() {
 		if p.loop.Now() < deadline {
 			p.loop.After(joinCheckInterval, func() { p.serveOnceJoined(deadline, served) })
 			return
 		}
-		slog.Warn("serving_without_lease", "waited_ms", joinWait.Milliseconds())
+		slog.Warn("serving_before_joined", "lease", p.fleet.canEnforce(), "suspensions", p.knowsSuspensions())
 	}
 	p.restart.phase = serving
 	p.mustServe()
--- a/internal/dataplane/proxy/core.go
+++ b/internal/dataplane/proxy/core.go
@@ -85,9 +85,10 @@
 		decisions: decisionLoop{now: l.Now},
 		requests:  requestTable{},
 		hosts: hostTable{
-			byID:        map[string]*host{},
-			suspensions: maintenance.New(),
-			clock:       startClock{now: l.Now, wallClock: opt.WallClock},
+			byID:          map[string]*host{},
+			suspensions:   maintenance.New(),
+			guessedStarts: map[string]balancer.Time{},
+			clock:         startClock{now: l.Now, wallClock: opt.WallClock},
 		},
 		pools:      poolTable{byName: map[string]*pool{}},
 		admission:  admission{limit: opt.MaxDownstreams},
--- a/internal/dataplane/proxy/handover.go
+++ b/internal/dataplane/proxy/handover.go
@@ -16,7 +16,7 @@
 	// HostSuspended stores the suspension of the host with this ID, or its end. It calls done on
 	// the loop once the change is stored or storing it has failed.
 	HostSuspended(id string, suspended bool, done func())
-	// ListChanged is called after each change of the endpoint list.
+	// ListChanged is called after each change of the endpoint list or of the fleet's suspensions.
 	ListChanged()
 	// HandOver hands an open connection to the next process. If that fails, the client gets
 	// migrationLine. HandOver calls done on the loop once the connection has left this process; the
--- a/internal/dataplane/proxy/hosts.go
+++ b/internal/dataplane/proxy/hosts.go
@@ -92,8 +92,14 @@
 type hostTable struct {
 	byID        map[string]*host
 	suspensions *maintenance.Registry // the hosts that operators have suspended
-	watermarks  Watermarks            // hosts that drain or are removed in other proxies' newer lists; nil if only this proxy's list counts
-	clock       startClock
+	// fleetListKnown is whether suspensions has a list, possibly empty, of the hosts that operators have
+	// suspended for the fleet.
+	fleetListKnown bool
+	// guessedStarts holds, by host ID, when hosts were resumed whose start the discovery service has not
+	// reported since.
+	guessedStarts map[string]balancer.Time
+	watermarks    Watermarks // hosts that drain or are removed in other proxies' newer lists; nil if only this proxy's list counts
+	clock         startClock
 }
 
 // add adds a host with this ID and returns it. The host is not in a pool yet.
--- a/internal/dataplane/proxy/snapshot.go
+++ b/internal/dataplane/proxy/snapshot.go
@@ -31,6 +31,11 @@
 	Suspended  []maintenance.Suspension `json:"Out"`   // hosts that operators suspended by calls at this proxy, not for the fleet of all proxies
 	KnownHosts []string                 `json:"Known"` // every host that an operator's call may suspend or resume
 	Balancer   balancer.Snapshot        `json:"Memory"`
+	// FleetSuspended holds the hosts that operators suspended for the fleet. It is nil if the writer knows
+	// no such list, or is of an earlier build.
+	FleetSuspended *[]maintenance.Suspension `json:"FleetOut,omitempty"`
+	// Resumed holds the hosts whose suspension has ended and whose start is a guess since then.
+	Resumed []ResumedHost `json:"Resumed,omitempty"`
 	// OpenIDs holds the IDs of the writer's requests. It is set only in a snapshot that a running process
 	// sends to the next one.
 	OpenIDs []string `json:"OpenIDs,omitempty"`
@@ -39,6 +44,31 @@
 	Rules *rules.HeldLease `json:"Rules,omitempty"`
 }
 
+// ResumedHost is a host that counts as started at the end of its suspension, because the discovery
+// service has not reported its start since.
+type ResumedHost struct {
+	ID        string `json:"ID"`
+	StartedAt int64  `json:"At"` // ns on the writer's clock
+}
+
+// fleetSuspended returns the hosts that operators suspended for the fleet, as far as the writer knows.
+func (s *Snapshot) fleetSuspended() []maintenance.Suspension {
+	if s.FleetSuspended == nil {
+		return nil
+	}
+	return *s.FleetSuspended
+}
+
+// suspensions returns pointers to all suspensions.
+func (s *Snapshot) suspensions() (all []*maintenance.Suspension) {
+	for _, list := range [][]maintenance.Suspension{s.Suspended, s.fleetSuspended()} {
+		for i := range list {
+			all = append(all, &list[i])
+		}
+	}
+	return all
+}
+
 // Bounds of a Snapshot. This program does not write one that exceeds them.
 const (
 	maxHosts    = 4096 // listed, and suspended; known hosts may be twice as many
@@ -64,8 +94,11 @@
 	if s.Rules != nil && !live {
 		s.Rules.Remaining = 0 // how long ago the lease was stored is unknown
 	}
-	for i := range s.Suspended {
-		s.Suspended[i].Since = min(s.Suspended[i].Since, now) // a suspension is in force even if its time is in the future
+	for _, suspension := range s.suspensions() {
+		suspension.Since = min(suspension.Since, now) // a suspension is in force even if its time is in the future
+	}
+	for i := range s.Resumed {
+		s.Resumed[i].StartedAt = min(s.Resumed[i].StartedAt, now)
 	}
 }
 
@@ -78,8 +111,11 @@
 			}
 		}
 	}
-	for i := range s.Suspended {
-		shiftAll(&s.Suspended[i].Since)
+	for _, suspension := range s.suspensions() {
+		shiftAll(&suspension.Since)
+	}
+	for i := range s.Resumed {
+		shiftAll(&s.Resumed[i].StartedAt)
 	}
 	shiftAll(&s.Balancer.Started, &s.Balancer.RateAt)
 	for i := range s.Balancer.Servers {
@@ -91,14 +127,14 @@
 // Check returns an error that describes why the snapshot is unusable, or nil if it is usable. now
 // is the loop's time.
 func (s *Snapshot) Check(now int64) error {
-	if len(s.Hosts) > maxHosts || len(s.Suspended) > maxHosts || len(s.KnownHosts) > 2*maxHosts {
-		return fmt.Errorf("%w: %d listed and %d suspended, at most %d each; %d known, at most %d", errTooManyHosts,
-			len(s.Hosts), len(s.Suspended), maxHosts, len(s.KnownHosts), 2*maxHosts)
+	if max(len(s.Hosts), len(s.Suspended), len(s.fleetSuspended()), len(s.Resumed)) > maxHosts || len(s.KnownHosts) > 2*maxHosts {
+		return fmt.Errorf("%w: %d listed, %d suspended, %d suspended for the fleet and %d resumed, at most %d each; %d known, at most %d", errTooManyHosts,
+			len(s.Hosts), len(s.Suspended), len(s.fleetSuspended()), len(s.Resumed), maxHosts, len(s.KnownHosts), 2*maxHosts)
 	}
 	if len(s.OpenIDs) > maxOpenIDs {
 		return fmt.Errorf("%w: %d, at most %d", errTooManyOpenIDs, len(s.OpenIDs), maxOpenIDs)
 	}
-	for _, suspension := range s.Suspended {
+	for _, suspension := range s.suspensions() {
 		if suspension.Since > now {
 			return fmt.Errorf("%w: %.40q at %d ns, now %d ns", errFutureSuspension, suspension.ID, suspension.Since, now)
 		}
@@ -128,7 +164,7 @@
 			return err
 		}
 	}
-	for _, suspension := range s.Suspended {
+	for _, suspension := range s.suspensions() {
 		if err := check(suspension.ID); err != nil {
 			return err
 		}
@@ -143,15 +179,38 @@
 		!math.IsNaN(e.Weight) && e.Weight >= 0 && e.StartedAt >= 0
 }
 
-// RestoreSuspensions restores the known hosts and the suspensions of a snapshot. A suspension takes
-// effect when an endpoint list contains the host. It is called before Run and, in a takeover, once
+// RestoreSuspensions restores the known hosts and the suspensions of a snapshot. It is called before
+// Run, where a suspension takes effect when an endpoint list contains the host, and in a takeover once
 // more after Run; by then SetOtherProcessSuspension has applied the changes since the first call.
 func (c *Core) RestoreSuspensions(s *Snapshot) {
+	suspensions := c.hosts.suspensions
 	for _, id := range s.KnownHosts {
-		c.hosts.suspensions.HostListed(id)
+		suspensions.HostListed(id)
 	}
 	for _, suspension := range s.Suspended {
-		c.hosts.suspensions.SetSuspended(suspension.ID, true, suspension.Since)
+		wasSuspended := suspensions.Suspended(suspension.ID)
+		if suspensions.SetSuspended(suspension.ID, true, suspension.Since) && !wasSuspended {
+			c.suspensionChanged(suspension.ID, true, maintenance.Suspension{})
+		}
+	}
+	if s.FleetSuspended != nil {
+		c.applyFleetSuspensions(func() []string { return suspensions.RestoreFleetSuspensions(*s.FleetSuspended) })
+	}
+}
+
+// RestoreResumptions makes hosts that were resumed at another process count as started then, as they do
+// there. It is called after Run.
+func (c *Core) RestoreResumptions(resumed []ResumedHost) {
+	for _, r := range resumed {
+		h := c.hosts.byID[r.ID]
+		if h == nil || h.state != balancer.Ready || h.startedAt >= r.StartedAt {
+			continue
+		}
+		c.hosts.guessedStarts[r.ID] = r.StartedAt
+		entry := h.effectiveEntry()
+		entry.StartedAt = r.StartedAt
+		c.notifyLocalChange(h.pool, entry)
+		c.confirmStartLater(h, r.StartedAt)
 	}
 }
 
@@ -177,6 +236,13 @@
 		KnownHosts: c.hosts.suspensions.KnownHosts(),
 		Balancer:   c.pools.main.balancer.Snapshot(yield),
 	}
+	if c.hosts.fleetListKnown {
+		fleetWide := c.hosts.suspensions.FleetSuspensions()
+		s.FleetSuspended = &fleetWide
+	}
+	for id, startedAt := range c.hosts.guessedStarts {
+		s.Resumed = append(s.Resumed, ResumedHost{ID: id, StartedAt: startedAt})
+	}
 	if c.fleet.enforcer != nil {
 		s.Rules = c.fleet.enforcer.HeldLease()
 	}
--- a/internal/dataplane/proxy/suspension.go
+++ b/internal/dataplane/proxy/suspension.go
@@ -48,18 +48,35 @@
 // SetFleetSuspensions applies the complete list of hosts that operators have suspended for the fleet,
 // which is all proxies. The fleet's suspension of a host that is not in ids ends.
 func (c *Core) SetFleetSuspensions(ids []string) {
+	if c.applyFleetSuspensions(func() []string { return c.hosts.suspensions.SetFleetSuspensions(ids, c.loop.Now()) }) && c.handover.successor != nil {
+		c.handover.successor.ListChanged()
+	}
+}
+
+// applyFleetSuspensions replaces the fleet's suspensions by calling replace, which returns the IDs of the
+// hosts that are suspended or resumed by it, and applies the change to the hosts. It reports whether
+// there was a change.
+func (c *Core) applyFleetSuspensions(replace func() (changed []string)) bool {
 	suspensions := c.hosts.suspensions
 	previous := map[string]maintenance.Suspension{}
 	for _, id := range suspensions.KnownHosts() {
 		previous[id] = suspensions.Suspension(id)
 	}
-	for _, id := range suspensions.SetFleetSuspensions(ids, c.loop.Now()) {
+	wasKnown := c.hosts.fleetListKnown
+	c.hosts.fleetListKnown = true
+	changed := replace()
+	for _, id := range changed {
 		suspended := suspensions.Suspended(id)
 		slog.Info("host_suspended", "host", id, "suspended", suspended, "fleet", true)
 		c.suspensionChanged(id, suspended, previous[id])
 	}
+	return !wasKnown || len(changed) > 0
 }
 
+// FleetSuspensionsKnown reports whether this process has a list of the hosts that are suspended for the
+// fleet, which may be empty.
+func (c *Core) FleetSuspensionsKnown() bool { return c.hosts.fleetListKnown }
+
 // suspensionChanged applies the effective state of a host whose suspension has begun or ended.
 // If suspended is false, ended is the suspension that has ended; otherwise it has no meaning.
 func (c *Core) suspensionChanged(id string, suspended bool, ended maintenance.Suspension) {
@@ -88,14 +105,25 @@
 func (c *Core) startAfterSuspension(h *host, ended maintenance.Suspension, listed balancer.Time) balancer.Time {
 	start, isGuess := ended.StartOnResume(listed, c.loop.Now())
 	if isGuess {
-		c.loop.After(time.Duration(maintenance.StartUncertainty), func() { c.confirmStart(h, start) })
+		c.hosts.guessedStarts[h.hostID] = start
+		c.confirmStartLater(h, start)
 	}
 	return start
 }
 
+// confirmStartLater calls confirmStart once the discovery service must have reported a restart of the
+// host during its suspension.
+func (c *Core) confirmStartLater(h *host, guessedStart balancer.Time) {
+	after := max(0, guessedStart+maintenance.StartUncertainty-c.loop.Now())
+	c.loop.After(time.Duration(after), func() { c.confirmStart(h, guessedStart) })
+}
+
 // confirmStart replaces the guessed start of a host whose suspension has ended by the start that
 // the discovery service reports.
 func (c *Core) confirmStart(h *host, guessedStart balancer.Time) {
+	if c.hosts.guessedStarts[h.hostID] == guessedStart {
+		delete(c.hosts.guessedStarts, h.hostID)
+	}
 	if c.hosts.byID[h.hostID] != h || h.state != balancer.Ready || h.startedAt >= guessedStart {
 		// The host is suspended again or removed, or the discovery service has reported its start since and
 		// the balancer knows it.
--- a/internal/dataplane/proxy/suspension_test.go
+++ b/internal/dataplane/proxy/suspension_test.go
@@ -179,3 +179,72 @@
 		t.Errorf("LocalSuspensions() = %v, want none; Suspension(A) = %+v, want Since %d", registry.LocalSuspensions(), registry.Suspension("A"), at)
 	}
 }
+
+// nextProcess starts a core with the state of the present one, after the endpoint list, as a new process of
+// a hot restart does.
+func (w *suspensionHarness) nextProcess() {
+	snapshot := w.core.Snapshot(true)
+	w.startProcess(snapshot)
+	w.core.RestoreResumptions(snapshot.Resumed)
+}
+
+// TestFleetSuspensionOutlivesProcess guards against requests to a host that is suspended for the fleet,
+// from a process that has taken over and does not have the fleet's list yet.
+func TestFleetSuspensionOutlivesProcess(t *testing.T) {
+	w := newSuspensionHarness(nil, "A", "B")
+	w.core.SetFleetSuspensions([]string{"A"})
+	w.nextProcess()
+	if h := w.core.hosts.byID["A"]; h.state != balancer.Suspended || !w.core.FleetSuspensionsKnown() {
+		t.Errorf("host A has state %v at the new process, want suspended", h.state)
+	}
+	w.core.SetSuspended("A", false, func(bool) {})
+	if w.core.hosts.byID["A"].state != balancer.Suspended {
+		t.Error("a call at this proxy ends the fleet's suspension")
+	}
+	w.core.SetFleetSuspensions(nil)
+	if w.core.hosts.byID["A"].state != balancer.Ready {
+		t.Error("host A is not ready once the fleet's suspension has ended")
+	}
+}
+
+// TestSuspensionBetweenSnapshots guards against requests to a host that was suspended after the old
+// process had sent its first snapshot and before it knew of its partner: the last snapshot has to reach
+// hosts that are listed already.
+func TestSuspensionBetweenSnapshots(t *testing.T) {
+	w := newSuspensionHarness(nil, "A", "B")
+	first := w.core.Snapshot(false)
+	w.core.SetSuspended("A", true, func(bool) {})
+	w.core.SetFleetSuspensions([]string{"B"})
+	last := w.core.Snapshot(true)
+	w.startProcess(first)
+	w.core.RestoreSuspensions(last)
+	for _, id := range []string{"A", "B"} {
+		if state := w.core.hosts.byID[id].state; state != balancer.Suspended {
+			t.Errorf("host %s has state %v after the last snapshot, want suspended", id, state)
+		}
+	}
+}
+
+// TestResumedHostIsColdAtNextProcess guards against a new process that sends a host that has just been
+// resumed, and may have been restarted, the requests of a warm one.
+func TestResumedHostIsColdAtNextProcess(t *testing.T) {
+	w := newSuspensionHarness(nil, "A", "B")
+	w.core.SetSuspended("A", true, func(bool) {})
+	w.now += int64(time.Second)
+	w.core.SetSuspended("A", false, func(bool) {})
+	resumedAt := w.now
+	w.now += int64(time.Second)
+	w.nextProcess()
+	hostStart := func() int64 { return hostSnapshot(w.core.pools.main.balancer, "A").Since }
+	if got := hostStart(); got != resumedAt {
+		t.Errorf("host A started at %d for the new process, want %d, when it was resumed", got, resumedAt)
+	}
+	w.nextProcess()
+	if got := hostStart(); got != resumedAt {
+		t.Errorf("host A started at %d for a third process, want %d", got, resumedAt)
+	}
+	w.advance(time.Duration(maintenance.StartUncertainty))
+	if got := hostStart(); got != 0 || len(w.core.Snapshot(false).Resumed) > 0 {
+		t.Errorf("host A started at %d once discovery must have reported its start, want 0, as listed", got)
+	}
+}
--- a/internal/operations/maintenance/registry.go
+++ b/internal/operations/maintenance/registry.go
@@ -83,6 +83,23 @@
 		}
 		next[id] = since
 	}
+	return r.replaceFleetWide(next)
+}
+
+// RestoreFleetSuspensions replaces the list of hosts that are suspended fleet-wide by the list of another
+// process of this proxy, which FleetSuspensions returned there. It returns the same as
+// SetFleetSuspensions. The hosts become known.
+func (r *Registry) RestoreFleetSuspensions(suspensions []Suspension) (changed []string) {
+	next := map[string]int64{}
+	for _, suspension := range suspensions {
+		r.HostListed(suspension.ID)
+		next[suspension.ID] = suspension.Since
+	}
+	return r.replaceFleetWide(next)
+}
+
+// replaceFleetWide makes next the fleet-wide suspensions. It returns the same as SetFleetSuspensions.
+func (r *Registry) replaceFleetWide(next map[string]int64) (changed []string) {
 	for id := range r.suspendedFleetWide {
 		_, remains := next[id]
 		if _, locally := r.suspendedLocally[id]; !remains && !locally {
@@ -117,10 +134,16 @@
 }
 
 // LocalSuspensions returns the suspensions that were set at this proxy, sorted by host ID.
-func (r *Registry) LocalSuspensions() []Suspension {
-	all := make([]Suspension, 0, len(r.suspendedLocally))
-	for id, since := range r.suspendedLocally {
-		all = append(all, Suspension{id, since})
+func (r *Registry) LocalSuspensions() []Suspension { return sortedSuspensions(r.suspendedLocally) }
+
+// FleetSuspensions returns the suspensions that were set fleet-wide, sorted by host ID.
+func (r *Registry) FleetSuspensions() []Suspension { return sortedSuspensions(r.suspendedFleetWide) }
+
+// sortedSuspensions returns suspensions, whose start is given by host ID, sorted by host ID.
+func sortedSuspensions(since map[string]int64) []Suspension {
+	all := make([]Suspension, 0, len(since))
+	for id, at := range since {
+		all = append(all, Suspension{id, at})
 	}
 	slices.SortFunc(all, func(x, y Suspension) int { return strings.Compare(x.ID, y.ID) })
 	return all
