--- a/internal/app/command/hotrestart_test.go
+++ b/internal/app/command/hotrestart_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -132,3 +133,34 @@
 	h.call(oldAdmin, "GET", "/v1/readyz", 200)
 	h.open()
 }
+
+// TestHotRestartKeepsMovedDiscovery guards against a new process that asks a discovery service that a
+// reload has moved, because NODE_DISCOVERY still names the earlier address.
+func TestHotRestartKeepsMovedDiscovery(t *testing.T) {
+	h := newHotRestartTest(t)
+	h.setup.Env = append(h.setup.Env, "NODE_DISCOVERY="+h.setup.Discovery)
+	old, _ := h.startReady()
+	moved := newHosts(t, "a", "s2").Discovery
+	config, err := os.ReadFile(old.ConfigPath())
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeFile(t, old.ConfigPath(), strings.ReplaceAll(string(config), h.setup.Discovery, moved.Addr()))
+	old.Signal(syscall.SIGHUP)
+	servedByMoved := func() bool {
+		served := hostsServing(h.setup.Listen, 200*time.Millisecond)
+		return served["s2"] > 0 && len(served) == 1
+	}
+	eventually(t, "the old process uses the list of the moved discovery", servedByMoved)
+	for _, generation := range []string{"second", "third"} {
+		next, _ := h.startReady()
+		if err := old.Stop(); err != nil {
+			t.Errorf("the old process ended with error %v, want none", err)
+		}
+		old = next
+		eventually(t, "the "+generation+" process uses the list of the moved discovery", servedByMoved)
+		if lines := old.LogLines("event=discovery_moved"); len(lines) != 1 {
+			t.Errorf("the %s process logs event=discovery_moved %d times, want once", generation, len(lines))
+		}
+	}
+}
--- a/internal/app/node/discovery.go
+++ b/internal/app/node/discovery.go
@@ -21,7 +21,14 @@
 	}
 }
 
-// redirect sets the address (host:port) of the discovery service. It may be called from any goroutine.
+// redirect sets the address (host:port) of the discovery service, also at the new process of a hot
+// restart. It may be called from any goroutine.
 func (p *process) redirect(discovery string) {
-	p.loop.Post(func() { p.discovery.Redirect(discovery) })
+	p.loop.Post(func() {
+		p.discovery.Redirect(discovery)
+		if p.restart.partner != nil && p.restart.isOld {
+			s := p.snapshot(false)
+			p.restart.partner.SendListChanged(&proxy.Snapshot{WrittenAt: s.WrittenAt, Discovery: s.Discovery, StartDiscovery: s.StartDiscovery, Revision: s.Revision})
+		}
+	})
 }
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -179,6 +179,11 @@
 // and the newest known endpoint list, which it returns. It restores the balancer's state in handoff.
 func (p *process) runCore(handoff *hotrestart.Handoff) (list proxy.WatchEvent, err error) {
 	cfg := p.cfg
+	p.restart.startDiscovery = cfg.Discovery
+	if moved := movedDiscovery(cfg.Discovery, handoff.Snapshot); moved != cfg.Discovery {
+		slog.Info("discovery_moved", "from", cfg.Discovery, "to", moved)
+		cfg.Discovery = moved
+	}
 	list = knownList(cfg, handoff.Snapshot)
 	p.discovery = cluster.NewClient(p.loop, p.dialer, cluster.Options{Address: cfg.Discovery, ProxyCount: cfg.Settings.Instances, Revision: list.Version, Notify: p.listReceived})
 	newBalancer := func(fx balancer.Effects) (proxy.Balancer, error) { return balancer.New(cfg.Settings, cfg.Seed, fx) }
--- a/internal/app/node/partner.go
+++ b/internal/app/node/partner.go
@@ -59,6 +59,7 @@
 		slog.Warn("hot_restart_unexpected", "reason", err)
 		return
 	}
+	e.applyDiscovery(s)
 	e.applyList(s)
 	e.core.RestoreSuspensions(s)
 	if e.fleet.enforcement != nil {
@@ -79,9 +80,19 @@
 		slog.Warn("hot_restart_unexpected", "reason", err)
 		return
 	}
+	e.applyDiscovery(s)
 	e.applyList(s)
 }
 
+// applyDiscovery follows a reload that moved the discovery service at the old process.
+func (e partnerEvents) applyDiscovery(s *proxy.Snapshot) {
+	current, _ := e.discovery.Source()
+	if moved := movedDiscovery(e.restart.startDiscovery, s); s.StartDiscovery != "" && moved != current {
+		slog.Info("discovery_moved", "from", current, "to", moved)
+		e.discovery.Redirect(moved)
+	}
+}
+
 // applyList applies the endpoint list of s if it has hosts, is from the same discovery service and
 // has a higher revision than this process's list.
 func (e partnerEvents) applyList(s *proxy.Snapshot) {
--- a/internal/app/node/predecessor.go
+++ b/internal/app/node/predecessor.go
@@ -111,6 +111,17 @@
 	return nil, err
 }
 
+// movedDiscovery returns the address of the discovery service for a process whose configuration at its
+// start names startAddress, given the state of the process before it. If that process was started with
+// the same address, and a reload moved the discovery service since, it returns the address of the reload:
+// the platform starts processes of a proxy with the same environment.
+func movedDiscovery(startAddress string, s *proxy.Snapshot) string {
+	if s.StartDiscovery == startAddress && s.Discovery != "" {
+		return s.Discovery
+	}
+	return startAddress
+}
+
 // knownList returns the endpoint list to start with. This is the list of s, which an earlier process
 // handed over or stored, if that list is from the configured discovery service and newer than the
 // list in the platform's configuration. Otherwise it is the configuration's list.
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -80,6 +80,7 @@
 	listSavePending bool                 // whether a timer will store a changed endpoint list
 
 	phase               restartPhase
+	startDiscovery      string              // address of the discovery service in the configuration at the start
 	partner             *hotrestart.Partner // the other process; nil if there is none
 	isOld               bool                // whether this process is the old one of the two; false if there is no partner
 	besideUnresponsive  bool                // whether another process serves that did not answer the request for a handover
@@ -268,6 +269,9 @@
 func (p *process) snapshot(yieldSlowStart bool) *proxy.Snapshot {
 	s := p.core.Snapshot(yieldSlowStart)
 	s.Discovery, s.Revision = p.discovery.Source()
+	if s.Discovery != p.restart.startDiscovery {
+		s.StartDiscovery = p.restart.startDiscovery
+	}
 	return s
 }
 
--- a/internal/dataplane/proxy/snapshot.go
+++ b/internal/dataplane/proxy/snapshot.go
@@ -24,13 +24,16 @@
 // Snapshot is the state that one process of a proxy passes to the next: suspensions, the endpoint
 // list, and the decision module's state.
 type Snapshot struct {
-	WrittenAt  int64                    `json:"At"`        // ns on the writer's clock; 0 if written by an earlier version
-	Discovery  string                   `json:"Discovery"` // address of the service that sent the list; Revision is only valid for it
-	Revision   int64                    `json:"Rev"`       // of the endpoint list, as the discovery service numbers it; negative if there is no list
-	Hosts      []HostEntry              `json:"Hosts"`
-	Suspended  []maintenance.Suspension `json:"Out"`   // hosts that operators suspended by calls at this proxy, not for the fleet of all proxies
-	KnownHosts []string                 `json:"Known"` // every host that an operator's call may suspend or resume
-	Balancer   balancer.Snapshot        `json:"Memory"`
+	WrittenAt int64  `json:"At"`        // ns on the writer's clock; 0 if written by an earlier version
+	Discovery string `json:"Discovery"` // address of the service that sent the list; Revision is only valid for it
+	// StartDiscovery is the address that the writer was configured with at its start, if a reload has
+	// moved the discovery service since; otherwise it is empty.
+	StartDiscovery string                   `json:"StartDiscovery,omitempty"`
+	Revision       int64                    `json:"Rev"` // of the endpoint list, as the discovery service numbers it; negative if there is no list
+	Hosts          []HostEntry              `json:"Hosts"`
+	Suspended      []maintenance.Suspension `json:"Out"`   // hosts that operators suspended by calls at this proxy, not for the fleet of all proxies
+	KnownHosts     []string                 `json:"Known"` // every host that an operator's call may suspend or resume
+	Balancer       balancer.Snapshot        `json:"Memory"`
 	// FleetSuspended holds the hosts that operators suspended for the fleet. It is nil if the writer knows
 	// no such list, or is of an earlier build.
 	FleetSuspended *[]maintenance.Suspension `json:"FleetOut,omitempty"`
