Hot restart: quotas count the connections and grants of both processes

Change: the old process names its counted connections with its number of downstreams, and yields its grants with its last state; resumed connections count when they arrive. Result: TestYieldedGrants and TestConnectionsOfOtherProcessUseQuota pass; not seen or measured in a run of real processes.

--- a/internal/app/node/partner.go
+++ b/internal/app/node/partner.go
@@ -30,6 +30,7 @@
 	}
 	s := e.snapshotForPartner(true)
 	e.restart.yieldedState = s.Balancer
+	s.Quota = e.fleet.enforcement.YieldQuota()
 	return s
 }
 
@@ -47,6 +48,7 @@
 	}
 	if s != nil {
 		e.applySnapshot(s)
+		e.restart.yieldedQuota = s.Quota
 	}
 	e.becomeServing()
 }
@@ -118,10 +120,12 @@
 
 // DownstreamCount counts the old process's n downstreams against this one's limit, because both
 // processes share one limit of file descriptors. A downstream uses two descriptors, so every two of
-// the old process's other descriptors count as one downstream.
-func (e partnerEvents) DownstreamCount(n int) {
+// the old process's other descriptors count as one downstream. Those that count against an account's quota
+// count here too, since this process is the one that reports to the fleet.
+func (e partnerEvents) DownstreamCount(n int, accounts map[string]int) {
 	if e.isCurrent() && !e.restart.isOld {
 		e.core.SetOtherProcessDownstreams(n + e.cfg.HotRestartDescriptors()/2)
+		e.core.SetOtherProcessConnections(accounts)
 	}
 }
 
@@ -153,6 +157,7 @@
 	slog.Info("hot_restart_partner_gone", "older", r.isOld)
 	if !r.isOld {
 		e.core.SetOtherProcessDownstreams(0)
+		e.core.SetOtherProcessConnections(nil)
 		e.becomeServing()
 		return
 	}
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -11,6 +11,7 @@
 	"croftlock/internal/balancer"
 	"croftlock/internal/dataplane/hotrestart"
 	"croftlock/internal/dataplane/proxy"
+	"croftlock/internal/fleet/quota"
 )
 
 const (
@@ -86,6 +87,7 @@
 	besideUnresponsive  bool                // whether another process serves that did not answer the request for a handover
 	hasFleetState       bool                // whether this process has the fleet's suspensions as far as its proxy knows them
 	takeOverRequestedAt time.Time           // when this process, the new one, asked the old one to stop accepting clients
+	yieldedQuota        *quota.Grants       // the grants that the old process gave up to this one; nil if it did not answer
 	yieldedState        balancer.Snapshot   // the decision module's state that the new process received when it took over
 }
 
@@ -199,6 +201,7 @@
 	if p.restart.phase != awaitingList && p.restart.phase != takingOver {
 		return
 	}
+	p.fleet.enforcement.RestoreQuota(p.restart.yieldedQuota, p.restart.takeOverRequestedAt)
 	p.joinAndServe(func() { slog.Info("hot_restart_taken_over", "partner", p.restart.partner != nil) })
 }
 
@@ -258,7 +261,7 @@
 // downstreamReportInterval while that process runs, since both share one limit of file descriptors.
 func (p *process) reportDownstreams() {
 	if p.restart.partner != nil && p.restart.isOld {
-		p.restart.partner.SendDownstreamCount(p.core.Downstreams())
+		p.restart.partner.SendDownstreamCount(p.core.Downstreams(), p.core.AccountConnections())
 		p.loop.After(downstreamReportInterval, p.reportDownstreams)
 	}
 }
--- a/internal/dataplane/hotrestart/message.go
+++ b/internal/dataplane/hotrestart/message.go
@@ -22,6 +22,7 @@
 	HostID      string                      `json:"ID,omitempty"`
 	Suspended   bool                        `json:"Out,omitempty"`      // whether the host HostID is suspended; false if it was resumed
 	Downstreams int                         `json:"Sessions,omitempty"` // number of downstreams, the connections of clients
+	Accounts    map[string]int              `json:"Accounts,omitempty"` // of the downstreams, those that count against a quota, by account
 	Connection  *proxy.HandedOverConnection `json:"Standing,omitempty"`
 	Reason      string                      `json:"Reason,omitempty"`    // why a handover is rejected
 	Protocol    int                         `json:"Protocol,omitempty"`  // the sender's protocolVersion; 0 if an earlier build sent the message
@@ -129,11 +130,12 @@
 // connections of clients, that the sender still has.
 type downstreamCount struct {
 	noDescriptors
-	count int
+	count    int
+	accounts map[string]int // how many of them count against each account's quota
 }
 
 func (m downstreamCount) envelope() envelope {
-	return envelope{Kind: kindDownstreams, Downstreams: m.count}
+	return envelope{Kind: kindDownstreams, Downstreams: m.count, Accounts: m.accounts}
 }
 
 // connection, from the old process to the new, hands over an open connection with two descriptors:
@@ -205,7 +207,7 @@
 	case kindList:
 		return listChanged{snapshot: e.Snapshot}
 	case kindDownstreams:
-		return downstreamCount{count: e.Downstreams}
+		return downstreamCount{count: e.Downstreams, accounts: e.Accounts}
 	}
 	switch {
 	case e.Kind == kindIDQuestion && e.RequestID != "":
--- a/internal/dataplane/hotrestart/partner.go
+++ b/internal/dataplane/hotrestart/partner.go
@@ -27,8 +27,8 @@
 	// ListChanged is called with an endpoint list that the partner received after the handover.
 	ListChanged(s *proxy.Snapshot)
 	// DownstreamCount is called with the number of downstreams, the connections of clients, that the
-	// partner still has. It is not negative.
-	DownstreamCount(n int)
+	// partner still has, which is not negative, and how many of them count against each account's quota.
+	DownstreamCount(n int, accounts map[string]int)
 	// ConnectionReceived is called with an open connection that the partner hands over. This process
 	// now owns the connection's two sockets.
 	ConnectionReceived(c *proxy.HandedOverConnection)
@@ -160,7 +160,7 @@
 			events.ListChanged(m.snapshot)
 		}
 	case downstreamCount:
-		events.DownstreamCount(max(0, m.count))
+		events.DownstreamCount(max(0, m.count), m.accounts)
 	case connection:
 		events.ConnectionReceived(m.HandedOverConnection)
 	case idQuestion:
@@ -212,8 +212,10 @@
 func (p *Partner) SendListChanged(s *proxy.Snapshot) { p.send(listChanged{snapshot: s}) }
 
 // SendDownstreamCount sends the number of downstreams, the connections of clients, that this process
-// still has.
-func (p *Partner) SendDownstreamCount(n int) { p.send(downstreamCount{count: n}) }
+// still has, and how many of them count against each account's quota.
+func (p *Partner) SendDownstreamCount(n int, accounts map[string]int) {
+	p.send(downstreamCount{count: n, accounts: accounts})
+}
 
 // AnswersIDQuestions reports whether the partner answers whether it has a request with an ID. An earlier
 // build does not.
--- a/internal/dataplane/hotrestart/partner_test.go
+++ b/internal/dataplane/hotrestart/partner_test.go
@@ -25,7 +25,9 @@
 func (s *recordedEvents) TakenOver(last *proxy.Snapshot)          { s.events <- "taken over " + last.Discovery }
 func (s *recordedEvents) HostSuspended(id string, suspended bool) { s.events <- "suspended " + id }
 func (s *recordedEvents) ListChanged(list *proxy.Snapshot)        { s.events <- "list " + list.Discovery }
-func (s *recordedEvents) DownstreamCount(n int)                   { s.events <- "downstreams" }
+func (s *recordedEvents) DownstreamCount(n int, accounts map[string]int) {
+	s.events <- fmt.Sprint("downstreams ", n, accounts)
+}
 func (s *recordedEvents) ConnectionReceived(connection *proxy.HandedOverConnection) {
 	s.events <- "connection " + connection.Host
 	connection.Downstream.Discard([]byte("x"))
@@ -127,8 +129,8 @@
 	newEvents.expect(t, "suspended a")
 	toOld.SendHostSuspended("b", false)
 	oldEvents.expect(t, "suspended b")
-	toNew.SendDownstreamCount(3)
-	newEvents.expect(t, "downstreams")
+	toNew.SendDownstreamCount(3, map[string]int{"a": 2})
+	newEvents.expect(t, "downstreams 3 map[a:2]")
 	toNew.SendListChanged(sampleSnapshot())
 	newEvents.expect(t, "list 127.0.0.1:1")
 	if !toOld.AnswersIDQuestions() || !toNew.AnswersIDQuestions() {
--- a/internal/dataplane/hotrestart/recorded_test.go
+++ b/internal/dataplane/hotrestart/recorded_test.go
@@ -53,7 +53,7 @@
 		takenOver{snapshot: fullSnapshot()},
 		hostSuspended{hostID: "b", suspended: true},
 		listChanged{snapshot: fullSnapshot()},
-		downstreamCount{count: 12},
+		downstreamCount{count: 12, accounts: map[string]int{"a": 1}},
 		connection{fullConnection()},
 		idQuestion{requestID: "r"},
 		idAnswer{requestID: "r", inUse: true},
--- a/internal/dataplane/proxy/fleetrules.go
+++ b/internal/dataplane/proxy/fleetrules.go
@@ -15,6 +15,8 @@
 type fleetRules struct {
 	enforcer *rules.Enforcer // nil if there are no rules
 	quota    Quota           // nil if there are no limits over the fleet
+	// otherProcess holds, by account, how many connections of the other process of this proxy count here.
+	otherProcess map[string]int
 }
 
 // SetRules sets the rules on which the fleet agrees. It is called after Run and before the core
--- a/internal/dataplane/proxy/handover.go
+++ b/internal/dataplane/proxy/handover.go
@@ -147,6 +147,7 @@
 	c.replaceRequest(r)
 	c.admission.downstreams++ // without a check of the limit: the connection is already open
 	c.counters.resumed++
+	c.countExistingConnection(r)
 	c.notify(nil, r.pool, a.reportAdopted)
 	if c.hosts.suspensions.Suspended(h.hostID) {
 		c.migrateOffHost(h, r)
--- a/internal/dataplane/proxy/quota.go
+++ b/internal/dataplane/proxy/quota.go
@@ -70,18 +70,51 @@
 // are not counted yet, because they were opened before this process had rules or their account had
 // limits.
 func (c *Core) countExistingConnections() {
-	if c.fleet.quota == nil {
+	for _, r := range c.requests {
+		c.countExistingConnection(r)
+	}
+}
+
+// countExistingConnection counts an open connection against the limits of its account, unless it is
+// counted already or the account has no limits.
+func (c *Core) countExistingConnection(r *Request) {
+	if c.fleet.quota == nil || c.fleet.enforcer == nil || !r.isOpen() || r.quotaAccount != "" {
 		return
 	}
+	if account := c.fleet.enforcer.Account(c.tenantName(r)); account != "" && c.fleet.quota.IsLimited(account) {
+		r.quotaAccount = account
+		c.fleet.quota.CountExisting(account)
+	}
+}
+
+// AccountConnections returns the number of connections that count against each account's quota.
+func (c *Core) AccountConnections() map[string]int {
+	counts := map[string]int{}
 	for _, r := range c.requests {
-		if !r.isOpen() || r.quotaAccount != "" {
-			continue
+		if r.quotaAccount != "" {
+			counts[r.quotaAccount]++
 		}
-		if account := c.fleet.enforcer.Account(c.tenantName(r)); account != "" && c.fleet.quota.IsLimited(account) {
-			r.quotaAccount = account
+	}
+	return counts
+}
+
+// SetOtherProcessConnections counts the connections that the other process of this proxy has, by account,
+// against the quotas of this one. The other process does not report them to the fleet any more.
+func (c *Core) SetOtherProcessConnections(counts map[string]int) {
+	if c.fleet.quota == nil {
+		return
+	}
+	for account, n := range counts {
+		for range n - c.fleet.otherProcess[account] {
 			c.fleet.quota.CountExisting(account)
 		}
 	}
+	for account, n := range c.fleet.otherProcess {
+		for range n - counts[account] {
+			c.fleet.quota.Release(account)
+		}
+	}
+	c.fleet.otherProcess = counts
 }
 
 // tenantName returns the tenant that the request's client named. A connection from before a hot
--- a/internal/dataplane/proxy/quota_test.go
+++ b/internal/dataplane/proxy/quota_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/balancer"
 	"croftlock/internal/dataplane/netio"
 	"croftlock/internal/fleet/namespace"
 	"croftlock/internal/fleet/rules"
@@ -124,3 +125,28 @@
 		t.Fatalf("%d connections count against the quota after the end of the request, want 0", quota.inUse["a"])
 	}
 }
+
+// TestConnectionsOfOtherProcessUseQuota guards against accounts that exceed their limits during a hot
+// restart: the old process's connections count at the new one until they end or are handed over, and
+// those that are handed over count there.
+func TestConnectionsOfOtherProcessUseQuota(t *testing.T) {
+	w, quota := newQuotaHarness(t)
+	inUse := func(want int, when string) {
+		t.Helper()
+		if quota.inUse["a"] != want {
+			t.Errorf("%s %d connections count against the quota, want %d", when, quota.inUse["a"], want)
+		}
+	}
+	w.core.SetOtherProcessConnections(map[string]int{"a": 2})
+	inUse(2, "with two connections at the old process")
+	resumed, _ := w.core.Resume(&HandedOverConnection{Request: balancer.Request{ID: "resumed"}, Class: "c", Tenant: "t", Host: "A"}, &fakeDownstream{w, "resumed"}, &fakeUpstream{harness: w})
+	w.core.SetOtherProcessConnections(map[string]int{"a": 1})
+	inUse(2, "after one was handed over")
+	if counts := w.core.AccountConnections(); counts["a"] != 1 {
+		t.Errorf("connections by account: %v, want one of a", counts)
+	}
+	w.core.SetOtherProcessConnections(nil)
+	inUse(1, "after the end of the old process")
+	resumed.DownstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.Ended})
+	inUse(0, "after the end of the connection")
+}
--- a/internal/dataplane/proxy/snapshot.go
+++ b/internal/dataplane/proxy/snapshot.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"croftlock/internal/balancer"
+	"croftlock/internal/fleet/quota"
 	"croftlock/internal/fleet/rules"
 	"croftlock/internal/operations/maintenance"
 )
@@ -45,6 +46,9 @@
 	// Rules is the version of the fleet's rules that the writer acts by, with the rest of its lease. It
 	// is nil if rules are off, before the first version, or if an earlier build wrote the snapshot.
 	Rules *rules.HeldLease `json:"Rules,omitempty"`
+	// Quota holds the grants of quotas that the writer gives up to the next process. It is set only in the
+	// last snapshot that a process sends before the next one serves.
+	Quota *quota.Grants `json:"Quota,omitempty"`
 }
 
 // ResumedHost is a host that counts as started at the end of its suspension, because the discovery
--- a/internal/fleet/owneragent/enforcement.go
+++ b/internal/fleet/owneragent/enforcement.go
@@ -61,6 +61,28 @@
 	return e.rules
 }
 
+// YieldQuota returns the grants of quotas for the next process of this proxy. It returns nil if rules are
+// off.
+func (e *Enforcement) YieldQuota() *quota.Grants {
+	if e == nil {
+		return nil
+	}
+	return e.quota.Yield()
+}
+
+// RestoreQuota adds the grants that the other process of this proxy has yielded at the request of this
+// one, which was made at requestedAt. grants is nil if that process could not be asked. RestoreQuota does
+// nothing if rules are off.
+func (e *Enforcement) RestoreQuota(grants *quota.Grants, requestedAt time.Time) {
+	switch {
+	case e == nil:
+	case grants == nil:
+		e.quota.DelayOwnShare()
+	default:
+		e.quota.Restore(grants, e.At(requestedAt))
+	}
+}
+
 // IsLimited reports whether an account or one of its ancestors has fleet-wide limits.
 func (e *Enforcement) IsLimited(account string) bool { return e.rules.IsLimited(account) }
 
