Hot restart: the new process has the watermarks of other members' lists

The exchange of watermarks began with the new process's membership, after its first clients, so a host that drains by another member's newer list could get requests from it until gossip came.

--- a/internal/app/node/fleet.go
+++ b/internal/app/node/fleet.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	p.startWatermarks()
+	p.fleet.attachWatermarks()
 	return p.startOwners()
 }
 
@@ -68,7 +68,7 @@
 		return
 	}
 	p.fleet.members = members
-	p.startWatermarks()
+	p.fleet.attachWatermarks()
 	p.restartOwners(members)
 }
 
--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -89,6 +89,8 @@
 		return err
 	}
 	p.enforceRules(handoff)
+	p.startWatermarks()
+	p.fleet.restoreWatermarks(handoff.Snapshot.Watermarks)
 	p.openPeers(handoff.DatagramFD)
 	if old == nil { // an old process remains the fleet's member for this proxy until the takeover
 		if err := p.joinFleetAtStart(); err != nil {
--- a/internal/app/node/partner.go
+++ b/internal/app/node/partner.go
@@ -63,6 +63,7 @@
 	}
 	e.applyDiscovery(s)
 	e.applyList(s)
+	e.fleet.restoreWatermarks(s.Watermarks)
 	e.core.RestoreSuspensions(s)
 	if e.fleet.enforcement != nil {
 		e.core.RestoreRules(s.Rules, e.fleet.enforcement.At(e.restart.takeOverRequestedAt))
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -272,6 +272,7 @@
 func (p *process) snapshot(yieldSlowStart bool) *proxy.Snapshot {
 	s := p.core.Snapshot(yieldSlowStart)
 	s.Discovery, s.Revision = p.discovery.Source()
+	s.Watermarks = p.fleet.receivedWatermarks()
 	if s.Discovery != p.restart.startDiscovery {
 		s.StartDiscovery = p.restart.startDiscovery
 	}
--- a/internal/app/node/watermarks.go
+++ b/internal/app/node/watermarks.go
@@ -7,25 +7,20 @@
 	"croftlock/internal/balancer"
 	"croftlock/internal/dataplane/netio"
 	"croftlock/internal/dataplane/proxy"
-	"croftlock/internal/fleet/memberagent"
 	"croftlock/internal/fleet/membership"
 	"croftlock/internal/fleet/watermark"
 )
 
-// startWatermarks starts the exchange of watermarks with the other members and connects it to the
-// core. A watermark tells members with an older endpoint list which hosts are draining or gone. A
-// previous exchange is closed. startWatermarks does nothing if watermarks are disabled or the member
-// agent does not run.
+// startWatermarks starts the exchange of watermarks and connects it to the core. A watermark tells
+// members with an older endpoint list which hosts are draining or gone. Until the member agent runs, the
+// exchange sends and receives nothing. startWatermarks does nothing if watermarks are disabled.
 func (p *process) startWatermarks() {
 	f := &p.fleet
-	if !f.watermarkOptions.Enabled || f.members == nil {
+	if !f.watermarkOptions.Enabled || !f.memberOptions.Enabled {
 		return
 	}
-	if f.watermarks != nil {
-		f.watermarks.Close()
-	}
 	f.watermarks = &watermark.Link{
-		Transport:    memberTransport{f.members},
+		Transport:    memberTransport{f},
 		Clock:        loopClock{p.loop},
 		Rand:         rand.New(rand.NewPCG(rand.Uint64(), 1)),
 		RefetchAfter: f.watermarkOptions.RefetchAfter,
@@ -34,11 +29,34 @@
 		Source:       p.watermarkSource,
 	}
 	f.watermarks.Run()
-	f.members.Attach(watermark.PayloadChannel, f.watermarks.Receive)
 	_, revision := p.discovery.Source()
 	p.core.SetWatermarks(coreWatermarks{f.watermarks}, revision)
 }
 
+// attachWatermarks makes a member agent that has just started pass other members' watermarks to the
+// exchange.
+func (f *fleet) attachWatermarks() {
+	if f.watermarks != nil {
+		f.members.Attach(watermark.PayloadChannel, f.watermarks.Receive)
+	}
+}
+
+// receivedWatermarks returns the watermarks to hand over to the next process, or nil if there are none.
+func (f *fleet) receivedWatermarks() *watermark.Received {
+	if f.watermarks == nil {
+		return nil
+	}
+	return f.watermarks.Received()
+}
+
+// restoreWatermarks adds the watermarks that another process of this proxy has received. received may be
+// nil.
+func (f *fleet) restoreWatermarks(received *watermark.Received) {
+	if f.watermarks != nil {
+		f.watermarks.Restore(received)
+	}
+}
+
 // watermarkSource returns an ID of the discovery service whose list revisions the watermarks
 // contain. The ID is derived from the name in the settings, or from the discovery address if no name
 // is set.
@@ -56,13 +74,31 @@
 // After calls f on the loop after d.
 func (c loopClock) After(d time.Duration, f func()) { c.Loop.After(d, f) }
 
-// memberTransport sends watermarks to other members through the member agent.
-type memberTransport struct{ *memberagent.Agent }
+// memberTransport sends watermarks to other members through the member agent, if it runs.
+type memberTransport struct{ *fleet }
+
+// SendPayload sends data to a member.
+func (t memberTransport) SendPayload(member uint32, channel byte, data []byte) {
+	if t.members != nil {
+		t.members.SendPayload(member, channel, data)
+	}
+}
+
+// MaxPayload returns the length of the longest datagram in bytes.
+func (t memberTransport) MaxPayload() int {
+	if t.members == nil {
+		return membership.MaxPayload(membership.SealLength)
+	}
+	return t.members.MaxPayload()
+}
 
 // Others returns the IDs of the members that may be alive. These include suspects: a suspect does not
 // answer, but may still receive.
-func (w memberTransport) Others() (out []uint32) {
-	for _, m := range w.View() {
+func (t memberTransport) Others() (out []uint32) {
+	if t.members == nil {
+		return nil
+	}
+	for _, m := range t.members.View() {
 		if m.State == "alive" || m.State == "suspect" {
 			out = append(out, m.ID)
 		}
--- a/internal/dataplane/proxy/snapshot.go
+++ b/internal/dataplane/proxy/snapshot.go
@@ -10,6 +10,7 @@
 	"croftlock/internal/balancer"
 	"croftlock/internal/fleet/quota"
 	"croftlock/internal/fleet/rules"
+	"croftlock/internal/fleet/watermark"
 	"croftlock/internal/operations/maintenance"
 )
 
@@ -40,6 +41,8 @@
 	FleetSuspended *[]maintenance.Suspension `json:"FleetOut,omitempty"`
 	// Resumed holds the hosts whose suspension has ended and whose start is a guess since then.
 	Resumed []ResumedHost `json:"Resumed,omitempty"`
+	// Watermarks holds the watermarks of other proxies' newer endpoint lists. It is nil if there are none.
+	Watermarks *watermark.Received `json:"Watermarks,omitempty"`
 	// OpenIDs holds the IDs of the writer's requests. It is set only in a snapshot that a running process
 	// sends to the next one.
 	OpenIDs []string `json:"OpenIDs,omitempty"`
@@ -98,8 +101,11 @@
 		slog.Warn("clock_stepped", "between", "processes", "ms", offset/1e6)
 		s.shift(offset)
 	}
-	if s.Rules != nil && !live {
-		s.Rules.Remaining = 0 // how long ago the lease was stored is unknown
+	if !live { // how long ago the state was stored is unknown
+		s.Watermarks = nil
+		if s.Rules != nil {
+			s.Rules.Remaining = 0
+		}
 	}
 	for _, suspension := range s.suspensions() {
 		suspension.Since = min(suspension.Since, now) // a suspension is in force even if its time is in the future
