--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -37,6 +37,7 @@
 // process is one process of a proxy. Its methods must be called on the loop, or before the loop
 // runs, unless their comment allows any goroutine.
 type process struct {
+	startedAt time.Time
 	cfg       *platform.Config
 	loop      *netio.Loop         // the event loop
 	dialer    *netio.Dialer       // opens the TCP connections to upstream hosts and discovery
@@ -56,7 +57,7 @@
 	ConfigureLog(file, format)
 	runtime.GOMAXPROCS(cfg.MaxThreads())
 	debug.SetMemoryLimit(cfg.MemoryLimit())
-	p := &process{cfg: cfg, loop: netio.NewLoop(), fleet: newFleet(file)}
+	p := &process{startedAt: time.Now(), cfg: cfg, loop: netio.NewLoop(), fleet: newFleet(file)}
 	if err := netio.Attach(p.loop); err != nil {
 		return fmt.Errorf("netpoll: %v", err)
 	}
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -15,12 +15,18 @@
 )
 
 const (
+	// readyTime is the maximum time from the start of a new process until it serves, so that it says
+	// so within the 6 s that the platform allows. The waits below are cut short for it.
+	readyTime = 5300 * time.Millisecond
 	// ownListWait is the maximum time that a new process waits for its own endpoint list from
 	// discovery. It then takes over with the old process's list.
 	ownListWait = 2500 * time.Millisecond
 	// takenOverWait is the maximum time that a new process waits for the old one's last snapshot
 	// (its state) before it serves.
 	takenOverWait = 700 * time.Millisecond
+	// minTakenOverWait is the minimum of that time for a process that is late: a third one that has
+	// waited for the end of a hot restart.
+	minTakenOverWait = 300 * time.Millisecond
 	// joinWait is the maximum time that a process waits for a lease to act by the fleet's rules, and for
 	// the fleet's suspensions, before it accepts clients in a hot restart. Meanwhile clients wait in the
 	// accept queue. It waits only if the other process has handed over no lease that is still valid, or
@@ -179,7 +185,13 @@
 	// Watches the list now, because the decision module would poll only later and meanwhile assign
 	// requests to hosts that have begun to drain.
 	p.discovery.WatchList(true)
-	p.loop.After(ownListWait, p.becomeTakingOver)
+	p.loop.After(p.waitForReady(ownListWait, takenOverWait+joinWait), p.becomeTakingOver)
+}
+
+// waitForReady returns wait, or less if the process would otherwise not serve within readyTime of its
+// start. reserved is the longest time that the steps after the wait may take.
+func (p *process) waitForReady(wait, reserved time.Duration) time.Duration {
+	return max(0, min(wait, readyTime-reserved-time.Since(p.startedAt)))
 }
 
 // becomeTakingOver asks the old process to stop accepting clients. The old process accepts them
@@ -191,7 +203,7 @@
 	p.restart.phase = takingOver
 	p.restart.takeOverRequestedAt = time.Now()
 	p.restart.partner.SendTakeOver()
-	p.loop.After(takenOverWait, p.becomeServing)
+	p.loop.After(max(minTakenOverWait, p.waitForReady(takenOverWait, joinWait)), p.becomeServing)
 }
 
 // becomeServing makes a new process join the fleet, accept clients and store its state. It is called
@@ -202,16 +214,16 @@
 		return
 	}
 	p.fleet.enforcement.RestoreQuota(p.restart.yieldedQuota, p.restart.takeOverRequestedAt)
-	p.joinAndServe(func() { slog.Info("hot_restart_taken_over", "partner", p.restart.partner != nil) })
+	p.joinAndServe(p.waitForReady(joinWait, 0), func() { slog.Info("hot_restart_taken_over", "partner", p.restart.partner != nil) })
 }
 
 // joinAndServe makes this process the fleet's member for this proxy in a hot restart, then accepts
 // clients, calls served and stores the state. It accepts clients at once if it may act by the fleet's
-// rules and knows the fleet's suspensions, and otherwise when it does or after joinWait.
-func (p *process) joinAndServe(served func()) {
+// rules and knows the fleet's suspensions, and otherwise when it does or after wait.
+func (p *process) joinAndServe(wait time.Duration, served func()) {
 	p.restart.phase = joiningFleet
 	p.rejoinFleet()
-	p.serveOnceJoined(p.loop.Now()+int64(joinWait), served)
+	p.serveOnceJoined(p.loop.Now()+int64(wait), served)
 }
 
 // serveOnceJoined completes joinAndServe. deadline is on the loop's clock. It does nothing if the
@@ -254,7 +266,7 @@
 // the clients that wait in the accept queue of the shared listening socket.
 func (p *process) takeBack() {
 	p.core.RestoreBalancer(p.restart.yieldedState) // recovers the slow-start budgets yielded to the new process
-	p.joinAndServe(func() { slog.Warn("hot_restart_taken_back", "downstreams", p.core.Downstreams()) })
+	p.joinAndServe(joinWait, func() { slog.Warn("hot_restart_taken_back", "downstreams", p.core.Downstreams()) })
 }
 
 // reportDownstreams sends the number of remaining downstreams to the new process now and every
