--- a/internal/dataplane/lineproto/lineproto.go
+++ b/internal/dataplane/lineproto/lineproto.go
@@ -15,6 +15,10 @@
 // MaxLineBytes is the maximum length of a line, including its CRLF.
 const MaxLineBytes = 4096
 
+// maxWaitFieldBytes is the maximum length of the field that WithWait adds: its comma, name and sign, and a
+// wait of up to ten digits.
+const maxWaitFieldBytes = len(",d=") + 10
+
 // Errors in a client's lines.
 var (
 	ErrTooLong          error = &proxy.InvalidRequestError{Reason: proxy.LineTooLong}
@@ -78,6 +82,9 @@
 		}
 		offset += len(pair) + 1
 	}
+	if o.waitEnd == 0 && len(line)+maxWaitFieldBytes > MaxLineBytes {
+		return nil, ErrTooLong // with the field d, which WithWait adds
+	}
 	return o, nil
 }
 
--- a/internal/dataplane/lineproto/lineproto_test.go
+++ b/internal/dataplane/lineproto/lineproto_test.go
@@ -121,3 +121,24 @@
 		t.Errorf("busyLine(1.5ms) = %q, want \"BUSY 2\\r\\n\"", got)
 	}
 }
+
+// TestLineTooLongWithWait guards against a request line over the protocol's limit at a host: WithWait adds
+// the field d to a line without one, which must leave room for it.
+func TestLineTooLongWithWait(t *testing.T) {
+	for _, tc := range []struct {
+		fields  string // before the padding
+		bytes   int    // of the line
+		wantErr error
+	}{{"c=c,t=", MaxLineBytes, ErrTooLong}, {"c=c,t=", MaxLineBytes - maxWaitFieldBytes, nil}, {"c=c,d=2000,t=", MaxLineBytes, nil}} {
+		line := openLinePrefix + tc.fields
+		line += strings.Repeat("t", tc.bytes-len(line)-2) + "\r\n"
+		o, err := ParseOpenLine([]byte(line))
+		if err != tc.wantErr {
+			t.Errorf("a line of %d bytes with %s: error %v, want %v", len(line), tc.fields, err, tc.wantErr)
+			continue
+		}
+		if err == nil && len(o.WithWait(4800*time.Millisecond)) > MaxLineBytes {
+			t.Errorf("a line of %d bytes with %s becomes %d bytes long, want at most %d", len(line), tc.fields, len(o.WithWait(4800*time.Millisecond)), MaxLineBytes)
+		}
+	}
+}
