proxy: a client migrates when the proxy ends its connection to a host

Cause: the end of a host's connection is passed on alike, whether the host or the proxy has ended it. Change: MOVE if the proxy ended it.

--- a/internal/dataplane/proxy/core_test.go
+++ b/internal/dataplane/proxy/core_test.go
@@ -212,3 +212,14 @@
 		t.Errorf("Metrics() =\n%swant\n%s", got, want)
 	}
 }
+
+// TestBrokenProtocolMigratesClient guards against a client that is cut off without MOVE, because the proxy
+// ends its connection to a host that breaks the protocol.
+func TestBrokenProtocolMigratesClient(t *testing.T) {
+	w := newHarness(t)
+	_, u := w.serve("q")
+	u.events.UpstreamEnded(&netio.Error{Stage: netio.Up, Cause: netio.EndedLocally})
+	if len(w.events) == 0 || w.events[0] != "migrate q" {
+		t.Errorf("events %v, want migrate q first", w.events)
+	}
+}
--- a/internal/dataplane/proxy/upstream.go
+++ b/internal/dataplane/proxy/upstream.go
@@ -135,7 +135,11 @@
 			"detail", err.Text())
 	}
 	a.request.record.ConnectionEnded()
-	a.request.downstream.End(err.Cause)
+	if err.Cause == netio.EndedLocally {
+		a.request.downstream.Migrate() // the proxy ends the connection, since the host breaks the protocol or does not read
+	} else {
+		a.request.downstream.End(err.Cause)
+	}
 	a.notifyEnded(status)
 }
 
