--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -6,9 +6,10 @@
 // has taken over.
 //
 // signals.go handles SIGHUP and SIGTERM. fleet.go starts membership and the jobs that the proxies
-// divide among themselves. Four files implement a hot restart: restart.go defines the phases of both
-// processes, predecessor.go contains what a new process requests of the old one, partner.go handles
-// messages from the other process, and successor.go implements the methods that the core calls.
+// divide among themselves. Five files implement a hot restart: restart.go defines the phases of both
+// processes and what they hand over, takeover.go changes from one phase to the next, predecessor.go
+// contains what a new process requests of the old one, partner.go handles messages from the other
+// process, and successor.go implements the methods that the core calls.
 package node
 
 import (
--- a/internal/fleet/memberagent/agent.go
+++ b/internal/fleet/memberagent/agent.go
@@ -19,13 +19,9 @@
 	"croftlock/internal/fleet/peers"
 )
 
-const (
-	// tickInterval is the time between two calls of Core.Tick. Only a gap of several probe intervals counts
-	// as a pause of the process.
-	tickInterval = 50 * time.Millisecond
-	// socketRetryInterval is the time between two attempts to listen at a socket that is in use.
-	socketRetryInterval = 100 * time.Millisecond
-)
+// tickInterval is the time between two calls of Core.Tick. Only a gap of several probe intervals counts as
+// a pause of the process.
+const tickInterval = 50 * time.Millisecond
 
 // Agent runs the membership protocol for one process. All its methods must be called on the event loop.
 type Agent struct {
@@ -74,7 +70,7 @@
 		return nil, fmt.Errorf("membership: %w", err)
 	}
 	if o.Socket != "" {
-		if err := a.listenForReports(o.Socket); err != nil {
+		if err := a.serveReports(o.Socket); err != nil {
 			a.Stop()
 			return nil, fmt.Errorf("membership: %w", err)
 		}
--- a/internal/fleet/memberagent/socket.go
+++ b/internal/fleet/memberagent/socket.go
@@ -9,6 +9,8 @@
 	"os"
 	"path/filepath"
 	"time"
+
+	"croftlock/internal/dataplane/netio"
 )
 
 const (
@@ -19,6 +21,8 @@
 	requestTimeout = 5 * time.Second
 	// inUseTimeout is how long ListenUnix waits for another process to accept a connection on the socket.
 	inUseTimeout = time.Second
+	// socketRetryInterval is the time between two attempts to listen on a socket that is in use.
+	socketRetryInterval = 100 * time.Millisecond
 )
 
 // SocketInUseError is returned if another process listens on the Unix socket at Path.
@@ -27,50 +31,24 @@
 // Error implements error.
 func (e *SocketInUseError) Error() string { return fmt.Sprintf("socket %s is in use", e.Path) }
 
-// listenForReports calls serveReports. While another process listens on the socket, such as the old one of
-// a hot restart that has not left the fleet yet, it retries each socketRetryInterval: the Agent does its
-// work without the socket meanwhile. It logs only the first such failure.
-func (a *Agent) listenForReports(path string) error {
-	err := a.serveReports(path)
-	if inUse := new(SocketInUseError); errors.As(err, &inUse) {
-		slog.Info("members_socket_in_use", "socket", inUse.Path)
-		a.loop.After(socketRetryInterval, func() { a.retryReports(path) })
-		return nil
-	}
-	return err
-}
-
-// retryReports calls serveReports until the socket is not in use any more or the Agent has stopped.
-func (a *Agent) retryReports(path string) {
-	if a.closed {
-		return
-	}
-	err := a.serveReports(path)
-	if inUse := new(SocketInUseError); errors.As(err, &inUse) {
-		a.loop.After(socketRetryInterval, func() { a.retryReports(path) })
-	} else if err != nil {
-		slog.Warn("members_socket_off", "reason", err)
-	}
+// serveReports answers each connection to the Unix socket with one report, on a goroutine. The event loop
+// makes the report.
+func (a *Agent) serveReports(path string) error {
+	return ListenUnixOnceFree(a.loop, path, func() bool { return a.closed }, func(l net.Listener) {
+		a.reportSocket = l
+		go a.acceptReaders(l)
+	})
 }
 
-// serveReports starts a goroutine that answers each connection to the Unix socket with one report. The event
-// loop makes the report.
-func (a *Agent) serveReports(path string) error {
-	l, err := ListenUnix(path)
-	if err != nil {
-		return err
-	}
-	a.reportSocket = l
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			a.sendReport(c)
+// acceptReaders sends a report on each connection until the listener is closed.
+func (a *Agent) acceptReaders(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
 		}
-	}()
-	return nil
+		a.sendReport(c)
+	}
 }
 
 // sendReport sends a report on a connection and closes it. It sends none if the event loop makes none within
@@ -105,6 +83,41 @@
 	return l, nil
 }
 
+// ListenUnixOnceFree calls use on the loop with the result of ListenUnix, at once if that succeeds. While
+// another process listens on the socket, such as the old one of a hot restart that has not left the fleet
+// yet, it retries each socketRetryInterval until stopped reports true. It returns an error if the socket
+// can't be used for another reason; in a retry it only logs that. It must be called on the loop.
+func ListenUnixOnceFree(loop *netio.Loop, path string, stopped func() bool, use func(net.Listener)) error {
+	l, err := ListenUnix(path)
+	if err == nil {
+		use(l)
+		return nil
+	}
+	if inUse := new(SocketInUseError); !errors.As(err, &inUse) {
+		return err
+	}
+	slog.Info("socket_in_use", "socket", path)
+	loop.After(socketRetryInterval, func() { retryListen(loop, path, stopped, use) })
+	return nil
+}
+
+// retryListen continues ListenUnixOnceFree.
+func retryListen(loop *netio.Loop, path string, stopped func() bool, use func(net.Listener)) {
+	if stopped() {
+		return
+	}
+	l, err := ListenUnix(path)
+	if err == nil {
+		use(l)
+		return
+	}
+	if inUse := new(SocketInUseError); !errors.As(err, &inUse) {
+		slog.Warn("socket_off", "socket", path, "reason", err)
+		return
+	}
+	loop.After(socketRetryInterval, func() { retryListen(loop, path, stopped, use) })
+}
+
 // RequestReport returns the report of the running proxy that listens on a Unix socket, whose path is socket.
 // It fails if the complete report does not arrive within requestTimeout.
 func RequestReport(socket string) (Report, error) {
--- a/internal/fleet/owneragent/adminsocket.go
+++ b/internal/fleet/owneragent/adminsocket.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"time"
 
+	"croftlock/internal/dataplane/netio"
 	"croftlock/internal/fleet/memberagent"
 	"croftlock/internal/fleet/namespace"
 )
@@ -37,15 +38,15 @@
 	connectionLimit chan struct{} // holds one value for each connection that is being served
 }
 
-// listenAdmin starts to serve a Unix socket that only the user of this process may use.
-func listenAdmin(path string, handle func(Request) Reply) (*adminSocket, error) {
-	l, err := memberagent.ListenUnix(path)
-	if err != nil {
-		return nil, err
-	}
-	s := &adminSocket{listener: l, handle: handle, connectionLimit: make(chan struct{}, maxConnections)}
-	go s.accept()
-	return s, nil
+// listenAdmin starts to serve a Unix socket that only the user of this process may use, and calls
+// listening with it, at once or when no other process serves there any more. stopped reports whether that
+// is not needed any more. It must be called on the loop.
+func listenAdmin(loop *netio.Loop, path string, handle func(Request) Reply, stopped func() bool, listening func(*adminSocket)) error {
+	return memberagent.ListenUnixOnceFree(loop, path, stopped, func(l net.Listener) {
+		s := &adminSocket{listener: l, handle: handle, connectionLimit: make(chan struct{}, maxConnections)}
+		listening(s)
+		go s.accept()
+	})
 }
 
 func (s *adminSocket) close() { s.listener.Close() }
--- a/internal/fleet/owneragent/agent.go
+++ b/internal/fleet/owneragent/agent.go
@@ -9,7 +9,6 @@
 import (
 	"errors"
 	"fmt"
-	"log/slog"
 	"slices"
 	"time"
 
@@ -63,12 +62,8 @@
 // ErrMembershipOff is returned by Start if membership is off.
 var ErrMembershipOff = errors.New("owners: membership is off")
 
-const (
-	// viewInterval is the time between two updates of the worker's view of the members.
-	viewInterval = 250 * time.Millisecond
-	// socketRetryInterval is the time between two attempts to listen at a socket that is in use.
-	socketRetryInterval = 100 * time.Millisecond
-)
+// viewInterval is the time between two updates of the worker's view of the members.
+const viewInterval = 250 * time.Millisecond
 
 // Start starts the agent of the process with this member name. It must be called on the loop.
 // enforcement is what this process enforces of the fleet's rules, or nil if rules are off; at most one
@@ -87,8 +82,9 @@
 	a.jobs = newJobRunner(a)
 	a.addJobs(applySuspended)
 	if o.Socket != "" {
-		if err := a.startAdminSocket(); err != nil {
-			return nil, err
+		err := listenAdmin(l, o.Socket, a.serveRequest, a.worker.stopping, func(s *adminSocket) { a.socket = s })
+		if err != nil {
+			return nil, fmt.Errorf("owners: %w", err)
 		}
 	}
 	m.Attach(payloadChannel, a.receiveDatagram)
@@ -97,44 +93,6 @@
 	return a, nil
 }
 
-// startAdminSocket starts to serve operators at the socket. While another process serves there, such
-// as the old one of a hot restart that has not left the fleet yet, it retries each
-// socketRetryInterval: the agent does its work without the socket meanwhile. It logs only the first
-// such failure.
-func (a *Agent) startAdminSocket() error {
-	err := a.listenAtSocket()
-	if inUse := new(memberagent.SocketInUseError); errors.As(err, &inUse) {
-		slog.Info("owners_socket_in_use", "socket", inUse.Path)
-		a.loop.After(socketRetryInterval, a.retryAdminSocket)
-		return nil
-	}
-	return err
-}
-
-// retryAdminSocket calls listenAtSocket until the socket is not in use any more or the agent has
-// stopped.
-func (a *Agent) retryAdminSocket() {
-	if a.worker.stopping() {
-		return
-	}
-	err := a.listenAtSocket()
-	if inUse := new(memberagent.SocketInUseError); errors.As(err, &inUse) {
-		a.loop.After(socketRetryInterval, a.retryAdminSocket)
-	} else if err != nil {
-		slog.Warn("owners_socket_off", "reason", err)
-	}
-}
-
-// listenAtSocket serves operators at the socket that the options name.
-func (a *Agent) listenAtSocket() error {
-	socket, err := listenAdmin(a.options.Socket, a.serveRequest)
-	if err != nil {
-		return fmt.Errorf("owners: %w", err)
-	}
-	a.socket = socket
-	return nil
-}
-
 // addJobs adds the jobs that this process can own. It is called before the worker starts.
 func (a *Agent) addJobs(applySuspended func(hosts []string)) {
 	fleetSize := max(1, a.members.FleetSize())
--- a/internal/fleet/owneragent/agent_test.go
+++ b/internal/fleet/owneragent/agent_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"croftlock/internal/fleet/jobs"
+	"croftlock/internal/fleet/memberagent"
 )
 
 // panickingJob is a job that panics at each start if atStart is set, otherwise at its second step.
@@ -102,8 +103,12 @@
 	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o600 {
 		t.Errorf("Stat(%q) = %v, %v; want mode 0600", path, info, err)
 	}
-	if _, err := listenAdmin(path, a.serveRequest); err == nil || !strings.Contains(err.Error(), "in use") {
-		t.Errorf("listenAdmin at a socket in use: error %v, want it to contain %q", err, "in use")
+	taken := false
+	if err := listenAdmin(a.loop, path, a.serveRequest, func() bool { return true }, func(*adminSocket) { taken = true }); err != nil || taken {
+		t.Errorf("listenAdmin at a socket in use: error %v, socket taken %t, want that it leaves the socket and waits", err, taken)
+	}
+	if _, err := memberagent.ListenUnix(path); err == nil || !strings.Contains(err.Error(), "in use") {
+		t.Errorf("ListenUnix at a socket in use: error %v, want it to contain %q", err, "in use")
 	}
 	for _, c := range []struct{ request, want string }{
 		{`{"do":"dance"}`, "no request"},
