--- a/internal/app/command/restartids_test.go
+++ b/internal/app/command/restartids_test.go
@@ -56,6 +56,7 @@
 	if answer := openWithID(t, h.dial(), openAtNew); !strings.HasPrefix(answer, "UP") {
 		t.Fatalf("a request with a new ID is answered with %q, want UP", answer)
 	}
+	h.expectUsed(h.dial(), openAtNew, "at the new process, opened there")
 	h.expectUsed(acceptedByOld, openAtNew, "at the old process")
 	h.checkConnection(openAtOld, "one")
 
--- a/internal/app/command/restartready_test.go
+++ b/internal/app/command/restartready_test.go
@@ -105,18 +105,25 @@
 	}
 }
 
+// startRefusingRig starts a rig with the host s0, whose rules refuse the tenant closed.
+func startRefusingRig(t *testing.T) (rig *experiment.Rig, discovery *fake.Discovery) {
+	t.Helper()
+	hosts := newHosts(t, "a", "s0")
+	rig = startRulesRigWithHosts(t, "", agreeWithin, hosts.Discovery)
+	waitActive(t, rig, 0, 0, 5)
+	putRulesUntil(t, rig, 0, 0, `(rules (refuse closed (tenant closed) (advice 300ms)))`, "active: version 1 at")
+	waitActive(t, rig, replacedProxy, 1, 5)
+	return rig, hosts.Discovery
+}
+
 // TestHotRestartReadyInTime guards against a new process that ends, or is not ready within 6 s, because the
 // old one hangs or dies, or because the fleet can't be reached; and against one that then acts without
 // the fleet's rules.
 func TestHotRestartReadyInTime(t *testing.T) {
 	t.Parallel()
-	hosts := newHosts(t, "a", "s0")
-	rig := startRulesRigWithHosts(t, "", agreeWithin, hosts.Discovery)
-	waitActive(t, rig, 0, 0, 5)
-	putRulesUntil(t, rig, 0, 0, `(rules (refuse closed (tenant closed) (advice 300ms)))`, "active: version 1 at")
-	waitActive(t, rig, replacedProxy, 1, 5)
+	rig, discovery := startRefusingRig(t)
 	for i := range restartDisturbances {
-		restartDisturbances[i].run(t, rig, hosts.Discovery)
+		restartDisturbances[i].run(t, rig, discovery)
 	}
 }
 
@@ -124,19 +131,10 @@
 // fleet's rules, and serves what they admit.
 func TestHotRestartTakenBackKeepsRules(t *testing.T) {
 	t.Parallel()
-	hosts := newHosts(t, "a", "s0")
-	rig := startRulesRigWithHosts(t, "", agreeWithin, hosts.Discovery)
-	waitActive(t, rig, 0, 0, 5)
-	putRulesUntil(t, rig, 0, 0, `(rules (refuse closed (tenant closed) (advice 300ms)))`, "active: version 1 at")
-	waitActive(t, rig, replacedProxy, 1, 5)
+	rig, _ := startRefusingRig(t)
 	old, admin := rig.Procs[replacedProxy], rig.Admin(replacedProxy)
 	for range 2 {
-		if err := rig.Start(replacedProxy); err != nil {
-			t.Fatal(err)
-		}
-		if err := experiment.AwaitReady(rig.Admin(replacedProxy), readyLimit); err != nil {
-			t.Fatal(err)
-		}
+		startSuccessor(t, rig, replacedProxy)
 		time.Sleep(agreeWithin + 500*time.Millisecond) // until the old process's lease has ended
 		rig.Procs[replacedProxy].Kill()
 		if err := experiment.AwaitReady(admin, readyLimit); err != nil {
--- a/internal/app/command/restartrules_test.go
+++ b/internal/app/command/restartrules_test.go
@@ -84,19 +84,26 @@
 	}
 }
 
+// startSuccessor starts the next process of a proxy, waits until it is ready and returns the old one.
+func startSuccessor(t *testing.T, rig *experiment.Rig, i int) (old *experiment.Process) {
+	t.Helper()
+	old = rig.Procs[i]
+	if err := rig.Start(i); err != nil {
+		t.Fatal(err)
+	}
+	if err := experiment.AwaitReady(rig.Admin(i), readyLimit); err != nil {
+		t.Fatal(err)
+	}
+	return old
+}
+
 // replaceUnderLoad replaces the process of a proxy while the tenants send requests to it. Both
 // processes run for longer than agree_within, then the new one alone. It returns the stopped load.
 func replaceUnderLoad(t *testing.T, rig *experiment.Rig, i int) *restartLoad {
 	t.Helper()
 	load := startRestartLoad(rig.Procs[i].Addr)
 	time.Sleep(500 * time.Millisecond)
-	old := rig.Procs[i]
-	if err := rig.Start(i); err != nil {
-		t.Fatal(err)
-	}
-	if err := experiment.AwaitReady(rig.Admin(i), 6*time.Second); err != nil {
-		t.Error(err)
-	}
+	old := startSuccessor(t, rig, i)
 	time.Sleep(agreeWithin + 500*time.Millisecond)
 	if err := old.Stop(); err != nil {
 		t.Errorf("the old process ended with error %v, want none", err)
--- a/internal/app/command/restartsuspensions_test.go
+++ b/internal/app/command/restartsuspensions_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"croftlock/internal/testbed/experiment"
 	"croftlock/internal/testbed/fake"
 )
 
@@ -34,13 +33,7 @@
 	rig := startRulesRigWithHosts(t, " (hosts on)", agreeWithin, hosts.Discovery)
 	waitActive(t, rig, 0, 0, 5)
 	eventually(t, "s1 is suspended at all proxies", func() bool { return ownersCommand(t, rig, 1, "suspend", "s1") == "done at all 5" })
-	old := rig.Procs[4]
-	if err := rig.Start(4); err != nil {
-		t.Fatal(err)
-	}
-	if err := experiment.AwaitReady(rig.Admin(4), 6*time.Second); err != nil {
-		t.Fatal(err)
-	}
+	old := startSuccessor(t, rig, 4)
 	if served := hostsServing(rig.Procs[4].Addr, 2*time.Second); served["s0"] < 50 || len(served) != 1 {
 		t.Errorf("during the hot restart requests were served by %v, want 50 or more by s0 and none elsewhere", served)
 	}
@@ -48,7 +41,5 @@
 		t.Errorf("the old process ended with error %v, want none", err)
 	}
 	eventually(t, "s1 is resumed at all proxies", func() bool { return ownersCommand(t, rig, 1, "resume", "s1") == "done at all 5" })
-	if served := hostsServing(rig.Procs[4].Addr, 8*time.Second); served["s1"] == 0 {
-		t.Errorf("after s1 was resumed requests were served by %v, want some by s1", served)
-	}
+	eventually(t, "s1 serves requests once it was resumed", func() bool { return hostsServing(rig.Procs[4].Addr, 100*time.Millisecond)["s1"] > 0 })
 }
--- a/internal/testbed/experiment/soak/clients.go
+++ b/internal/testbed/experiment/soak/clients.go
@@ -49,6 +49,7 @@
 	delayedClient                     // waits before it sends its request
 	piecewiseClient                   // sends its request line in two parts
 	impatientClient                   // closes its connection before its request's timeout
+	usedIDClient                      // sends the ID of another client's open request
 	clientKindRange = 20
 )
 
@@ -56,9 +57,16 @@
 func (f *Fleet) runClient(process *proxyProcess, kind clientKind, rng *rand.Rand) {
 	class := f.classes[rng.IntN(len(f.classes))]
 	request, proxy := randomRequest(class, rng), process.node.setup.Listen
-	if kind == malformedClient {
+	switch kind {
+	case malformedClient:
 		sendMalformed(proxy, rng)
 		return
+	case usedIDClient:
+		f.sendUsedID(process, rng)
+		return
+	}
+	if f.options.Rules && rng.IntN(refusedShare) == 0 {
+		request.ExtraFields = "t=" + refusedTenant
 	}
 	c, err := Dial(proxy, request)
 	if err != nil {
--- a/internal/testbed/experiment/soak/command.go
+++ b/internal/testbed/experiment/soak/command.go
@@ -29,6 +29,7 @@
 	c.Flags().Float64Var(&opt.Rate, "rate", 6, "requests per second at each proxy")
 	c.Flags().IntVar(&opt.FaultCount, "faults", 120, "number of faults in that time")
 	c.Flags().BoolVar(&opt.FailSystemCalls, "calls", true, "make system calls fail")
+	c.Flags().BoolVar(&opt.Rules, "rules", false, "turn on the operators' settings, with rules that refuse a tenant")
 	c.Flags().StringVar(&opt.LogDir, "logs", "", "directory for the processes' logs at debug level")
 	c.Flags().StringVar(&program, "croftlock", filepath.Join(filepath.Dir(self), "croftlock"), "the program to run")
 	c.RunE = func(*cobra.Command, []string) error {
--- a/internal/testbed/experiment/soak/faults.go
+++ b/internal/testbed/experiment/soak/faults.go
@@ -15,17 +15,20 @@
 	inject func(f *Fleet, rng *rand.Rand)
 }
 
+// replaceFault is a hot restart of a proxy.
+var replaceFault = faultKind{"replace", 2, func(f *Fleet, rng *rand.Rand) { f.onRandomNode(rng, (*Fleet).replaceNode) }}
+
 // faultKinds contains all kinds of faults that injectFaults chooses from.
 var faultKinds = []faultKind{
-	{"stop", 6, func(f *Fleet, rng *rand.Rand) { f.onRandomNode(rng, (*Fleet).stopNode) }},
+	{"stop", 6, func(f *Fleet, rng *rand.Rand) { f.onEndableNode(rng, (*Fleet).stopNode) }},
 	{"stop-while-hosts-hang", 4, func(f *Fleet, rng *rand.Rand) {
 		undo := f.hangHosts(rng, len(f.Hosts())/2)
 		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
-		f.onRandomNode(rng, (*Fleet).stopNode)
+		f.onEndableNode(rng, (*Fleet).stopNode)
 		undo()
 	}},
-	{"replace", 2, func(f *Fleet, rng *rand.Rand) { f.onRandomNode(rng, (*Fleet).replaceNode) }},
-	{"kill", 3, func(f *Fleet, rng *rand.Rand) { f.onRandomNode(rng, (*Fleet).killNode) }},
+	replaceFault,
+	{"kill", 3, func(f *Fleet, rng *rand.Rand) { f.onEndableNode(rng, (*Fleet).killNode) }},
 	{"pause", 4, func(f *Fleet, rng *rand.Rand) {
 		if process := f.randomNode(rng).Current(); process != nil && !process.hasEnded() {
 			process.pause(time.Duration(20+rng.IntN(130)) * time.Millisecond)
@@ -100,7 +103,19 @@
 // onRandomNode calls do, which starts or ends processes, for a random proxy. It does nothing if
 // another fault has claimed the proxy or the proxy has no process.
 func (f *Fleet) onRandomNode(rng *rand.Rand, do func(f *Fleet, n *Node, rng *rand.Rand) error) {
-	n := f.randomNode(rng)
+	f.onNode(f.randomNode(rng), rng, do)
+}
+
+// onEndableNode is onRandomNode for a fault that ends a process, which it does not do if the proxy must
+// always have one.
+func (f *Fleet) onEndableNode(rng *rand.Rand, do func(f *Fleet, n *Node, rng *rand.Rand) error) {
+	if n := f.randomNode(rng); n.mayEnd() {
+		f.onNode(n, rng, do)
+	}
+}
+
+// onNode calls do for a proxy, unless another fault has claimed it or it has no process.
+func (f *Fleet) onNode(n *Node, rng *rand.Rand, do func(f *Fleet, n *Node, rng *rand.Rand) error) {
 	if !n.claim() {
 		return
 	}
@@ -127,6 +142,13 @@
 // replaceNode does a hot restart. A new process takes over from the current one, which is then shut
 // down.
 func (f *Fleet) replaceNode(n *Node, rng *rand.Rand) error {
+	if !n.mayEnd() {
+		f.voterRestart.Lock()
+		defer func() {
+			time.Sleep(voterRestartPause)
+			f.voterRestart.Unlock()
+		}()
+	}
 	old := n.Current()
 	if err := n.start(); err != nil {
 		return err
@@ -228,13 +250,21 @@
 	panic("unreachable")
 }
 
+// nextFaultKind returns a random kind of fault. With rules on, one in three is a hot restart.
+func (f *Fleet) nextFaultKind(rng *rand.Rand) faultKind {
+	if f.options.Rules && rng.IntN(3) == 0 {
+		return replaceFault
+	}
+	return randomFaultKind(rng)
+}
+
 // injectFaults starts random faults at random times until the given time, without waiting for
 // earlier faults to end.
 func (f *Fleet) injectFaults(until time.Time, rng *rand.Rand, recordFault func(string)) {
 	defer f.workers.Done()
 	total := time.Until(until)
 	for i := range f.options.FaultCount {
-		kind, seed := randomFaultKind(rng), rng.Uint64()
+		kind, seed := f.nextFaultKind(rng), rng.Uint64()
 		at := time.Duration(rng.Float64() * float64(total))
 		f.workers.Add(1)
 		go func() {
--- a/internal/testbed/experiment/soak/fleet.go
+++ b/internal/testbed/experiment/soak/fleet.go
@@ -32,6 +32,7 @@
 	FaultCount      int           // number of faults, which start at random times during Length
 	FailSystemCalls bool          // makes system calls of the proxies fail; the program must call ExecBehindShim
 	SkewClocks      bool          // changes each process's wall clock, also while it runs; the program must call SkewClock
+	Rules           bool          // turns on the operators' settings: the fleet agrees on rules that refuse a tenant
 	LogDir          string        // directory for the processes' logs at debug level; if empty, no logs are saved
 }
 
@@ -47,10 +48,13 @@
 	nodes       []*Node
 	stallMeter  *stallMeter
 	workers     sync.WaitGroup // goroutines of clients, faults and shims
+	// voterRestart is held while a voter of the fleet's rules is replaced, and for a while after.
+	voterRestart sync.Mutex
 
 	mu       sync.Mutex // protects the fields below and clockRNG
 	hosts    []*Host
 	requests []*clientRequest
+	usedIDs  []*usedIDRequest
 	errors   []error // of the run itself
 }
 
@@ -78,6 +82,9 @@
 			return f, err
 		}
 	}
+	if opt.Rules {
+		return f, f.agreeOnRules()
+	}
 	return f, nil
 }
 
@@ -100,6 +107,7 @@
 const (
 	proxyAddress = 1
 	hostAddress  = 2
+	peerAddress  = 3 // of a proxy, for datagrams of the other proxies
 )
 
 // address returns the loopback address of the proxy or host i, which only this fleet uses.
@@ -127,11 +135,8 @@
 	}
 	n.setup = experiment.Setup{Name: fmt.Sprint("n", i), Listen: f.address(proxyAddress, i), Classes: f.classes, Cores: 0.5, MemoryMB: 96, MaxDescriptors: 1024,
 		ConnectTimeout: 250 * time.Millisecond, TmpDir: dir}
-	if f.options.LogDir != "" {
-		n.setup.Settings = filepath.Join(f.env.Dir, "debug.sexp")
-		if err := os.WriteFile(n.setup.Settings, []byte("(log (level debug) (repeat 0))"), 0o600); err != nil {
-			return err
-		}
+	if err := f.writeSettings(n); err != nil {
+		return err
 	}
 	if f.options.FailSystemCalls {
 		f.shims = append(f.shims, NewShim(f.options.Seed*1000+uint64(i)))
@@ -140,6 +145,22 @@
 	return n.start()
 }
 
+// writeSettings writes the operators' settings file of a proxy, if it needs one.
+func (f *Fleet) writeSettings(n *Node) error {
+	text := ""
+	if f.options.LogDir != "" {
+		text = "(log (level debug) (repeat 0))\n"
+	}
+	if f.options.Rules {
+		text += f.rulesSettings(n.number)
+	}
+	if text == "" {
+		return nil
+	}
+	n.setup.Settings = filepath.Join(f.env.Dir, fmt.Sprintf("n%d.sexp", n.number))
+	return os.WriteFile(n.setup.Settings, []byte(text), 0o600)
+}
+
 // newDiscovery starts discovery service k of a proxy. Each list that it writes to the proxy is
 // recorded.
 func (f *Fleet) newDiscovery(n *Node, k int) (*fake.Discovery, error) {
--- a/internal/testbed/experiment/soak/oracle.go
+++ b/internal/testbed/experiment/soak/oracle.go
@@ -29,6 +29,9 @@
 	AttemptAfterClose   Rule = "attempt_after_close"  // no attempt begins after the client has closed its connection
 	SuspendedHostUsed   Rule = "suspended_host_used"  // a host that operators have suspended receives no new attempts
 	ExcludedHostUsed    Rule = "excluded_host_used"   // a host that is draining or removed receives no new attempts
+	UsedIDServed        Rule = "used_id_served"       // a bad client with the ID of an open request is not served
+	UsedIDUnanswered    Rule = "used_id_unanswered"   // such a client gets an answer or a close within 3 s
+	RefusedTenantUsed   Rule = "refused_tenant_used"  // a request that the fleet's rules refuse is neither served nor attempted
 	ConcurrentAttempts  Rule = "concurrent_attempts"  // a request has at most one attempt at a time
 	DuplicateExecution  Rule = "duplicate_execution"  // a request runs again only if its class allows it
 	RejectedAfterRun    Rule = "rejected_after_run"   // a request that is not idempotent is rejected only if no host may have run it
@@ -42,6 +45,7 @@
 	*ClientConnection
 	process *proxyProcess
 	class   experiment.Class
+	idFreed bool // a bad client has used the ID after this request had ended; set before the check
 }
 
 // String identifies the request in violations.
@@ -77,7 +81,10 @@
 		o.checkAnswer(r, outcome)
 		o.checkEnd(r, outcome, attempts)
 	}
-	o.checkAttemptOrder(r, attempts)
+	o.checkRefusal(r, outcome, attempts)
+	if !r.idFreed {
+		o.checkAttemptOrder(r, attempts)
+	}
 	for _, attempt := range attempts {
 		o.checkAttemptAllowed(r, outcome, attempt)
 	}
--- a/internal/testbed/experiment/soak/run.go
+++ b/internal/testbed/experiment/soak/run.go
@@ -19,6 +19,7 @@
 	LongestDeadline    time.Duration
 	Processes          int // processes started, of all proxies
 	Requests           int
+	UsedIDs            int // requests of bad clients with the ID of an open request
 	Answers            map[Answer]int
 	Ends               map[End]int
 	Stopped            int           // processes that were sent SIGTERM
@@ -32,8 +33,8 @@
 
 // String returns one line of name=value pairs.
 func (r *Result) String() string {
-	return fmt.Sprintf("seed=%d longest=%v processes=%d requests=%d answers=%v ends=%v stopped=%d forced=%d failed_calls=%d stall=%v violations=%d errors=%d",
-		r.Seed, r.LongestDeadline, r.Processes, r.Requests, r.Answers, r.Ends, r.Stopped, r.KilledAfterTimeout, r.FailedCalls, r.LongestStall.Round(time.Millisecond), len(r.Violations), len(r.Errors))
+	return fmt.Sprintf("seed=%d longest=%v processes=%d requests=%d used_ids=%d answers=%v ends=%v stopped=%d forced=%d failed_calls=%d stall=%v violations=%d errors=%d",
+		r.Seed, r.LongestDeadline, r.Processes, r.Requests, r.UsedIDs, r.Answers, r.Ends, r.Stopped, r.KilledAfterTimeout, r.FailedCalls, r.LongestStall.Round(time.Millisecond), len(r.Violations), len(r.Errors))
 }
 
 // Run runs a fleet under overlapping faults and checks the rules. It returns an error only if the
@@ -122,8 +123,12 @@
 	r.LongestStall = f.stallMeter.longestStall()
 	o := &oracle{record: f.record, slack: r.LongestStall}
 	f.mu.Lock()
-	requests, errs := f.requests, f.errors
+	requests, usedIDs, errs := f.requests, f.usedIDs, f.errors
 	f.mu.Unlock()
+	for _, u := range usedIDs {
+		u.owner.idFreed = o.checkUsedID(u) || u.owner.idFreed
+	}
+	r.UsedIDs = len(usedIDs)
 	for _, request := range requests {
 		o.checkRequest(request)
 		outcome := request.Outcome()
