--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -106,7 +106,7 @@
 		return err
 	}
 	if old != nil {
-		p.beginTakeover(old, handoff.Snapshot.OpenIDs)
+		p.beginTakeover(old, handoff.Snapshot)
 	} else if err := p.serve(); err != nil {
 		return fmt.Errorf("listen: accepting clients at %s: %v", p.cfg.Listen, err)
 	}
--- a/internal/app/node/partner.go
+++ b/internal/app/node/partner.go
@@ -64,6 +64,7 @@
 	e.applyDiscovery(s)
 	e.applyList(s)
 	e.fleet.restoreWatermarks(s.Watermarks)
+	e.core.EndMissingSuspensions(e.restart.firstSuspended, s)
 	e.core.RestoreSuspensions(s)
 	if e.fleet.enforcement != nil {
 		e.core.RestoreRules(s.Rules, e.fleet.enforcement.At(e.restart.takeOverRequestedAt))
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -12,6 +12,7 @@
 	"croftlock/internal/dataplane/hotrestart"
 	"croftlock/internal/dataplane/proxy"
 	"croftlock/internal/fleet/quota"
+	"croftlock/internal/operations/maintenance"
 )
 
 const (
@@ -87,14 +88,15 @@
 	listSavePending bool                 // whether a timer will store a changed endpoint list
 
 	phase               restartPhase
-	startDiscovery      string              // address of the discovery service in the configuration at the start
-	partner             *hotrestart.Partner // the other process; nil if there is none
-	isOld               bool                // whether this process is the old one of the two; false if there is no partner
-	besideUnresponsive  bool                // whether another process serves that did not answer the request for a handover
-	hasFleetState       bool                // whether this process has the fleet's suspensions as far as its proxy knows them
-	takeOverRequestedAt time.Time           // when this process, the new one, asked the old one to stop accepting clients
-	yieldedQuota        *quota.Grants       // the grants that the old process gave up to this one; nil if it did not answer
-	yieldedState        balancer.Snapshot   // the decision module's state that the new process received when it took over
+	startDiscovery      string                   // address of the discovery service in the configuration at the start
+	partner             *hotrestart.Partner      // the other process; nil if there is none
+	isOld               bool                     // whether this process is the old one of the two; false if there is no partner
+	besideUnresponsive  bool                     // whether another process serves that did not answer the request for a handover
+	firstSuspended      []maintenance.Suspension // suspensions at this proxy when the old process handed over its sockets
+	hasFleetState       bool                     // whether this process has the fleet's suspensions as far as its proxy knows them
+	takeOverRequestedAt time.Time                // when this process, the new one, asked the old one to stop accepting clients
+	yieldedQuota        *quota.Grants            // the grants that the old process gave up to this one; nil if it did not answer
+	yieldedState        balancer.Snapshot        // the decision module's state that the new process received when it took over
 }
 
 // serve starts accepting clients and the other proxies' datagrams. If hot restarts are enabled, it
--- a/internal/app/node/takeover.go
+++ b/internal/app/node/takeover.go
@@ -5,15 +5,17 @@
 	"time"
 
 	"croftlock/internal/dataplane/hotrestart"
+	"croftlock/internal/dataplane/proxy"
 )
 
 // beginTakeover prepares this process, the new one, to take over from old as soon as it has its own
-// endpoint list from discovery, or after ownListWait. openIDs holds the IDs of the old one's requests.
-func (p *process) beginTakeover(old *hotrestart.Partner, openIDs []string) {
+// endpoint list from discovery, or after ownListWait. first is the state that came with the old one's sockets.
+func (p *process) beginTakeover(old *hotrestart.Partner, first *proxy.Snapshot) {
 	p.restart.phase = awaitingList
 	p.core.SetHandedOver(true)
 	p.restart.hasFleetState = old.AnswersIDQuestions() // an earlier build does not hand over the fleet's suspensions
-	p.core.SetOtherProcessIDs(openIDs)                 // as of the handover request; the answer to takeOver has the final ones
+	p.restart.firstSuspended = first.Suspended
+	p.core.SetOtherProcessIDs(first.OpenIDs) // as of the handover request; the answer to takeOver has the final ones
 	p.runPartner(old)
 	p.discovery.FetchList()
 	// Watches the list now, because the decision module would poll only later and meanwhile assign
--- a/internal/dataplane/proxy/restore.go
+++ b/internal/dataplane/proxy/restore.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"slices"
+
 	"croftlock/internal/balancer"
 	"croftlock/internal/operations/maintenance"
 )
@@ -24,6 +26,18 @@
 	}
 }
 
+// EndMissingSuspensions ends the suspensions at this proxy that the first snapshot of the other process
+// had and its last one, s, has not: an operator resumed the host in between. The other process sends no
+// message of a call that came before it knew its partner.
+func (c *Core) EndMissingSuspensions(first []maintenance.Suspension, s *Snapshot) {
+	for _, suspension := range first {
+		sameHost := func(other maintenance.Suspension) bool { return other.ID == suspension.ID }
+		if !slices.ContainsFunc(s.Suspended, sameHost) {
+			c.SetOtherProcessSuspension(suspension.ID, false)
+		}
+	}
+}
+
 // RestoreResumptions makes hosts that were resumed at another process count as started then, as they do
 // there. It is called after Run.
 func (c *Core) RestoreResumptions(resumed []ResumedHost) {
--- a/internal/dataplane/proxy/suspension_test.go
+++ b/internal/dataplane/proxy/suspension_test.go
@@ -209,15 +209,21 @@
 
 // TestSuspensionBetweenSnapshots guards against requests to a host that was suspended after the old
 // process had sent its first snapshot and before it knew of its partner: the last snapshot has to reach
-// hosts that are listed already.
+// hosts that are listed already. The same holds for a host that was resumed in between.
 func TestSuspensionBetweenSnapshots(t *testing.T) {
-	w := newSuspensionHarness(nil, "A", "B")
+	w := newSuspensionHarness(nil, "A", "B", "C")
+	w.core.SetSuspended("C", true, func(bool) {})
 	first := w.core.Snapshot(false)
+	w.core.SetSuspended("C", false, func(bool) {})
 	w.core.SetSuspended("A", true, func(bool) {})
 	w.core.SetFleetSuspensions([]string{"B"})
 	last := w.core.Snapshot(true)
 	w.startProcess(first)
+	w.core.EndMissingSuspensions(first.Suspended, last)
 	w.core.RestoreSuspensions(last)
+	if state := w.core.hosts.byID["C"].state; state != balancer.Ready {
+		t.Errorf("host C, which was resumed between the snapshots, has state %v, want ready", state)
+	}
 	for _, id := range []string{"A", "B"} {
 		if state := w.core.hosts.byID[id].state; state != balancer.Suspended {
 			t.Errorf("host %s has state %v after the last snapshot, want suspended", id, state)
--- a/internal/fleet/rules/heldlease.go
+++ b/internal/fleet/rules/heldlease.go
@@ -1,6 +1,9 @@
 package rules
 
-import "fmt"
+import (
+	"bytes"
+	"fmt"
+)
 
 // HeldLease is a version that a process acts by and the rest of its lease. In a hot restart the old
 // process hands it over to the new one, which has the same place in the fleet: the lease ends no
@@ -26,6 +29,11 @@
 // one that this process acts by. It must not be called while a Member uses the Enforcer. It returns an
 // error, and changes nothing, if the version is invalid.
 func (e *Enforcer) Restore(held *HeldLease, requestedAt Time) error {
+	leaseEnd := requestedAt + max(0, held.Remaining)
+	if active := e.active.Load(); active != nil && bytes.Equal(active.encoded, held.Version) {
+		e.apply(&leasedVersion{active.compiledVersion, leaseEnd})
+		return nil
+	}
 	data, err := decompress(held.Version)
 	if err != nil {
 		return err
@@ -34,7 +42,7 @@
 	if err != nil {
 		return fmt.Errorf("handed over: %w", err)
 	}
-	e.apply(&leasedVersion{compileVersion(version), requestedAt + max(0, held.Remaining)})
+	e.apply(&leasedVersion{compileVersion(version), leaseEnd})
 	return nil
 }
 
--- a/internal/fleet/rules/heldlease_test.go
+++ b/internal/fleet/rules/heldlease_test.go
@@ -33,10 +33,13 @@
 	if again := e.HeldLease(); string(again.Version) != string(held(2, 0).Version) || again.Remaining != int64(2*time.Second) {
 		t.Errorf("the version to hand over to a third process is %+v, want the same for 2 s", again)
 	}
+	if err := e.Restore(held(2, 4*time.Second), requestedAt); err != nil || e.HeldLease().Remaining != int64(3*time.Second) {
+		t.Errorf("the same version with a later end of its lease is restored with error %v, want a lease of 3 s", err)
+	}
 	if err := e.Restore(held(1, time.Hour), now); err != nil || e.active.Load().version.Number != 2 {
 		t.Errorf("an older version is restored with error %v, want that it is ignored", err)
 	}
-	now += int64(2 * time.Second)
+	now += int64(3 * time.Second)
 	if e.CanAct() || !e.Evaluate(namespace.Request{Tenant: "open"}).Rejected {
 		t.Error("after the end of the lease that was handed over, requests are admitted")
 	}
