--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -32,7 +32,7 @@
 	// the fleet's suspensions, before it accepts clients in a hot restart. Meanwhile clients wait in the
 	// accept queue. It waits only if the other process has handed over no lease that is still valid, or
 	// is of an earlier build, which hands over neither.
-	joinWait = time.Second
+	joinWait = 1500 * time.Millisecond
 	// joinCheckInterval is the time between two checks for that lease.
 	joinCheckInterval = 10 * time.Millisecond
 	// downstreamReportInterval is the interval at which an old process reports its number of
