--- a/internal/fleet/owneragent/agent_test.go
+++ b/internal/fleet/owneragent/agent_test.go
@@ -103,9 +103,12 @@
 	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o600 {
 		t.Errorf("Stat(%q) = %v, %v; want mode 0600", path, info, err)
 	}
-	taken := false
-	if err := listenAdmin(a.loop, path, a.serveRequest, func() bool { return true }, func(*adminSocket) { taken = true }); err != nil || taken {
-		t.Errorf("listenAdmin at a socket in use: error %v, socket taken %t, want that it leaves the socket and waits", err, taken)
+	listened := make(chan error, 1)
+	a.loop.Post(func() {
+		listened <- listenAdmin(a.loop, path, a.serveRequest, func() bool { return true }, func(*adminSocket) { t.Error("listenAdmin takes a socket that is in use") })
+	})
+	if err := <-listened; err != nil {
+		t.Errorf("listenAdmin at a socket in use: error %v, want that it waits", err)
 	}
 	if _, err := memberagent.ListenUnix(path); err == nil || !strings.Contains(err.Error(), "in use") {
 		t.Errorf("ListenUnix at a socket in use: error %v, want it to contain %q", err, "in use")
