--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -107,8 +107,11 @@
 	}
 	if old != nil {
 		p.beginTakeover(old, handoff.Snapshot)
-	} else if err := p.serve(); err != nil {
-		return fmt.Errorf("listen: accepting clients at %s: %v", p.cfg.Listen, err)
+	} else {
+		p.receiveFromPeers()
+		if err := p.serve(); err != nil {
+			return fmt.Errorf("listen: accepting clients at %s: %v", p.cfg.Listen, err)
+		}
 	}
 	slog.Info("ready", "name", p.cfg.Name, "listen", p.front.Addr(), "hosts", len(list.Hosts), "rev", list.Version, "max_downstreams", maxDownstreams)
 	return nil
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -99,15 +99,19 @@
 	yieldedState        balancer.Snapshot        // the decision module's state that the new process received when it took over
 }
 
-// serve starts accepting clients and the other proxies' datagrams. If hot restarts are enabled, it
-// offers a handover to the next process. It returns an error if clients cannot be accepted.
+// receiveFromPeers starts to receive the other proxies' datagrams, if there is a socket for them.
+func (p *process) receiveFromPeers() {
+	if p.peers != nil {
+		p.peers.StartReceiving()
+	}
+}
+
+// serve starts accepting clients. If hot restarts are enabled, it offers a handover to the next process.
+// It returns an error if clients cannot be accepted.
 func (p *process) serve() error {
 	if err := p.front.Serve(); err != nil {
 		return err
 	}
-	if p.peers != nil {
-		p.peers.StartReceiving()
-	}
 	p.core.SetHandedOver(false)
 	if p.restart.dir != "" {
 		p.offerHandover()
--- a/internal/app/node/takeover.go
+++ b/internal/app/node/takeover.go
@@ -58,6 +58,7 @@
 // rules and knows the fleet's suspensions, and otherwise when it does or after wait.
 func (p *process) joinAndServe(wait time.Duration, served func()) {
 	p.restart.phase = joiningFleet
+	p.receiveFromPeers() // the other process has stopped, and membership may use this socket
 	p.rejoinFleet()
 	p.serveOnceJoined(p.loop.Now()+int64(wait), served)
 }
