Test: advance the clock only after the partial line's timer is set

The PONG reaches the client before the loop has looked at the rest of the input, so the clock could be advanced before the timer was set, and the error never came (trace: the test waits in expect, the loop is idle). Production sets the timer either way.

--- a/internal/dataplane/lineproto/front_test.go
+++ b/internal/dataplane/lineproto/front_test.go
@@ -144,6 +144,7 @@
 	exchange(t, silent, "PING\r\n", "PONG\r\n")
 	partial := dial()
 	exchange(t, partial, "PING\r\nOPEN 9b", "PONG\r\n")
+	exchange(t, silent, "PING\r\n", "PONG\r\n") // the loop has set the partial line's timer after this
 	advanceClock(firstLineTimeout)
 	expect(t, partial, "ERR\r\n")
 	exchange(t, silent, "PING\r\n", "PONG\r\n")
