--- a/internal/app/node/fleet.go
+++ b/internal/app/node/fleet.go
@@ -80,7 +80,7 @@
 		return
 	}
 	if err := p.startOwners(); err != nil {
-		slog.Warn("owners_delayed", "reason", err)
+		slog.Warn("owners_off", "reason", err)
 		p.loop.After(rejoinInterval, func() { p.restartOwners(members) })
 	}
 }
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -50,9 +50,8 @@
 //
 // A new process starts in awaitingList and changes to takingOver, joiningFleet and then serving. The
 // old one changes from serving to handedOver, and by joiningFleet back to serving if the new one ends
-// first. The platform
-// sends SIGTERM to the old process once the new one is ready; the old one hands over its
-// connections as it shuts down.
+// first. The platform sends SIGTERM to the old process once the new one is ready; the old one hands over
+// its connections as it shuts down.
 type restartPhase int
 
 const (
--- a/internal/fleet/memberagent/agent.go
+++ b/internal/fleet/memberagent/agent.go
@@ -86,7 +86,7 @@
 		Name:        name,
 		Fleet:       o.Fleet,
 		Incarnation: membership.NewIncarnation(started.UnixMilli()),
-		FleetSize:   o.FleetSize,
+		FleetSize:   o.IntendedSize(platform.ProxyCount),
 		Seed:        uint64(started.UnixNano()),
 		Slots:       len(o.Peers),
 		OwnSlot:     slices.Index(o.Peers, o.Listen),
--- a/internal/fleet/memberagent/socket.go
+++ b/internal/fleet/memberagent/socket.go
@@ -88,34 +88,39 @@
 // yet, it retries each socketRetryInterval until stopped reports true. It returns an error if the socket
 // can't be used for another reason; in a retry it only logs that. It must be called on the loop.
 func ListenUnixOnceFree(loop *netio.Loop, path string, stopped func() bool, use func(net.Listener)) error {
-	l, err := ListenUnix(path)
-	if err == nil {
-		use(l)
-		return nil
-	}
-	if inUse := new(SocketInUseError); !errors.As(err, &inUse) {
+	inUse, err := listenUnlessInUse(path, use)
+	if !inUse {
 		return err
 	}
 	slog.Info("socket_in_use", "socket", path)
-	loop.After(socketRetryInterval, func() { retryListen(loop, path, stopped, use) })
+	var retry func()
+	retry = func() {
+		if stopped() {
+			return
+		}
+		inUse, err := listenUnlessInUse(path, use)
+		if inUse {
+			loop.After(socketRetryInterval, retry)
+		} else if err != nil {
+			slog.Warn("socket_off", "socket", path, "reason", err)
+		}
+	}
+	loop.After(socketRetryInterval, retry)
 	return nil
 }
 
-// retryListen continues ListenUnixOnceFree.
-func retryListen(loop *netio.Loop, path string, stopped func() bool, use func(net.Listener)) {
-	if stopped() {
-		return
-	}
+// listenUnlessInUse calls use with the result of ListenUnix, unless that fails. inUse reports whether it
+// fails because another process listens on the socket; err is nil then.
+func listenUnlessInUse(path string, use func(net.Listener)) (inUse bool, err error) {
 	l, err := ListenUnix(path)
 	if err == nil {
 		use(l)
-		return
+		return false, nil
 	}
-	if inUse := new(SocketInUseError); !errors.As(err, &inUse) {
-		slog.Warn("socket_off", "socket", path, "reason", err)
-		return
+	if conflict := new(SocketInUseError); errors.As(err, &conflict) {
+		return true, nil
 	}
-	loop.After(socketRetryInterval, func() { retryListen(loop, path, stopped, use) })
+	return false, err
 }
 
 // RequestReport returns the report of the running proxy that listens on a Unix socket, whose path is socket.
