Ledger: a cold host only from a ledger server that has counted its budget

Cause: a reply of the ledger server stood for two decisions: where there is capacity, and that a host in slow start may take the request. The second one it can make only if its own list has the start. Related, found in virtual time: a ledger server that takes over in the middle of a start, and two at once, each gave out the whole budget; and a reply of an old list kept proxies from their own part of it.

Change: a reply marks a host in slow start whose budget is counted, by the inverted bits of its hash; a proxy that knows a host as cold takes no other assignment of it, and places what it does not agree with as without a reply (new event ledger_assignment_outdated). Followers report once a second (Follow, one byte), and a ledger server gives out its followers' part of a budget alone.

--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -27,6 +27,15 @@
 // of queries ends, the balancer places requests by what it observes itself.
 type LedgerUnreachable struct{}
 
+// AssignmentOutdated reports that a ledger server assigned a host that this balancer's endpoint list has
+// as not ready, or as in slow start where the ledger server does not count its budget. The request is
+// placed as without a reply.
+type AssignmentOutdated struct {
+	Host         string // its ID
+	LedgerServer int    // the ledger server's balancer number
+}
+
+func (AssignmentOutdated) isEvent()  {}
 func (HostEjected) isEvent()         {}
 func (HostReadmitted) isEvent()      {}
 func (LedgerServerChanged) isEvent() {}
--- a/internal/balancer/ledger/ledger_test.go
+++ b/internal/balancer/ledger/ledger_test.go
@@ -181,6 +181,40 @@
 	}
 }
 
+// TestFollowersSettle guards against two ledger servers that both count one balancer: the new one counts
+// it only once the old one cannot do so any more, and a window has passed since.
+func TestFollowersSettle(t *testing.T) {
+	const second, window = Time(1e9), 2 * Time(1e9)
+	older, newer := NewFollowers(), NewFollowers()
+	now := Time(0)
+	for ; now < 10*second; now += second {
+		older.MessageReceived(7, now)
+	}
+	if n := older.Settled(now, window); n != 1 {
+		t.Fatalf("%d settled followers after 10 s, want 1", n)
+	}
+	olderUntil, newerFrom := Time(0), Time(0)
+	for ; now < 25*second; now += second / 10 {
+		newer.MessageReceived(7, now)
+		if older.Settled(now, window) == 1 {
+			olderUntil = now
+		}
+		if newerFrom == 0 && newer.Settled(now, window) == 1 {
+			newerFrom = now
+		}
+	}
+	if newerFrom-olderUntil < window || newerFrom > 16*second {
+		t.Errorf("the old ledger server counts the balancer until %d ms, the new one from %d ms; want %d ms or more between them, and 16000 at most",
+			olderUntil/1e6, newerFrom/1e6, window/1e6)
+	}
+	for peer := range 3 * maxFollowers {
+		newer.MessageReceived(peer, now)
+	}
+	if len(newer.byPeer) > maxFollowers {
+		t.Errorf("%d balancers stored, want at most %d", len(newer.byPeer), maxFollowers)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(Query{Seq: 513, Zone: 3, Retry: true, Units: 8, Group: GroupID(0x123456789abcdef0)}.Append(nil))
 	f.Add(Reply{Seq: 7, Epoch: 9, Host: 0xdeadbeef}.Append(nil))
--- a/internal/balancer/ledger/message.go
+++ b/internal/balancer/ledger/message.go
@@ -16,6 +16,7 @@
 	kindSync         = 5 // entries follow
 	kindAnnouncement = 6
 	kindPoll         = 7
+	kindFollow       = 8
 )
 
 // Sizes in bytes, with the kind byte, and bounds of the fields.
@@ -25,6 +26,7 @@
 	entryBytes        = 9
 	announcementBytes = 2
 	pollBytes         = 1
+	followBytes       = 1
 
 	// MaxEntries is how many entries fit into a datagram of 256 bytes after a kind byte.
 	MaxEntries = 28
@@ -38,7 +40,7 @@
 // ErrInvalidMessage reports data that is not a message of the ledger, or not a complete one.
 var ErrInvalidMessage = errors.New("ledger: not a complete message of the placement ledger")
 
-// Message is a Query, Reply, Entries, Sync, Announcement or Poll.
+// Message is a Query, Reply, Entries, Sync, Announcement, Poll or Follow.
 type Message interface {
 	// Append appends the message's bytes.
 	Append(data []byte) []byte
@@ -57,9 +59,22 @@
 type Reply struct {
 	Epoch byte   // of the ledger server, as in Announcement
 	Seq   uint16 // of the Query
-	Host  uint32 // the lower 32 bits of the hash of its ID; 0 if no host is assigned
+	Host  uint32 // an AssignedHost
 }
 
+// AssignedHost names a host by the lower 32 bits of the hash of its ID, or no host by 0. The bits are
+// inverted if the ledger server has counted the budgets of hosts in slow start: for a host, because it
+// takes the host for one; for no host, because these budgets are spent. A build that does not know the
+// inverted form takes it for an unknown host.
+type AssignedHost = uint32
+
+// NoHostWithinBudget is the AssignedHost if no host can take the request and the budgets of hosts in
+// slow start are spent.
+const NoHostWithinBudget = ^AssignedHost(0)
+
+// WithinBudget returns the AssignedHost for a host in slow start whose budget allows the request.
+func WithinBudget(host uint32) AssignedHost { return ^host }
+
 // Entry is a change of the load of the connections that its sender holds of a group at a host.
 type Entry struct {
 	Host, Group uint32 // as in Reply and Query
@@ -81,6 +96,10 @@
 // Poll requests an Announcement.
 type Poll struct{}
 
+// Follow reports that its sender queries the receiver and no other ledger server. An earlier build ignores
+// it.
+type Follow struct{}
+
 // GroupID returns the ID of a group in messages: bits 8 to 31 of the hash of its name.
 func GroupID(hash uint64) uint32 { return uint32(hash) &^ 0xff >> 8 }
 
@@ -123,6 +142,9 @@
 // Append implements Message.
 func (Poll) Append(data []byte) []byte { return append(data, kindPoll) }
 
+// Append implements Message.
+func (Follow) Append(data []byte) []byte { return append(data, kindFollow) }
+
 // appendGroup appends the 24 bits of a group's ID.
 func appendGroup(data []byte, group uint32) []byte {
 	return append(data, byte(group>>16), byte(group>>8), byte(group))
@@ -147,6 +169,8 @@
 		return Announcement{Epoch: data[1]}, nil
 	case kind == kindPoll && len(data) == pollBytes:
 		return Poll{}, nil
+	case kind == kindFollow && len(data) == followBytes:
+		return Follow{}, nil
 	case kind == kindSync:
 		entries, err := decodeEntries(data[1:])
 		if err != nil {
--- a/internal/balancer/ledger/recorded_test.go
+++ b/internal/balancer/ledger/recorded_test.go
@@ -79,6 +79,8 @@
 		{"all", Entry{Host: 4, Group: 5, Units: 6}.Append(Sync{}.Append(nil))},
 		{"here", Announcement{Epoch: 3}.Append(nil)},
 		{"look", Poll{}.Append(nil)},
+		{"follow", Follow{}.Append(nil)},
+		{"answer", Reply{Seq: 8, Epoch: 9, Host: WithinBudget(0xdeadbeef)}.Append(nil)},
 	} {
 		samples.Add(m.kind, m.data)
 		read, err := Decode(m.data)
--- a/internal/balancer/ledgerassign.go
+++ b/internal/balancer/ledgerassign.go
@@ -32,42 +32,64 @@
 )
 
 // assignHost returns the ledger server's choice for a query of the balancer with number from: the
-// assignable host with the lowest assignCost, or nil if no host is assignable. It adds the load of
+// assignable host with the lowest assignCost, or no host if none is assignable. It adds the load of
 // the query to the ledger and records the assignment, so that a warming host's budget is counted for
-// all balancers together. It counts a query that is no retry as a fresh request.
-func (b *Balancer) assignHost(from int, q ledger.Query) *host {
+// all balancers together. It counts a query that is no retry as a fresh request. If there is a warming
+// host and this balancer may not give out any of its budget, no host is assigned: the balancers place
+// their requests themselves, each by its own part of the budget.
+func (b *Balancer) assignHost(from int, q ledger.Query) assignment {
 	if !q.Retry {
 		b.ledger.freshRequests.Add(b.now, freshRequestWindow, 1)
 	}
+	warming, budgetShare := b.hasWarmingHost(), b.followerShare()
 	full := b.meanLedgerLoad() * assignLoadSlack
 	var best *host
 	least := math.Inf(1)
 	for _, h := range b.hosts {
-		if !b.assignable(h) {
+		if !b.assignable(h, budgetShare) {
 			continue
 		}
 		if cost := b.assignCost(h, q, full); cost < least {
 			best, least = h, cost
 		}
 	}
-	if best != nil {
-		b.ledger.placements.Add(from, uint32(best.hash), q.Group, q.Units)
-		b.ledger.placements.RecordAssignment(uint32(best.hash), b.now)
+	if best == nil {
+		return assignment{withinBudget: warming && budgetShare > 0}
 	}
-	return best
+	b.ledger.placements.Add(from, uint32(best.hash), q.Group, q.Units)
+	b.ledger.placements.RecordAssignment(uint32(best.hash), b.now)
+	return assignment{host: best, withinBudget: b.fullCapacityShare(best) < 1}
+}
+
+// hasWarmingHost reports whether a ready host is warming.
+func (b *Balancer) hasWarmingHost() bool {
+	for _, h := range b.hosts {
+		if h.state == Ready && b.fullCapacityShare(h) < 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// followerShare returns the fraction of all balancers, 0 to 1, for which this ledger server may give out
+// budgets of warming hosts. Another ledger server may do so for the others.
+func (b *Balancer) followerShare() float64 {
+	settled := b.ledger.followers.Settled(b.now, b.cfg.SlowStartOverloadWindow)
+	return min(1, float64(settled)/float64(b.cfg.Instances))
 }
 
 // assignable reports whether the ledger server may assign a host: the host is ready, neither full
 // nor ejected, and its slow start budget allows a request. The ledger server's own observations of
-// the host apply to the requests of all balancers.
-func (b *Balancer) assignable(h *host) bool {
+// the host apply to the requests of all balancers. budgetShare is the part of the budget, 0 to 1, that
+// the ledger server may give out.
+func (b *Balancer) assignable(h *host, budgetShare float64) bool {
 	if h.state != Ready || b.now < h.fullUntil {
 		return false
 	}
 	if h.ejection.consecutiveFailures > 0 && b.now < h.ejection.until {
 		return false
 	}
-	return b.fullCapacityShare(h) >= 1 || b.slowStartBudgetLeft(h)
+	return b.fullCapacityShare(h) >= 1 || b.slowStartBudgetLeft(h, budgetShare)
 }
 
 // meanLedgerLoad returns the load that all balancers hold at the ready hosts, in mean connections,
@@ -105,8 +127,8 @@
 
 // slowStartBudgetLeft reports whether the ledger server may assign one more request to a warming
 // host. If the settings allow n requests in the overload window, up to n + 3 √n + 3 may arrive by
-// chance. The ledger server assigns at most assignSlowStartShare of that number.
-func (b *Balancer) slowStartBudgetLeft(h *host) bool {
+// chance. The ledger server assigns at most assignSlowStartShare of that number, times budgetShare.
+func (b *Balancer) slowStartBudgetLeft(h *host, budgetShare float64) bool {
 	fresh := &b.ledger.freshRequests
 	fresh.Add(b.now, freshRequestWindow, 0)
 	rate := max(fresh.Sum/(freshRequestWindow/1e9), b.traffic.expectedRate*float64(b.cfg.Instances))
@@ -117,5 +139,5 @@
 	share, gain := b.fullCapacityShare(h), (1-b.cfg.SlowStartFloor)*window/float64(b.cfg.SlowStartDuration)
 	n *= max(b.cfg.SlowStartFloor, share-gain) / share
 	assigned := b.ledger.placements.AssignmentsSince(uint32(h.hash), b.now-b.cfg.SlowStartOverloadWindow)
-	return float64(assigned+1) <= assignSlowStartShare*(n+3*math.Sqrt(n)+3)
+	return float64(assigned+1) <= budgetShare*assignSlowStartShare*(n+3*math.Sqrt(n)+3)
 }
--- a/internal/balancer/ledgerquery.go
+++ b/internal/balancer/ledgerquery.go
@@ -25,27 +25,35 @@
 
 	// Used only if this balancer is a ledger server.
 	placements    *ledger.Placements
+	followers     *ledger.Followers
 	freshRequests decay.Counter // requests of all balancers that are no retries, over freshRequestWindow
 
 	announced bool // whether epoch is set; a ledger server has then also sent its Announcement
 	epoch     byte // distinguishes this process from earlier ones, by its start time in epochUnit
 	syncDue   Time // when to send the ledger server entries for all connections; 0 means at once
+	followDue Time // when to send it the next Follow message
 }
 
 // ledgerQuery is the state of a request's query to the ledger server.
 type ledgerQuery struct {
 	sent          bool // the query was made; if no message was sent, it is not made again either
 	awaitingReply bool
-	replied       bool // a reply arrived, or this balancer is the ledger server
+	// budgetsCounted is set if the ledger server has considered the budgets of warming hosts (those in
+	// slow start) for the request. Otherwise this balancer keeps to its own part of each budget.
+	budgetsCounted bool
 	// assigned is the host that the ledger server chose. It is nil if there is none, and again once
 	// the connection is established or the request is closed (reconcileLedger).
 	assigned *host
-	units    int // load in ledger units, 1/8 of a mean connection each; 0 until it is computed
+	// withinBudget is set if the ledger server takes assigned for a warming host and has counted the
+	// request in its budget.
+	withinBudget bool
+	units        int // load in ledger units, 1/8 of a mean connection each; 0 until it is computed
 }
 
 // newPlacementLedger returns the state of a balancer that has exchanged no messages yet.
 func newPlacementLedger(cfg *Config) placementLedger {
-	return placementLedger{client: ledger.NewClient(cfg.Instances), placements: ledger.NewPlacements()}
+	return placementLedger{client: ledger.NewClient(cfg.Instances), placements: ledger.NewPlacements(),
+		followers: ledger.NewFollowers()}
 }
 
 // ledgerUsable reports whether there are other balancers and messages to them are allowed. MayGossip
@@ -77,7 +85,7 @@
 	q := ledger.Query{Zone: b.ownZone, Retry: r.isRetry(), Units: b.ledgerUnits(r),
 		Group: ledger.GroupID(stableHash(r.Group))}
 	if server == b.cfg.Instance {
-		r.ledger.assigned, r.ledger.replied = b.assignHost(server, q), true
+		b.applyAssignment(r, server, b.assignHost(server, q))
 		return false
 	}
 	if r.deadline-b.now < minReplyTimeoutsLeft*ledgerReplyTimeout {
@@ -93,15 +101,72 @@
 }
 
 // assignedHost returns the host that the ledger server assigned to the first attempt of a request,
-// or nil if there is none or it is not ready or not available.
+// or nil if there is none or it is not ready or not available. It returns nil for a warming host that
+// the ledger server does not know to be one: an old list there does not spend the host's budget.
 func (b *Balancer) assignedHost(r *request) *host {
 	h := r.ledger.assigned
-	if h == nil || r.attempts > 0 || h.state != Ready || !b.available(h, r) {
+	if h == nil || r.attempts > 0 || !b.agreesWithAssignment(r) || !b.available(h, r) {
 		return nil
 	}
 	return h
 }
 
+// agreesWithAssignment reports whether this balancer's endpoint list has the host that the ledger
+// server assigned as ready, and as warming only if the ledger server does so too.
+func (b *Balancer) agreesWithAssignment(r *request) bool {
+	h := r.ledger.assigned
+	return h.state == Ready && (r.ledger.withinBudget || b.fullCapacityShare(h) >= 1)
+}
+
+// assignment is a ledger server's decision about a request.
+type assignment struct {
+	host *host // nil if no host is assigned, or the host is unknown here
+	// withinBudget is set if the budgets of warming hosts are counted: host is one of them, or there is
+	// no host and they are spent.
+	withinBudget bool
+}
+
+// applyAssignment stores a ledger server's decision about a request. If it does not agree with this
+// balancer's endpoint list, the request is placed as without a reply, by this balancer's own part of
+// the budgets of warming hosts.
+func (b *Balancer) applyAssignment(r *request, server int, a assignment) {
+	r.ledger.assigned, r.ledger.withinBudget = a.host, a.withinBudget
+	switch {
+	case a.host == nil:
+		r.ledger.budgetsCounted = a.withinBudget
+	case b.agreesWithAssignment(r):
+		r.ledger.budgetsCounted = true
+	default:
+		r.ledger.budgetsCounted = false
+		b.effects.Report(AssignmentOutdated{Host: a.host.hostID, LedgerServer: server})
+	}
+}
+
+// decodeAssignment returns the decision that a reply of the ledger server holds.
+func (b *Balancer) decodeAssignment(assigned ledger.AssignedHost) assignment {
+	if assigned == ledger.NoHostWithinBudget {
+		return assignment{withinBudget: true}
+	}
+	if h := b.hostByHash(assigned); h != nil {
+		return assignment{host: h}
+	}
+	h := b.hostByHash(ledger.WithinBudget(assigned))
+	return assignment{host: h, withinBudget: h != nil}
+}
+
+// encode returns the decision in the form of a reply.
+func (a assignment) encode() ledger.AssignedHost {
+	switch {
+	case a.host == nil && a.withinBudget:
+		return ledger.NoHostWithinBudget
+	case a.host == nil:
+		return 0
+	case a.withinBudget:
+		return ledger.WithinBudget(uint32(a.host.hash))
+	}
+	return uint32(a.host.hash)
+}
+
 // ledgerReplyReceived handles a reply of ledger server from. It places the request to which the
 // reply belongs, at the host in the reply if that host is usable. If the request no longer waits,
 // ledgerReplyReceived notifies the ledger server that the assignment is not used.
@@ -112,17 +177,27 @@
 	}
 	r := b.requests[query.Request]
 	if r == nil || r.closed || !r.ledger.awaitingReply || query.Abandoned {
-		if m.Host != 0 { // 0 means that no host was assigned
-			undo := ledger.Entry{Host: m.Host, Group: query.Group, Units: -query.Units}
-			b.effects.SendToPeer(from, undo.Append(nil))
-		}
+		b.undoAssignment(from, m, query)
 		return
 	}
-	r.ledger.assigned, r.ledger.replied, r.ledger.awaitingReply = b.hostByHash(m.Host), true, false
+	r.ledger.awaitingReply = false
+	b.applyAssignment(r, from, b.decodeAssignment(m.Host))
 	r.wait.queued, r.wait.notBefore = false, 0
 	b.place(r)
 }
 
+// undoAssignment notifies a ledger server that the host in its reply to a query is not used.
+func (b *Balancer) undoAssignment(server int, m ledger.Reply, query *ledger.PendingQuery) {
+	if m.Host == 0 || m.Host == ledger.NoHostWithinBudget {
+		return
+	}
+	undo := ledger.Entry{Host: m.Host, Group: query.Group, Units: -query.Units}
+	if a := b.decodeAssignment(m.Host); a.host != nil {
+		undo.Host = uint32(a.host.hash)
+	}
+	b.effects.SendToPeer(server, undo.Append(nil))
+}
+
 // ledgerQueryTimedOut ends a request's wait for the reply of the ledger server. The caller then
 // places the request without a reply.
 func (b *Balancer) ledgerQueryTimedOut(r *request) {
--- a/internal/balancer/ledgersync.go
+++ b/internal/balancer/ledgersync.go
@@ -32,6 +32,7 @@
 			b.effects.SendToPeer(-1, ledger.Announcement{Epoch: l.epoch}.Append(nil))
 		}
 	}
+	b.followCurrentServer()
 	if b.now >= l.syncDue && l.client.ServerReachable(b.now) {
 		b.syncLedger()
 	}
@@ -57,10 +58,8 @@
 func (b *Balancer) handleLedgerMessage(from int, message ledger.Message) {
 	switch m := message.(type) {
 	case ledger.Query:
-		reply := ledger.Reply{Seq: m.Seq}
-		if h := b.assignHost(from, m); h != nil {
-			reply.Host = uint32(h.hash)
-		}
+		b.ledger.followers.MessageReceived(from, b.now)
+		reply := ledger.Reply{Seq: m.Seq, Host: b.assignHost(from, m).encode()}
 		reply.Epoch = b.ledger.epoch
 		b.effects.SendToPeer(from, reply.Append(nil))
 	case ledger.Reply:
@@ -70,7 +69,10 @@
 		b.followLedgerServer(from, m.Epoch)
 	case ledger.Poll:
 		b.effects.SendToPeer(from, ledger.Announcement{Epoch: b.ledger.epoch}.Append(nil))
+	case ledger.Follow:
+		b.ledger.followers.MessageReceived(from, b.now)
 	case ledger.Sync:
+		b.ledger.followers.MessageReceived(from, b.now)
 		b.ledger.placements.RemovePeer(from)
 		b.countPlacements(from, m.Entries)
 	case ledger.Entries:
@@ -100,6 +102,17 @@
 	}
 }
 
+// followCurrentServer notifies the current ledger server, if that is due, that this balancer queries it
+// and no other one.
+func (b *Balancer) followCurrentServer() {
+	server := b.ledger.client.Server(b.now)
+	if server < 0 || b.now < b.ledger.followDue {
+		return
+	}
+	b.ledger.followDue = b.now + ledger.FollowInterval
+	b.sendToLedgerServer(server, ledger.Follow{})
+}
+
 // syncLedger sends the ledger server entries for all connections of this balancer that belong to a
 // group, and sets the time of the next synchronization. It sends nothing while queries are paused.
 func (b *Balancer) syncLedger() {
--- a/internal/balancer/peernetwork_test.go
+++ b/internal/balancer/peernetwork_test.go
@@ -18,12 +18,14 @@
 	lossRate        float64           // fraction of the messages that are lost, 0 to 1
 	lostKind        byte              // kind (first byte) of messages that are all lost; 0 means none
 	down            map[int]bool      // by instance: balancers that neither send nor receive
+	cut             map[int]bool      // by instance: balancers whose messages to and from others are lost
 	bytes           int               // number of bytes sent in messages
 	connections     map[string]*fake  // balancer that holds the open connection, by request ID
 	connectionOrder []string          // keys of connections, in the order in which they were opened
 	waiting         map[string]Time   // arrival times of requests that have no attempt yet, by request ID
 	instanceOf      map[string]int    // instance at which the request arrived, by request ID
 	attempts        map[string][]Time // times of attempts, by host ID
+	uncounted       map[int]bool      // by instance: balancers whose attempts are not recorded in attempts
 }
 
 // datagram is a message between two balancers that has not arrived yet.
@@ -46,7 +48,7 @@
 	net := k.network
 	for to := range net.balancers {
 		if to == k.instance || peer >= 0 && to != peer || net.down[k.instance] || net.down[to] ||
-			data[0] == net.lostKind || net.rng.Float64() < net.lossRate {
+			data[0] == net.lostKind || net.cut[k.instance] != net.cut[to] || net.rng.Float64() < net.lossRate {
 			continue
 		}
 		net.bytes += len(data)
@@ -118,7 +120,9 @@
 // records them.
 func (net *peerNetwork) establishAttempts(f *fake) {
 	for _, a := range f.attemptsStarted {
-		net.attempts[a.host] = append(net.attempts[a.host], net.now)
+		if !net.uncounted[f.b.cfg.Instance] {
+			net.attempts[a.host] = append(net.attempts[a.host], net.now)
+		}
 		f.establish(a.request)
 		net.connections[a.request] = f
 		net.connectionOrder = append(net.connectionOrder, a.request)
--- a/internal/balancer/slowstart.go
+++ b/internal/balancer/slowstart.go
@@ -78,7 +78,7 @@
 // theirs, and a wave of retries would spend them all at once. The lost tokens are given out by
 // lottery instead.
 func (b *Balancer) slowStartAllows(h *host, r *request, turns float64) (allowed, byLottery bool) {
-	if r.ledger.replied && r.attempts == 0 {
+	if r.ledger.budgetsCounted && r.attempts == 0 {
 		return false, false // the ledger server has already considered the budget that is left
 	}
 	bucket := &h.slowStart
--- a/internal/dataplane/proxy/effects.go
+++ b/internal/dataplane/proxy/effects.go
@@ -98,6 +98,8 @@
 		slog.Info("host_readmitted", "host", x.Host)
 	case balancer.LedgerServerChanged:
 		slog.Info("ledger_polled", "ledger_server", x.LedgerServer)
+	case balancer.AssignmentOutdated:
+		slog.Info("ledger_assignment_outdated", "host", x.Host, "ledger_server", x.LedgerServer)
 	case balancer.LedgerUnreachable:
 		slog.Info("ledger_unreachable")
 	}
--- a/internal/testbed/simulator/effects.go
+++ b/internal/testbed/simulator/effects.go
@@ -80,6 +80,8 @@
 		return "server " + e.Host + " accepts again, back in the pool"
 	case balancer.LedgerServerChanged:
 		return fmt.Sprintf("the book of balancer %d is asked", e.LedgerServer)
+	case balancer.AssignmentOutdated:
+		return fmt.Sprintf("the book of balancer %d is older than the list here about server %s", e.LedgerServer, e.Host)
 	case balancer.LedgerUnreachable:
 		return "no book answers, on its own"
 	}
