Requests: an id that comes again is judged by its earlier run

Cause: what a request may still do depends on the attempts made for it, and that record ended with the client's connection. A client that left while its attempt was out, or after its UP, and came again with its id was sent to a host a second time, whatever its class.

One line is added to the recorded messages of a hot restart; the others are as before.

--- a/internal/app/node/partner.go
+++ b/internal/app/node/partner.go
@@ -42,6 +42,7 @@
 	}
 	if s != nil {
 		e.core.SetOtherProcessIDs(s.OpenIDs) // even if the answer is late and this process serves already
+		e.core.AddUsedIDs(s.UsedIDs)
 	}
 	if e.restart.phase != awaitingList && e.restart.phase != takingOver {
 		return
@@ -131,17 +132,17 @@
 	}
 }
 
-// IDQuestion answers whether this process has a request with an ID.
-func (e partnerEvents) IDQuestion(id string, answer func(inUse bool)) {
+// IDQuestion answers the other process's question about an ID.
+func (e partnerEvents) IDQuestion(id string, answer func(proxy.IDStatus)) {
 	if e.isCurrent() {
-		e.core.AnswerIDInUse(id, answer)
+		e.core.AnswerID(id, answer)
 	}
 }
 
-// IDAnswer passes on the other process's answer whether it has a request with an ID.
-func (e partnerEvents) IDAnswer(id string, inUse bool) {
+// IDAnswer passes on the other process's answer about an ID.
+func (e partnerEvents) IDAnswer(id string, status proxy.IDStatus) {
 	if e.isCurrent() {
-		e.core.IDAnswered(id, inUse)
+		e.core.IDAnswered(id, status)
 	}
 }
 
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -195,6 +195,6 @@
 // use only while this process runs.
 func (p *process) snapshotForPartner(yieldSlowStart bool) *proxy.Snapshot {
 	s := p.snapshot(yieldSlowStart)
-	s.OpenIDs = p.core.OpenIDs()
+	s.OpenIDs, s.UsedIDs = p.core.OpenIDs(), p.core.UsedIDs()
 	return s
 }
--- a/internal/app/node/takeover.go
+++ b/internal/app/node/takeover.go
@@ -16,6 +16,7 @@
 	p.restart.hasFleetState = old.AnswersIDQuestions() // an earlier build does not hand over the fleet's suspensions
 	p.restart.firstSuspended = first.Suspended
 	p.core.SetOtherProcessIDs(first.OpenIDs) // as of the handover request; the answer to takeOver has the final ones
+	p.core.AddUsedIDs(first.UsedIDs)
 	p.runPartner(old)
 	p.discovery.FetchList()
 	// Watches the list now, because the decision module would poll only later and meanwhile assign
--- a/internal/balancer/idempotency.go
+++ b/internal/balancer/idempotency.go
@@ -1,5 +1,14 @@
 package balancer
 
+// hostOrUnknown returns the host with an ID, or, if there is none, a host outside all dedup scopes.
+func (b *Balancer) hostOrUnknown(id string) *host {
+	if h := b.byID[id]; h != nil {
+		return h
+	}
+	const noZone, noCell = -1, -1
+	return &host{hostID: id, zone: noZone, cell: noCell}
+}
+
 // retryForbidden reports whether another attempt could apply a request twice: an earlier attempt may
 // have run, and hosts do not discard a repeat.
 func (b *Balancer) retryForbidden(r *request) bool {
--- a/internal/balancer/ledgerquery.go
+++ b/internal/balancer/ledgerquery.go
@@ -101,11 +101,15 @@
 }
 
 // assignedHost returns the host that the ledger server assigned to the first attempt of a request,
-// or nil if there is none or it is not ready or not available. It returns nil for a warming host that
-// the ledger server does not know to be one: an old list there does not spend the host's budget.
+// or nil if there is none or it is not ready or not available, or would not discard a repeat. It returns
+// nil for a warming host that the ledger server does not know to be one: an old list there does not spend
+// the host's budget.
 func (b *Balancer) assignedHost(r *request) *host {
 	h := r.ledger.assigned
-	if h == nil || r.attempts > 0 || !b.agreesWithAssignment(r) || !b.available(h, r) {
+	if h == nil || r.attempts > 0 || !b.agreesWithAssignment(r) {
+		return nil
+	}
+	if !b.available(h, r) || b.outsideDedupScope(h, r) {
 		return nil
 	}
 	return h
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -81,6 +81,9 @@
 		q.Tenant = -1
 	}
 	r := &request{Request: q, cost: b.costs.estimate(&q)}
+	if q.EarlierRun != nil {
+		r.mayHaveRunOn, r.mayHaveRunAt = b.hostOrUnknown(q.EarlierRun.HostID), q.EarlierRun.At
+	}
 	b.requests[q.ID] = r
 	return r
 }
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -12,6 +12,15 @@
 	MidFlow      bool    `json:"MidFlow"`  // it consists of packets of a connection that a host already holds
 	Returned     bool    `json:"Returned"` // its client came back after a broken or migrated connection
 	Remaining    Time    `json:"Left"`     // time until the client stops waiting, in nanoseconds
+	// EarlierRun is the first attempt that may have run of an earlier request with this ID; nil if there is
+	// none. Whether and where the request may be attempted depends on it, as on an attempt of its own.
+	EarlierRun *EarlierRun `json:"EarlierRun,omitempty"`
+}
+
+// EarlierRun is an attempt that may have run.
+type EarlierRun struct {
+	HostID string `json:"Host,omitempty"` // "" if it is not known
+	At     Time   `json:"At"`             // when it began
 }
 
 // AttemptStatus is the outcome of an attempt.
--- a/internal/dataplane/hotrestart/message.go
+++ b/internal/dataplane/hotrestart/message.go
@@ -1,6 +1,7 @@
 package hotrestart
 
 import (
+	"croftlock/internal/balancer"
 	"croftlock/internal/dataplane/proxy"
 )
 
@@ -28,6 +29,7 @@
 	Protocol    int                         `json:"Protocol,omitempty"`  // the sender's protocolVersion; 0 if an earlier build sent the message
 	RequestID   string                      `json:"RequestID,omitempty"` // ID of a client's request
 	InUse       bool                        `json:"InUse,omitempty"`     // whether the sender has a request with RequestID
+	Run         *balancer.EarlierRun        `json:"Run,omitempty"`       // the run of an ended request with RequestID; nil if there is none
 }
 
 // protocolVersion is the version of the messages that this build sends. A message of a kind that version 0
@@ -163,11 +165,11 @@
 type idAnswer struct {
 	noDescriptors
 	requestID string
-	inUse     bool
+	status    proxy.IDStatus
 }
 
 func (m idAnswer) envelope() envelope {
-	return envelope{Kind: kindIDAnswer, RequestID: m.requestID, InUse: m.inUse}
+	return envelope{Kind: kindIDAnswer, RequestID: m.requestID, InUse: m.status.InUse, Run: m.status.Run}
 }
 
 // unexpectedMessage is a message of a kind that this version does not know, or one that lacks a part
@@ -213,7 +215,7 @@
 	case e.Kind == kindIDQuestion && e.RequestID != "":
 		return idQuestion{requestID: e.RequestID}
 	case e.Kind == kindIDAnswer && e.RequestID != "":
-		return idAnswer{requestID: e.RequestID, inUse: e.InUse}
+		return idAnswer{requestID: e.RequestID, status: proxy.IDStatus{InUse: e.InUse, Run: e.Run}}
 	}
 	return unexpectedMessage{kind: e.Kind}
 }
--- a/internal/dataplane/hotrestart/partner.go
+++ b/internal/dataplane/hotrestart/partner.go
@@ -32,11 +32,11 @@
 	// ConnectionReceived is called with an open connection that the partner hands over. This process
 	// now owns the connection's two sockets.
 	ConnectionReceived(c *proxy.HandedOverConnection)
-	// IDQuestion is called when the partner asks whether this process has a request with an ID. answer may
-	// be called later, on the loop.
-	IDQuestion(id string, answer func(inUse bool))
-	// IDAnswer is called with the partner's answer whether it has a request with an ID.
-	IDAnswer(id string, inUse bool)
+	// IDQuestion is called when the partner asks about the ID of a request. answer may be called later, on
+	// the loop.
+	IDQuestion(id string, answer func(proxy.IDStatus))
+	// IDAnswer is called with the partner's answer about an ID.
+	IDAnswer(id string, status proxy.IDStatus)
 	// Gone is called once, when the connection to the partner has ended.
 	Gone()
 }
@@ -164,9 +164,9 @@
 	case connection:
 		events.ConnectionReceived(m.HandedOverConnection)
 	case idQuestion:
-		events.IDQuestion(m.requestID, func(inUse bool) { p.send(idAnswer{requestID: m.requestID, inUse: inUse}) })
+		events.IDQuestion(m.requestID, func(status proxy.IDStatus) { p.send(idAnswer{requestID: m.requestID, status: status}) })
 	case idAnswer:
-		events.IDAnswer(m.requestID, m.inUse)
+		events.IDAnswer(m.requestID, m.status)
 	default:
 		closeDescriptors(m.descriptors())
 		// For example, a later version may send a kind that this one does not know.
--- a/internal/dataplane/hotrestart/partner_test.go
+++ b/internal/dataplane/hotrestart/partner_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"croftlock/internal/balancer"
 	"croftlock/internal/dataplane/netio"
 	"croftlock/internal/dataplane/proxy"
 )
@@ -33,12 +34,20 @@
 	connection.Downstream.Discard([]byte("x"))
 	connection.Upstream.Discard(nil)
 }
-func (s *recordedEvents) IDQuestion(id string, answer func(inUse bool)) {
+func (s *recordedEvents) IDQuestion(id string, answer func(proxy.IDStatus)) {
 	s.events <- "question " + id
-	answer(id == "used")
+	status := proxy.IDStatus{InUse: id == "used"}
+	if id == "ran" {
+		status.Run = &balancer.EarlierRun{HostID: "h", At: 7}
+	}
+	answer(status)
 }
-func (s *recordedEvents) IDAnswer(id string, inUse bool) {
-	s.events <- fmt.Sprintf("answer %s %t", id, inUse)
+func (s *recordedEvents) IDAnswer(id string, status proxy.IDStatus) {
+	ran := ""
+	if status.Run != nil {
+		ran = fmt.Sprintf(" ran at %s, %d", status.Run.HostID, status.Run.At)
+	}
+	s.events <- fmt.Sprintf("answer %s %t%s", id, status.InUse, ran)
 }
 func (s *recordedEvents) Gone() { s.events <- "gone" }
 
@@ -142,6 +151,9 @@
 	toNew.SendIDQuestion("free")
 	newEvents.expect(t, "question free")
 	oldEvents.expect(t, "answer free false")
+	toOld.SendIDQuestion("ran")
+	oldEvents.expect(t, "question ran")
+	newEvents.expect(t, "answer ran false ran at h, 7")
 	checkQueuedClientIsAccepted(t, h.ListenerFD, listener, file)
 	toNew.Close()
 	newEvents.expect(t, "gone")
--- a/internal/dataplane/hotrestart/recorded_test.go
+++ b/internal/dataplane/hotrestart/recorded_test.go
@@ -56,7 +56,8 @@
 		downstreamCount{count: 12, accounts: map[string]int{"a": 1}},
 		connection{fullConnection()},
 		idQuestion{requestID: "r"},
-		idAnswer{requestID: "r", inUse: true},
+		idAnswer{requestID: "r", status: proxy.IDStatus{InUse: true}},
+		idAnswer{requestID: "r", status: proxy.IDStatus{Run: &balancer.EarlierRun{HostID: "h", At: 7}}},
 	}
 	var lines []byte
 	for _, m := range messages {
--- a/internal/dataplane/invariant/checks.go
+++ b/internal/dataplane/invariant/checks.go
@@ -93,6 +93,12 @@
 // MayHaveRun reports whether an attempt that has ended, or the attempt in flight, may have run.
 func (r *Request) MayHaveRun() bool { return r.mayHaveRun || r.attemptInFlight && r.lineWritten }
 
+// FirstRun returns the start and the host of the first attempt that may have run, and reports whether there
+// is one.
+func (r *Request) FirstRun() (at int64, h Host, mayHaveRun bool) {
+	return r.firstRunAt, r.firstRunHost, r.MayHaveRun()
+}
+
 // MayReject reports whether the request may be rejected. A rejection promises that a retry by the
 // client, at any host, is harmless. If the request may have run, that is true only if a second run
 // has no effect or all hosts discard a second run.
--- a/internal/dataplane/invariant/record.go
+++ b/internal/dataplane/invariant/record.go
@@ -42,9 +42,18 @@
 	}
 }
 
-// TakenOver records that another process of this proxy has answered the request and hands its open
-// connection over to this process.
-func (r *Request) TakenOver() { r.client = established }
+// RanBefore records that an earlier request with the same ID may have run at h. at is the time at which
+// that attempt began.
+func (r *Request) RanBefore(at int64, h Host) {
+	r.mayHaveRun, r.firstRunAt, r.firstRunHost = true, at, h
+}
+
+// TakenOver records that another process of this proxy has answered the request, which runs at h, and
+// hands its open connection over to this process. at is the earliest time at which the run may have begun.
+func (r *Request) TakenOver(at int64, h Host) {
+	r.RanBefore(at, h)
+	r.client = established
+}
 
 // Accepted records that the host's acceptance, the client's answer, is sent to the client. A client
 // that has left stays so.
--- a/internal/dataplane/invariant/request.go
+++ b/internal/dataplane/invariant/request.go
@@ -18,6 +18,7 @@
 
 // Host holds the properties of an upstream host that the rules depend on.
 type Host struct {
+	ID    string
 	State balancer.HostState
 	Zone  string
 	Cell  int // the host's group of hosts that share a dedup memory with ScopeCell, as discovery numbers it
--- a/internal/dataplane/lineproto/downstream.go
+++ b/internal/dataplane/lineproto/downstream.go
@@ -77,7 +77,7 @@
 		}
 		d.idleTimer.Stop()
 		if !d.front.core.Admit(openLine.Class) {
-			d.Reject(d.front.core.DefaultRetryAfter())
+			d.front.core.RejectOverCapacity(d, &openLine.Opening)
 			return false
 		}
 		d.admitted = true
--- a/internal/dataplane/proxy/admission.go
+++ b/internal/dataplane/proxy/admission.go
@@ -44,6 +44,15 @@
 	return false
 }
 
+// RejectOverCapacity answers an opening for which Admit found no capacity.
+func (c *Core) RejectOverCapacity(d Downstream, o *Opening) {
+	if class, known := c.names.classes[o.Class]; known && !c.mayReject(o.ID, &c.opt.Settings.Classes[class]) {
+		d.Fail()
+		return
+	}
+	d.Reject(c.DefaultRetryAfter())
+}
+
 // DownstreamEnded releases the capacity of an admitted downstream.
 func (c *Core) DownstreamEnded() { c.admission.release() }
 
--- a/internal/dataplane/proxy/core.go
+++ b/internal/dataplane/proxy/core.go
@@ -52,6 +52,7 @@
 	expiry     *certexpiry.Planner // nil if no connection migrates because of its certificate
 	handover   handover
 	otherIDs   otherProcessIDs
+	usedIDs    usedIDs
 	monitor    *invariant.Monitor
 	counters   counters
 
--- a/internal/dataplane/proxy/handover.go
+++ b/internal/dataplane/proxy/handover.go
@@ -141,7 +141,7 @@
 		a.unansweredSince = append(a.unansweredSince, rebaseUnanswered(t, c.loop.Now()))
 	}
 	r.record = invariant.Request{Monitor: c.monitor, ID: r.attributes.ID, Class: r.class()}
-	r.record.TakenOver()
+	r.record.TakenOver(unknownRunTime, h.invariantHost())
 	r.attempt = a
 	h.established[r] = struct{}{}
 	c.replaceRequest(r)
--- a/internal/dataplane/proxy/hosts.go
+++ b/internal/dataplane/proxy/hosts.go
@@ -35,7 +35,7 @@
 
 // invariantHost returns the properties of the host that the invariants check.
 func (h *host) invariantHost() invariant.Host {
-	return invariant.Host{State: h.state, Zone: h.zone, Cell: h.listed.Cell}
+	return invariant.Host{ID: h.hostID, State: h.state, Zone: h.zone, Cell: h.listed.Cell}
 }
 
 // effectiveEntry returns the host's list entry with its effective state and start, as passed to the
--- a/internal/dataplane/proxy/invalid.go
+++ b/internal/dataplane/proxy/invalid.go
@@ -18,11 +18,12 @@
 	LineTooLong                           // a line is longer than the protocol allows
 	FirstLineLate                         // the first line was not complete in time
 	SentBeforeAnswer                      // the client sent more before the answer than the proxy buffers
+	IDUsed                                // a request with the ID has ended and may have run; another run may do harm
 )
 
 // String returns the reason's name in the log.
 func (r InvalidReason) String() string {
-	names := [...]string{"unknown_class", "unknown_tenant", "id_in_use", "malformed_line", "line_too_long", "first_line_late", "sent_before_answer"}
+	names := [...]string{"unknown_class", "unknown_tenant", "id_in_use", "malformed_line", "line_too_long", "first_line_late", "sent_before_answer", "id_used"}
 	if r < 0 || int(r) >= len(names) {
 		return fmt.Sprintf("InvalidReason(%d)", int(r))
 	}
--- a/internal/dataplane/proxy/localreply.go
+++ b/internal/dataplane/proxy/localreply.go
@@ -19,12 +19,13 @@
 	balancerUnresponsive                         // the decision module did not answer, or panicked
 	idInUse                                      // a request at the other process of a hot restart has the same ID
 	idNotConfirmed                               // the other process of a hot restart did not answer whether it has the ID
+	idUsed                                       // a request with the same ID has ended and may have run
 )
 
 // String returns the reason's name in the log.
 func (r localReplyReason) String() string {
 	names := [...]string{"balancer", "shutting_down", "rules", "no_usable_host", "quota_exceeded", "retry_unsafe", "host_not_listed", "invariant", "attempt_ended",
-		"balancer_unresponsive", "id_in_use", "id_not_confirmed"}
+		"balancer_unresponsive", "id_in_use", "id_not_confirmed", "id_used"}
 	if r < 0 || int(r) >= len(names) {
 		return fmt.Sprintf("localReplyReason(%d)", int(r))
 	}
--- a/internal/dataplane/proxy/open.go
+++ b/internal/dataplane/proxy/open.go
@@ -40,6 +40,7 @@
 	r.record = invariant.Request{Monitor: c.monitor, ID: opening.ID, Class: r.class(), Deadline: r.deadline, MaxAttempts: c.opt.Settings.MaxAttempts}
 	c.requests[opening.ID] = r
 	if opening.StickyHost != "" {
+		r.adopting = true
 		c.confirmID(r, func() { r.adopt(opening.StickyHost) })
 		return r
 	}
@@ -66,6 +67,8 @@
 		return &InvalidRequestError{UnknownTenant, o.Tenant}
 	case c.requests[o.ID] != nil:
 		return &InvalidRequestError{IDInUse, o.ID}
+	case c.mustNotRunAgain(o):
+		return &InvalidRequestError{IDUsed, o.ID}
 	}
 	return nil
 }
@@ -88,6 +91,10 @@
 	if tracing() {
 		slog.Debug("request_rejected", "request", attributes.ID, "attempts", 0, "reason", reason, "after_ms", after.Milliseconds())
 	}
+	if !c.mayReject(attributes.ID, &c.opt.Settings.Classes[attributes.Class]) {
+		d.Fail()
+		return
+	}
 	d.Reject(after)
 }
 
--- a/internal/dataplane/proxy/openids.go
+++ b/internal/dataplane/proxy/openids.go
@@ -4,13 +4,14 @@
 	"log/slog"
 	"time"
 
+	"croftlock/internal/balancer"
 	"croftlock/internal/dataplane/netio"
 	"croftlock/internal/operations/metrics"
 )
 
 const (
 	// idAnswerTimeout is the maximum time that a request waits for the other process's answer whether
-	// its ID is in use there. The request is then rejected.
+	// its ID is in use there. The request is then rejected, or fails if it may not simply run again.
 	idAnswerTimeout = time.Second
 	// idReleaseGrace is how long a process waits for a request to end before it answers that the ID is
 	// in use. A client that has left and returns with the same ID may reach the other process before
@@ -59,9 +60,15 @@
 // the other one accepts clients.
 func (c *Core) ConfirmAllIDs() { c.otherIDs.confirmAll = true }
 
-// OtherProcessEnded makes all IDs of the other process free: its connections have ended with it.
+// OtherProcessEnded makes all IDs of the other process free: its connections have ended with it. What became
+// of its requests is not known, so that they count as having run.
 func (c *Core) OtherProcessEnded() {
 	waiting := c.otherIDs.waiting
+	if c.hasUnsafeClass() {
+		for id := range c.otherIDs.open {
+			c.usedIDs.add(id, balancer.EarlierRun{At: unknownRunTime})
+		}
+	}
 	c.otherIDs = otherProcessIDs{}
 	for _, w := range waiting {
 		w.end(w.proceed)
@@ -72,12 +79,13 @@
 // at once if it can't have one. If it has one, or does not answer, the request is answered instead.
 func (c *Core) confirmID(r *Request, proceed func()) {
 	id := r.attributes.ID
+	confirmed := func() { r.proceedAfterEarlierRun(proceed) }
 	_, open := c.otherIDs.open[id]
 	if !open && !c.otherIDs.confirmAll || c.handover.successor == nil {
-		proceed()
+		confirmed()
 		return
 	}
-	w := &idConfirmation{request: r, proceed: proceed}
+	w := &idConfirmation{request: r, proceed: confirmed}
 	wait := min(idAnswerTimeout, time.Duration(r.deadline-c.loop.Now())/2)
 	w.timeout = c.loop.After(wait, func() { c.idUnconfirmed(w) })
 	if c.otherIDs.waiting == nil {
@@ -87,28 +95,39 @@
 	c.handover.successor.AskIDInUse(id)
 }
 
-// IDAnswered handles the other process's answer whether it has a request with an ID. A request that
-// has waited for the answer proceeds, or fails if the ID is in use.
-func (c *Core) IDAnswered(id string, inUse bool) {
-	if !inUse {
+// IDStatus is a process's answer about an ID.
+type IDStatus struct {
+	InUse bool // the process has a request with the ID
+	// Run is the run of a request with the ID that has ended; nil if there is none that matters, or if the
+	// process is of an earlier build.
+	Run *balancer.EarlierRun
+}
+
+// IDAnswered handles the other process's answer about an ID. A request that has waited for the answer
+// proceeds, or fails if the ID is in use.
+func (c *Core) IDAnswered(id string, status IDStatus) {
+	if !status.InUse {
 		delete(c.otherIDs.open, id)
 	}
+	if status.Run != nil {
+		c.usedIDs.add(id, *status.Run)
+	}
 	w := c.otherIDs.waiting[id]
 	if w == nil {
 		return
 	}
 	delete(c.otherIDs.waiting, id)
 	if tracing() {
-		slog.Debug("id_answered", "request", id, "in_use", inUse)
+		slog.Debug("id_answered", "request", id, "in_use", status.InUse)
 	}
-	if inUse {
+	if status.InUse {
 		w.end(func() { c.failIDInUse(w.request) })
 		return
 	}
 	w.end(w.proceed)
 }
 
-// idUnconfirmed rejects a request about whose ID the other process has not answered.
+// idUnconfirmed answers a request about whose ID the other process has not answered.
 func (c *Core) idUnconfirmed(w *idConfirmation) {
 	id := w.request.attributes.ID
 	if c.otherIDs.waiting[id] != w {
@@ -116,7 +135,12 @@
 	}
 	delete(c.otherIDs.waiting, id)
 	slog.Warn("id_not_confirmed", "request", id)
-	w.end(func() { w.request.reject(c.DefaultRetryAfter(), idNotConfirmed) })
+	r := w.request
+	if r.class().Idempotency == balancer.Idempotent {
+		w.end(func() { r.reject(c.DefaultRetryAfter(), idNotConfirmed) })
+		return
+	}
+	w.end(func() { r.fail(metrics.Failed, idNotConfirmed) }) // the other process may have run it
 }
 
 // end stops the timeout and calls next, unless the client has left or has an answer.
@@ -133,24 +157,33 @@
 	r.fail(metrics.InvalidRequest, idInUse)
 }
 
-// AnswerIDInUse answers the other process's question whether this one has a request with an ID. If it
-// has, it answers after idReleaseGrace, by when the request may have ended. If it has none, the other
-// process has one from now on.
-func (c *Core) AnswerIDInUse(id string, answer func(inUse bool)) {
+// AnswerID answers the other process's question about an ID. If this process has a request with the ID, it
+// answers after idReleaseGrace, by when the request may have ended. If it has none, the other process has one
+// from now on.
+func (c *Core) AnswerID(id string, answer func(IDStatus)) {
 	if c.requests[id] == nil {
-		c.addOtherProcessID(id)
-		answer(false)
+		answer(c.giveUpID(id))
 		return
 	}
 	c.loop.After(idReleaseGrace, func() {
-		inUse := c.requests[id] != nil
-		if !inUse {
-			c.addOtherProcessID(id)
+		if c.requests[id] != nil {
+			answer(IDStatus{InUse: true})
+			return
 		}
-		answer(inUse)
+		answer(c.giveUpID(id))
 	})
 }
 
+// giveUpID records that the other process has a request with an ID that is free here, and returns the answer
+// to its question.
+func (c *Core) giveUpID(id string) IDStatus {
+	c.addOtherProcessID(id)
+	if run, used := c.usedIDs.runs[id]; used {
+		return IDStatus{Run: &run}
+	}
+	return IDStatus{}
+}
+
 // addOtherProcessID records that the other process has a request with the ID.
 func (c *Core) addOtherProcessID(id string) {
 	if c.otherIDs.open == nil {
--- a/internal/dataplane/proxy/openids_test.go
+++ b/internal/dataplane/proxy/openids_test.go
@@ -40,15 +40,15 @@
 	w.expect()
 	w.open("used") // while the other process is asked
 	w.expect("fail used")
-	w.core.IDAnswered("used", true)
+	w.core.IDAnswered("used", IDStatus{InUse: true})
 	w.expect("fail used")
 	w.open("used")
-	w.core.IDAnswered("used", false)
+	w.core.IDAnswered("used", IDStatus{InUse: false})
 	w.expect("request used")
 	if len(other.asked) != 2 {
 		t.Errorf("the other process was asked about %v, want used twice", other.asked)
 	}
-	w.core.IDAnswered("used", true) // unexpected
+	w.core.IDAnswered("used", IDStatus{InUse: true}) // unexpected
 	w.expect()
 }
 
@@ -75,19 +75,19 @@
 	w.core.ConfirmAllIDs()
 	w.open("free")
 	w.expect()
-	w.core.IDAnswered("free", false)
+	w.core.IDAnswered("free", IDStatus{InUse: false})
 	w.expect("request free")
 	if len(other.asked) != 1 {
 		t.Errorf("the new process was asked about %v, want free", other.asked)
 	}
 }
 
-// TestAnswerIDInUse checks that a process answers that an ID is free if its request ends soon, and that
+// TestAnswerID checks that a process answers that an ID is free if its request ends soon, and that
 // the ID then belongs to the other process.
-func TestAnswerIDInUse(t *testing.T) {
+func TestAnswerID(t *testing.T) {
 	w, other := newRestartHarness(t)
 	answers := map[string]bool{}
-	ask := func(id string) { w.core.AnswerIDInUse(id, func(inUse bool) { answers[id] = inUse }) }
+	ask := func(id string) { w.core.AnswerID(id, func(status IDStatus) { answers[id] = status.InUse }) }
 	leaving, _ := w.serve("leaving")
 	w.serve("staying")
 	ask("unknown")
@@ -115,7 +115,7 @@
 	if w.events[0] != "fail used" || w.core.requests["used"] != resumed {
 		t.Errorf("events %v, want that the request that waits fails and the resumed one is in the table", w.events)
 	}
-	w.core.IDAnswered("used", false)
+	w.core.IDAnswered("used", IDStatus{InUse: false})
 	if w.core.requests["used"] != resumed {
 		t.Error("a late answer about the ID of a resumed request removes it")
 	}
--- a/internal/dataplane/proxy/request.go
+++ b/internal/dataplane/proxy/request.go
@@ -48,8 +48,9 @@
 	// requests and connections that were handed over.
 	overdueTimer *netio.Timer
 
-	phase   requestPhase
-	adopted bool // the connection was open at a host before this proxy's start
+	phase    requestPhase
+	adopting bool // the client named the host at which the connection is open
+	adopted  bool // the connection was open at a host before this proxy's start
 	// attempts counts the attempts that balancers of all pools requested, including those that a
 	// check stopped. It is 0 for an adopted request, and 1 for a connection that was handed over.
 	attempts               int
@@ -111,6 +112,7 @@
 	}
 	if r.core.requests[r.attributes.ID] == r {
 		delete(r.core.requests, r.attributes.ID)
+		r.core.rememberRun(r)
 	}
 	r.releaseQuota()
 }
--- a/internal/dataplane/proxy/snapshot.go
+++ b/internal/dataplane/proxy/snapshot.go
@@ -18,6 +18,7 @@
 var (
 	errTooManyHosts     = errors.New("snapshot: too many hosts")
 	errTooManyOpenIDs   = errors.New("snapshot: too many IDs of requests")
+	errRequestIDLength  = errors.New("snapshot: request ID length out of range")
 	errHostIDLength     = errors.New("snapshot: host ID length out of range")
 	errFutureSuspension = errors.New("snapshot: host suspended in the future")
 	errImplausibleHost  = errors.New("snapshot: address, state, weight or start of a host out of range")
@@ -46,6 +47,9 @@
 	// OpenIDs holds the IDs of the writer's requests. It is set only in a snapshot that a running process
 	// sends to the next one.
 	OpenIDs []string `json:"OpenIDs,omitempty"`
+	// UsedIDs holds the IDs of the writer's ended requests that may not simply run again, the oldest first.
+	// It is set as OpenIDs is. It is nil if an earlier build wrote the snapshot.
+	UsedIDs []UsedID `json:"UsedIDs,omitempty"`
 	// Rules is the version of the fleet's rules that the writer acts by, with the rest of its lease. It
 	// is nil if rules are off, before the first version, or if an earlier build wrote the snapshot.
 	Rules *rules.HeldLease `json:"Rules,omitempty"`
@@ -130,6 +134,9 @@
 	for i := range s.Resumed {
 		shiftAll(&s.Resumed[i].StartedAt)
 	}
+	for i := range s.UsedIDs {
+		shiftAll(&s.UsedIDs[i].Run.At)
+	}
 	shiftAll(&s.Balancer.Started, &s.Balancer.RateAt)
 	for i := range s.Balancer.Servers {
 		h := &s.Balancer.Servers[i]
@@ -144,8 +151,8 @@
 		return fmt.Errorf("%w: %d listed, %d suspended, %d suspended for the fleet and %d resumed, at most %d each; %d known, at most %d", errTooManyHosts,
 			len(s.Hosts), len(s.Suspended), len(s.fleetSuspended()), len(s.Resumed), maxHosts, len(s.KnownHosts), 2*maxHosts)
 	}
-	if len(s.OpenIDs) > maxOpenIDs {
-		return fmt.Errorf("%w: %d, at most %d", errTooManyOpenIDs, len(s.OpenIDs), maxOpenIDs)
+	if len(s.OpenIDs) > maxOpenIDs || len(s.UsedIDs) > maxUsedIDs {
+		return fmt.Errorf("%w: %d open, at most %d; %d used, at most %d", errTooManyOpenIDs, len(s.OpenIDs), maxOpenIDs, len(s.UsedIDs), maxUsedIDs)
 	}
 	for _, suspension := range s.suspensions() {
 		if suspension.Since > now {
@@ -164,7 +171,7 @@
 	return nil
 }
 
-// checkIDs checks the lengths of the IDs of known and suspended hosts.
+// checkIDs checks the lengths of the IDs of known and suspended hosts, and of used IDs of requests.
 func (s *Snapshot) checkIDs() error {
 	check := func(id string) error {
 		if id == "" || len(id) > maxIDLength {
@@ -182,6 +189,11 @@
 			return err
 		}
 	}
+	for _, used := range s.UsedIDs {
+		if used.ID == "" || len(used.ID) > maxIDLength {
+			return fmt.Errorf("%w: %d bytes, expected 1 to %d", errRequestIDLength, len(used.ID), maxIDLength)
+		}
+	}
 	return nil
 }
 
--- a/internal/testbed/fake/server.go
+++ b/internal/testbed/fake/server.go
@@ -99,6 +99,13 @@
 	return total, repeated
 }
 
+// RequestCount returns how often the host received the request with an ID.
+func (s *Server) RequestCount(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests[id]
+}
+
 // ClientCertificates returns the number of handshakes by the serial number of the certificate that
 // the client presented. Handshakes without a client certificate do not count.
 func (s *Server) ClientCertificates() map[string]int {
