Balancer: clients that leave early are no sign of a retry storm

Cause: an attempt that was cancelled because its client left counted as an attempt and never as a success. Beside clients that send a request and leave, a retry storm was suspected, and the requests of all others waited for half of their time and were rejected, while all hosts were idle.

--- a/internal/balancer/outcomes.go
+++ b/internal/balancer/outcomes.go
@@ -131,7 +131,9 @@
 
 // setupEnded updates the state of ejection, retry storm detection, set-up times and error scores
 // after an attempt that ended without an established connection. OK counts as an acceptance by the
-// host. Cancelled and TooLate have no effect.
+// host. Cancelled and TooLate tell nothing about the host. An attempt that was cancelled before the host
+// was late does not indicate a retry storm either: otherwise clients that leave at once would delay all
+// others.
 func (b *Balancer) setupEnded(r *request, status AttemptStatus, elapsed Time) {
 	h := r.host
 	switch status {
@@ -146,6 +148,12 @@
 		b.hostFailed(h, r.sentAt, false)
 	case Reset:
 		b.hostFailed(h, r.sentAt, true)
+	case Cancelled:
+		if elapsed < b.retryStorm.longestObjective {
+			b.retryStorm.discountAttempt()
+		}
+	case TooLate:
+		b.retryStorm.discountAttempt()
 	case Full:
 		b.retryStorm.discountAttempt()
 		// Until then, the host gets requests only if no other host is available.
--- a/internal/balancer/retrystorm.go
+++ b/internal/balancer/retrystorm.go
@@ -19,8 +19,9 @@
 )
 
 // retryStorm detects a suspected retry storm: most recent attempts fail, and their retries add to
-// the load that makes attempts fail. Failed connects and rejections by full hosts count neither as
-// attempts nor as successes, since they cost the hosts nothing.
+// the load that makes attempts fail. Failed connects, rejections by full hosts, and attempts that were not
+// made count neither as attempts nor as successes, since they cost the hosts nothing; nor do those that
+// were cancelled before the host was late.
 type retryStorm struct {
 	longestObjective    Time    // the longest latency objective of all classes
 	attempts, successes float64 // recent ones at all hosts, with exponential decay
--- a/internal/dataplane/proxy/clientleft_test.go
+++ b/internal/dataplane/proxy/clientleft_test.go
@@ -155,7 +155,7 @@
 // for a request whose client has left, whatever the request waited for at that moment.
 func TestNothingBeginsForClientsThatLeft(t *testing.T) {
 	w := newLeavingClients(t)
-	const clients = 4000
+	const clients = 8000
 	leftDuring := map[string]int{}
 	for n := range clients {
 		id := fmt.Sprintf("%016x", n)
