netio: accept no faster than the loop handles, so that descriptors stay within the limit

Cause: the gate that makes the poller wait for the loop opens twice for each new connection. What the poller accepted and read meanwhile queued up on the loop without a bound, and connections that ended while a task of them was queued were closed by netpoll later than they were counted as closed. Beside 600 slow clients 394 and 639 descriptors were held where 256 are allowed.

Change: descriptors that no connection counts are counted, and from 8 on nothing more is accepted until the loop has run what is queued.

--- a/internal/dataplane/netio/attach.go
+++ b/internal/dataplane/netio/attach.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -21,6 +23,8 @@
 	loop    *Loop          // guarded by the mutex; replaced by each Attach
 	barrier *pollerBarrier // parks the poller, the goroutine that reads and accepts; set by the first Attach
 	gate    *loopGate      // set by the first Attach
+
+	unsettled unsettledDescriptors
 }
 
 // whilePollerParked calls f while the poller is parked between two sockets. It must be called on the
@@ -101,13 +105,20 @@
 	return nil
 }
 
-// netpollLog writes netpoll's messages to the structured log, except those about errStopped.
+// netpollLog writes netpoll's messages to the structured log, except those about errStopped. Resets by peers
+// are normal, and logged for debugging only: clients would otherwise write a line each to the log, and the
+// limit of repeated lines would not hold, since each has another text.
 type netpollLog struct{}
 
 // Write logs one message.
 func (netpollLog) Write(p []byte) (int, error) {
-	if !bytes.Contains(p, []byte(errStopped.Error())) {
-		slog.Error("netpoll", "text", string(bytes.TrimSpace(p)))
+	text := string(bytes.TrimSpace(p))
+	switch {
+	case strings.Contains(text, errStopped.Error()):
+	case strings.Contains(text, syscall.ECONNRESET.Error()):
+		slog.Debug("netpoll", "text", text)
+	default:
+		slog.Error("netpoll", "text", text)
 	}
 	return len(p), nil
 }
--- a/internal/dataplane/netio/conn.go
+++ b/internal/dataplane/netio/conn.go
@@ -85,6 +85,7 @@
 	fd        int  // negative if the connection has no descriptor
 	detaching bool // netpoll is detaching the socket, so its close callback means a pause, not the end
 	closing   bool // this side has closed the connection
+	unsettled bool // of environment.unsettled, because netpoll has not closed it yet
 }
 
 // newConn wraps an established netpoll connection. Reading pauses when the input holds limit bytes.
--- a/internal/dataplane/netio/end.go
+++ b/internal/dataplane/netio/end.go
@@ -30,6 +30,10 @@
 	if c.socket.fd >= 0 && !kept {
 		cause = c.endCause()
 		c.socket.fd = -1 // another connection may get the number from here on
+		if c.socket.unsettled {
+			c.socket.unsettled = false
+			environment.unsettled.remove()
+		}
 	}
 	c.socket.mu.Unlock()
 	var tail []byte
@@ -125,7 +129,7 @@
 	}
 	c.socket.mu.Unlock()
 	if !c.paused {
-		c.transport.Close()
+		c.closeTransport()
 		c.descriptorFreed()
 		return
 	}
@@ -141,6 +145,18 @@
 	}
 }
 
+// closeTransport makes netpoll close the socket. If the loop has not run all tasks of the connection yet,
+// netpoll does so only then, and the descriptor is unsettled until then.
+func (c *Conn) closeTransport() {
+	c.socket.mu.Lock()
+	if c.socket.fd >= 0 && !c.socket.unsettled {
+		c.socket.unsettled = true
+		environment.unsettled.add()
+	}
+	c.socket.mu.Unlock()
+	c.transport.Close()
+}
+
 // OnDescriptorFree sets f, which is called on the loop when the descriptor is freed: at or after the end.
 func (c *Conn) OnDescriptorFree(f func()) { c.onDescriptorFree = f }
 
--- a/internal/dataplane/netio/listen.go
+++ b/internal/dataplane/netio/listen.go
@@ -26,6 +26,9 @@
 	detached bool          // netpoll has been told to stop, and ended will be closed
 	ended    chan struct{} // closed once netpoll has stopped; nil before the first Serve
 	onAccept func(fd int)  // takes ownership of an accepted descriptor; called on the poller
+	// awaitLoop returns once the loop has run the tasks that are queued, or waits for the poller; called on
+	// the poller.
+	awaitLoop func()
 }
 
 // errStopped makes netpoll stop accepting: netpoll looks for "closed" in the text. The socket stays open.
@@ -46,6 +49,12 @@
 		n.mu.Unlock()
 		return nil, errStopped
 	}
+	if environment.unsettled.full() {
+		awaitLoop := n.awaitLoop
+		n.mu.Unlock()
+		awaitLoop()
+		return nil, nil
+	}
 	c, err := n.Listener.Accept()
 	onAccept := n.onAccept
 	n.mu.Unlock() // the loop may wait for mu, and onAccept waits for the loop
@@ -151,7 +160,11 @@
 	n.mu.Lock()
 	n.stopped = false
 	// The poller waits until the loop has handled a connection, which may require evicting another.
-	n.onAccept = func(fd int) { environment.gate.runOnLoop(l, func() { startAccepted(l, fd, limit, accept) }) }
+	n.onAccept = func(fd int) {
+		environment.unsettled.add()
+		environment.gate.runOnLoop(l, func() { startAccepted(l, fd, limit, accept) })
+	}
+	n.awaitLoop = func() { environment.gate.runOnLoop(l, func() {}) }
 	serving, previousEnded := n.ended != nil && !n.detached, n.ended
 	if !serving {
 		n.detached, n.ended = false, make(chan struct{})
@@ -198,6 +211,7 @@
 // startAccepted makes a connection of an accepted descriptor, on the loop. It starts reading unless
 // accept has ended the connection.
 func startAccepted(l *Loop, fd, limit int, accept func(c *Conn) Handler) {
+	environment.unsettled.remove()
 	unix.SetNonblock(fd, true)
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	c := newPausedConn(l, fd, limit, discardingHandler{})
