Hot restart: an old process whose successor dies in its shutdown rejects clients

Cause: an old process accepts clients again when its successor ends only if it can serve. One that shuts down held the shared listening socket and accepted nothing: what the kernel accepted for it was reset when it ended.

--- a/internal/app/node/partner.go
+++ b/internal/app/node/partner.go
@@ -147,8 +147,8 @@
 }
 
 // Gone handles the end of the other process. This one gets the whole memory limit again. A new
-// process serves if it did not serve yet; an old one that has handed over serves again, unless it is
-// shutting down.
+// process serves if it did not serve yet; an old one that has handed over serves again, or rejects clients if
+// it is shutting down.
 func (e partnerEvents) Gone() {
 	if !e.isCurrent() {
 		return
@@ -165,7 +165,11 @@
 		return
 	}
 	r.isOld = false
-	if r.phase == handedOver && e.core.Ready() {
+	switch {
+	case r.phase != handedOver:
+	case e.core.Ready():
 		e.takeBack()
+	default:
+		e.rejectClients()
 	}
 }
--- a/internal/app/node/takeover.go
+++ b/internal/app/node/takeover.go
@@ -107,6 +107,18 @@
 	p.joinAndServe(joinWait, func() { slog.Warn("hot_restart_taken_back", "downstreams", p.core.Downstreams()) })
 }
 
+// rejectClients makes an old process that is shutting down accept clients again, since the new one has ended
+// and nobody else accepts what waits in the queue of the shared listening socket. The core rejects their
+// requests.
+func (p *process) rejectClients() {
+	if err := p.front.Serve(); err != nil {
+		slog.Error("listener_failed", "addr", p.cfg.Listen, "reason", err)
+		return
+	}
+	p.core.SuccessorLost()
+	slog.Warn("successor_lost", "downstreams", p.core.Downstreams())
+}
+
 // reportDownstreams sends the number of remaining downstreams to the new process now and every
 // downstreamReportInterval while that process runs, since both share one limit of file descriptors.
 func (p *process) reportDownstreams() {
--- a/internal/dataplane/proxy/admission.go
+++ b/internal/dataplane/proxy/admission.go
@@ -15,9 +15,10 @@
 // proxy consists of two processes, and the limit is for both together. Each downstream may need two
 // file descriptors, and running out of them would break connections that are already open.
 type admission struct {
-	limit                   int // downstreams of this process and the other one together
-	downstreams             int // downstreams of this process
-	otherProcessDownstreams int // downstreams of the other process of this proxy
+	limit                   int   // downstreams of this process and the other one together
+	downstreams             int   // downstreams of this process
+	otherProcessDownstreams int   // downstreams of the other process of this proxy
+	lastRequestAt           int64 // ns of the loop's time, when Admit was last called
 }
 
 // acquire reserves capacity for one downstream, and reports whether there was any.
@@ -36,6 +37,7 @@
 // DownstreamEnded releases the capacity. class is the class of the downstream's request, for the
 // metrics.
 func (c *Core) Admit(class string) bool {
+	c.admission.lastRequestAt = c.loop.Now()
 	if c.admission.acquire() {
 		return true
 	}
--- a/internal/dataplane/proxy/handover.go
+++ b/internal/dataplane/proxy/handover.go
@@ -34,6 +34,9 @@
 	successor  Successor // nil if no state outlives this process
 	handedOver bool      // the other process accepts clients and this one does not
 	inFlight   int       // open connections whose handover has started and not ended
+	// lost is set if the other process ended while this one was shutting down, so that this one rejects the
+	// clients that still come.
+	lost bool
 }
 
 // SetSuccessor sets the receiver of the state that must outlive this process.
@@ -43,6 +46,13 @@
 // if handedOver is true, this one if it is false.
 func (c *Core) SetHandedOver(handedOver bool) { c.handover.handedOver = handedOver }
 
+// SuccessorLost is called if the next process ends while this one is shutting down and accepts clients again,
+// which Open rejects. The shutdown then goes on until none has come for a while.
+func (c *Core) SuccessorLost() {
+	c.handover.handedOver, c.handover.lost = false, true
+	c.admission.lastRequestAt = c.loop.Now()
+}
+
 // HandedOverConnection describes an open connection that one process of a proxy hands over to the
 // next.
 type HandedOverConnection struct {
--- a/internal/dataplane/proxy/lifecycle.go
+++ b/internal/dataplane/proxy/lifecycle.go
@@ -11,8 +11,9 @@
 //
 //  1. Core.Admit: capacity, in file descriptors, of the two processes that a proxy has during a hot
 //     restart. If none is left, the request is rejected.
-//  2. Core.validate: the settings name the class and tenant, and the ID is not in use. Otherwise the
-//     request fails.
+//  2. Core.validate: the settings name the class and tenant, and the ID is neither in use nor that of an
+//     ended request that must not run again. Otherwise the request fails. An ID that may run again under
+//     conditions carries the earlier run to steps 7, 8, 10 and 11 (Request.proceedAfterEarlierRun).
 //  3. Core.Open: a process that is shutting down rejects the request.
 //  4. Core.applyRules and Core.choosePlacement: the rules on which all proxies (the fleet) agree reject
 //     the request, or name its account and the pools, subsets of the hosts, that it may use. If none of
--- a/internal/dataplane/proxy/shutdown.go
+++ b/internal/dataplane/proxy/shutdown.go
@@ -25,6 +25,9 @@
 //     attempt starts any more (shutdown.answerAll).
 //  6. At exitBy the process ends, even if clients have not closed their connections.
 //
+// If the process that has taken over ends meanwhile, this one accepts clients again and rejects them, and ends
+// only once none has come for newConnectionWindow, or at exitBy (Core.SuccessorLost).
+//
 // If the longest deadline is 3 s or more, migrateFrom is 0.45 s, migrateBy 1.95 s, answerBy 3.25 s,
 // exitBy 3.4 s and SIGKILL comes after 3.7 s. If another process has taken over, migrateFrom is 0 s
 // and migrateBy 2.5 s.
@@ -177,10 +180,10 @@
 }
 
 // isIdle counts a step that finds nothing left, and reports whether idleStepsToEnd steps in a row
-// have found nothing left. remaining is the number of connections and requests left. Steps until
-// migrateFrom do not count, because new connections may still arrive.
+// have found nothing left. remaining is the number of connections and requests left. Steps do not count
+// while new connections may still arrive.
 func (s *shutdown) isIdle(remaining int, elapsed int64) bool {
-	if elapsed > s.schedule.migrateFrom && remaining == 0 && s.core.admission.downstreams == 0 {
+	if !s.mayGetRequests(elapsed) && remaining == 0 && s.core.admission.downstreams == 0 {
 		s.idleSteps++
 	} else {
 		s.idleSteps = 0
@@ -188,6 +191,15 @@
 	return s.idleSteps >= idleStepsToEnd
 }
 
+// mayGetRequests reports whether new connections may still arrive: until migrateFrom, and if the process that
+// had taken over has ended, until none has come for newConnectionWindow. Connections that the kernel accepts
+// as the process ends get no answer.
+func (s *shutdown) mayGetRequests(elapsed int64) bool {
+	c := s.core
+	return elapsed <= s.schedule.migrateFrom ||
+		c.handover.lost && c.loop.Now()-c.admission.lastRequestAt < int64(newConnectionWindow)
+}
+
 // migrateDue migrates as many of the open connections as are due when elapsed nanoseconds have
 // passed, including connections established during the shutdown. From migrateBy on it migrates all
 // of them.
