Hot restart: the new process keeps a list that has no revision at a moved discovery

Cause: revisions count within one discovery service. After a move the running process's list has none until the new address answers, and the new process took its configuration's list for the newer one: hosts that drain were up in it.

Change: a list of a running process that cannot be compared with the configuration's is taken, without a revision.

--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -191,7 +191,7 @@
 		slog.Info("discovery_moved", "from", cfg.Discovery, "to", moved)
 		cfg.Discovery = moved
 	}
-	list = knownList(cfg, handoff.Snapshot)
+	list = knownList(cfg, handoff.Snapshot, handoff.ListenerFD >= 0)
 	p.discovery = cluster.NewClient(p.loop, p.dialer, cluster.Options{Address: cfg.Discovery, ProxyCount: cfg.Settings.Instances, Revision: list.Version, Notify: p.listReceived})
 	newBalancer := func(fx balancer.Effects) (proxy.Balancer, error) { return balancer.New(cfg.Settings, cfg.Seed, fx) }
 	if err := p.core.Run(newBalancer, p.discovery, list); err != nil {
--- a/internal/app/node/predecessor.go
+++ b/internal/app/node/predecessor.go
@@ -122,12 +122,22 @@
 	return startAddress
 }
 
+// noRevision is the revision of a list that cannot be compared with those of the discovery service.
+const noRevision = -1
+
 // knownList returns the endpoint list to start with. This is the list of s, which an earlier process
 // handed over or stored, if that list is from the configured discovery service and newer than the
-// list in the platform's configuration. Otherwise it is the configuration's list.
-func knownList(cfg *platform.Config, s *proxy.Snapshot) proxy.WatchEvent {
-	if s.Discovery != cfg.Discovery || s.Revision <= cfg.CachedList.Version {
-		return cfg.CachedList
+// list in the platform's configuration. Otherwise it is the configuration's list. live reports whether s
+// is of a running process: its list is what the proxy has been notified of, also if discovery has moved
+// since and has not sent a list from there, so that the list has no revision there.
+func knownList(cfg *platform.Config, s *proxy.Snapshot, live bool) proxy.WatchEvent {
+	known := cfg.CachedList
+	comparable := s.Discovery == cfg.Discovery && s.Revision >= 0
+	switch {
+	case comparable && s.Revision > known.Version:
+		known.Version, known.Hosts = s.Revision, s.Hosts
+	case !comparable && live && len(s.Hosts) > 0:
+		known.Version, known.Hosts = noRevision, s.Hosts
 	}
-	return proxy.WatchEvent{Kind: cfg.CachedList.Kind, Version: s.Revision, Hosts: s.Hosts}
+	return known
 }
