Hot restart: the new process follows each move of discovery at the old one

Cause: a move was recognized by the old process's address differing from that of its start, and only where both processes had been started with one address. A move back to the start's address, or any further one where they differ, was ignored: the new process stayed at an address where nobody answers.

Change: the new process remembers where the old one's discovery was, and follows each change.

--- a/internal/app/node/partner.go
+++ b/internal/app/node/partner.go
@@ -89,12 +89,14 @@
 	e.applyList(s)
 }
 
-// applyDiscovery follows a reload that moved the discovery service at the old process.
+// applyDiscovery follows a reload that moved the discovery service at the old process since its last message,
+// also back to where it was at the start of either process: the reload is the latest word of the platform.
 func (e partnerEvents) applyDiscovery(s *proxy.Snapshot) {
-	current, _ := e.discovery.Source()
-	if moved := movedDiscovery(e.restart.startDiscovery, s); s.StartDiscovery != "" && moved != current {
-		slog.Info("discovery_moved", "from", current, "to", moved)
-		e.discovery.Redirect(moved)
+	before := e.restart.partnerDiscovery
+	e.restart.partnerDiscovery = s.Discovery
+	if current, _ := e.discovery.Source(); before != "" && s.Discovery != before && s.Discovery != current {
+		slog.Info("discovery_moved", "from", current, "to", s.Discovery)
+		e.discovery.Redirect(s.Discovery)
 	}
 }
 
--- a/internal/app/node/restart.go
+++ b/internal/app/node/restart.go
@@ -91,6 +91,7 @@
 	partner             *hotrestart.Partner      // the other process; nil if there is none
 	isOld               bool                     // whether this process is the old one of the two; false if there is no partner
 	besideUnresponsive  bool                     // whether another process serves that did not answer the request for a handover
+	partnerDiscovery    string                   // address of the old process's discovery service, as far as this one, the new one, knows
 	firstSuspended      []maintenance.Suspension // suspensions at this proxy when the old process handed over its sockets
 	hasFleetState       bool                     // whether this process has the fleet's suspensions as far as its proxy knows them
 	takeOverRequestedAt time.Time                // when this process, the new one, asked the old one to stop accepting clients
--- a/internal/app/node/takeover.go
+++ b/internal/app/node/takeover.go
@@ -14,7 +14,7 @@
 	p.restart.phase = awaitingList
 	p.core.SetHandedOver(true)
 	p.restart.hasFleetState = old.AnswersIDQuestions() // an earlier build does not hand over the fleet's suspensions
-	p.restart.firstSuspended = first.Suspended
+	p.restart.firstSuspended, p.restart.partnerDiscovery = first.Suspended, first.Discovery
 	p.core.SetOtherProcessIDs(first.OpenIDs) // as of the handover request; the answer to takeOver has the final ones
 	p.core.AddUsedIDs(first.UsedIDs)
 	p.runPartner(old)
