Rules: the rest of a lease that has ended is handed over as 0

Cause: a version from the stored state has a lease that ended at the least time there is. The rest that is handed over is that less the present, which wraps round to 292 years: a process acted by rules that the others had replaced.

Change: an ended lease has 0 left, without a difference; a process that takes over ignores a rest above the longest lease of the settings, which an earlier build still hands over.

--- a/internal/fleet/rules/enforcer.go
+++ b/internal/fleet/rules/enforcer.go
@@ -177,7 +177,7 @@
 // of its lease in nanoseconds. Before the first version it returns zeros.
 func (e *Enforcer) ActiveVersion() (number uint64, remaining Time) {
 	if active := e.active.Load(); active != nil {
-		return active.version.Number, max(0, active.leaseEnd-e.Now())
+		return active.version.Number, active.remaining(e.Now())
 	}
 	return 0, 0
 }
--- a/internal/fleet/rules/heldlease.go
+++ b/internal/fleet/rules/heldlease.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"time"
 )
 
 // HeldLease is a version that a process acts by and the rest of its lease. In a hot restart the old
@@ -20,16 +21,32 @@
 	if active == nil {
 		return nil
 	}
-	return &HeldLease{Version: active.encoded, Remaining: max(0, active.leaseEnd-e.Now())}
+	return &HeldLease{Version: active.encoded, Remaining: active.remaining(e.Now())}
 }
 
+// remaining returns the rest of the lease, 0 if it has ended. A lease that was restored from a stored state
+// ended before the earliest time that the clock can show, so that a plain difference would wrap around.
+func (l *leasedVersion) remaining(now Time) Time {
+	if l.leaseEnd <= now {
+		return 0
+	}
+	return l.leaseEnd - now
+}
+
+// maxHeldLease is the longest lease that the settings allow. Builds without a bound hand over the rest of a
+// lease that ended long ago as one without end.
+const maxHeldLease = Time(time.Minute)
+
 // Restore makes this process act by a version that another process of the same proxy held.
 // requestedAt is the time, on the clock Now, at which this process asked for it: the rest of the lease
 // counts from then, so that a late reply does not prolong it. Restore ignores a version older than the
 // one that this process acts by. It must not be called while a Member uses the Enforcer. It returns an
 // error, and changes nothing, if the version is invalid.
 func (e *Enforcer) Restore(held *HeldLease, requestedAt Time) error {
-	leaseEnd := requestedAt + max(0, held.Remaining)
+	leaseEnd := requestedAt
+	if held.Remaining > 0 && held.Remaining <= maxHeldLease {
+		leaseEnd += held.Remaining
+	}
 	if active := e.active.Load(); active != nil && bytes.Equal(active.encoded, held.Version) {
 		e.apply(&leasedVersion{active.compiledVersion, leaseEnd})
 		return nil
--- a/internal/fleet/rules/heldlease_test.go
+++ b/internal/fleet/rules/heldlease_test.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -48,6 +49,28 @@
 	}
 }
 
+// TestEndedLeaseIsHandedOverAsEnded guards against a lease without end: a version from the stored state, whose
+// lease ended before the start of the clock, is handed over as a lease that has ended, also by a build that
+// hands over the difference wrapped around.
+func TestEndedLeaseIsHandedOverAsEnded(t *testing.T) {
+	now := Time(5 * time.Second)
+	version := compress((&Version{Number: 2}).Encode())
+	e := restoredEnforcer(&now)
+	if err := e.Restore(&HeldLease{Version: version}, math.MinInt64+1); err != nil {
+		t.Fatal(err)
+	}
+	held := e.HeldLease()
+	if held.Remaining != 0 {
+		t.Errorf("a lease that ended before the start of the clock is handed over with %d ns left, want 0", held.Remaining)
+	}
+	for _, remaining := range []Time{held.Remaining, math.MaxInt64, math.MaxInt64 - now} {
+		next := restoredEnforcer(&now)
+		if err := next.Restore(&HeldLease{Version: version, Remaining: remaining}, now); err != nil || next.CanAct() {
+			t.Errorf("a process that takes over with %d ns left may act by the version, error %v; want that it may not", remaining, err)
+		}
+	}
+}
+
 // TestMemberRenewsRestoredVersion guards against a new process whose lease lapses after a hot restart: the
 // publisher sends no version to a member that reports it as active, so that the member must know it.
 func TestMemberRenewsRestoredVersion(t *testing.T) {
