--- a/internal/app/node/node.go
+++ b/internal/app/node/node.go
@@ -13,13 +13,11 @@
 package node
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"croftlock/internal/balancer"
@@ -30,7 +28,6 @@
 	"croftlock/internal/dataplane/proxy"
 	"croftlock/internal/dataplane/upstreamtls"
 	"croftlock/internal/fleet/peers"
-	"croftlock/internal/operations/admin"
 	"croftlock/internal/operations/platform"
 	"croftlock/internal/operations/settings"
 )
@@ -207,67 +204,6 @@
 	return list, nil
 }
 
-// openPeers starts to exchange datagrams with the other proxies. fd is the socket that the old
-// process handed over; if it is negative, openPeers opens a new one. openPeers does nothing if the
-// platform forbids such datagrams, names no address for them or runs only one proxy. It only logs a
-// failure, because the proxy can serve without that socket.
-func (p *process) openPeers(fd int) {
-	s := p.cfg.Settings
-	if !s.MayGossip || p.cfg.Peers.Listen == "" || s.Instances <= 1 {
-		return
-	}
-	link, err := peers.Open(p.loop, p.cfg.Peers, s.Instance, fd, p.peerMessageReceived)
-	if err != nil {
-		slog.Warn("peers_off", "reason", err)
-		return
-	}
-	p.core.SetPeers(link)
-	p.peers = link
-}
-
-// peerMessageReceived passes a datagram of the proxy with number from to membership, which may be
-// nil, or to the decision module if the datagram is not one of membership's.
-func (p *process) peerMessageReceived(from int, data []byte) {
-	if !p.fleet.members.ReceiveShared(from, data) {
-		p.core.PeerMessageReceived(from, data)
-	}
-}
-
-// listen creates the front, which serves clients. fd is the listening socket that the old process
-// handed over; if it is negative, listen opens a new one. If hot restarts are possible, other
-// sockets may listen at the address of the new one too, so that a later process can start even if
-// this one fails to hand its socket over.
-func (p *process) listen(fd int) (err error) {
-	if fd >= 0 {
-		p.listener, err = netio.Inherit(fd)
-	} else {
-		p.listener, err = retryStart(func() (*netio.Listener, error) { return netio.Bind(p.cfg.Listen, p.restart.dir != "") }, addressInUse)
-	}
-	if err != nil {
-		return fmt.Errorf("listen: %v", err)
-	}
-	p.front = lineproto.NewFront(p.loop, p.core, p.listener, p.cfg.MaxIdleClients())
-	p.core.SetIdleDownstreams(p.front)
-	return nil
-}
-
-// listenAdmin starts the admin interface if the platform configures an address for it.
-func (p *process) listenAdmin() error {
-	if p.cfg.Admin == "" {
-		return nil
-	}
-	listen := func() (*admin.Server, error) {
-		return admin.Listen(p.loop, p.core, p.cfg.Admin, p.cfg.MaxAdminCallers())
-	}
-	if _, err := retryStart(listen, addressInUse); err != nil {
-		return fmt.Errorf("admin_addr: %v", err)
-	}
-	return nil
-}
-
-// addressInUse reports whether err is EADDRINUSE.
-func addressInUse(err error) bool { return errors.Is(err, syscall.EADDRINUSE) }
-
 // shutDown starts the graceful shutdown. It may be called from any goroutine.
 func (p *process) shutDown() {
 	p.loop.Post(func() {
