--- a/internal/app/command/restartready_test.go
+++ b/internal/app/command/restartready_test.go
@@ -100,6 +100,7 @@
 	}
 	old.Kill()
 	waitActive(t, rig, replacedProxy, 1, 5)
+	waitActivated(t, rig, replacedProxy, 1) // a lease of the old process may be counted above
 	if answer := refusedAnswer(rig.Procs[replacedProxy].Addr); answer != "BUSY 300" {
 		t.Errorf("%s: in the end a request that the rules refuse is answered with %q, want BUSY 300", d.name, answer)
 	}
