Test: run the bad clients alone

Change: the test has a package of its own, and test.sh runs it before all others, alone. Its bounds are the same.

--- a/internal/testbed/experiment/badclients/badclients_test.go
+++ b/internal/testbed/experiment/badclients/badclients_test.go
@@ -1,4 +1,6 @@
-package command
+// Package badclients plays bad clients at the limits of the platform. It is a package of its own since its test
+// needs all cores.
+package badclients
 
 import (
 	"os/exec"
--- a/test.sh
+++ b/test.sh
@@ -57,7 +57,9 @@
 drawn=$(go list $(grep -rl pgregory.net/rapid --include='*_test.go' cmd internal | xargs -n1 dirname | sort -u | sed 's,^,./,'))
 # Tests that start real processes measure them in real time. They run before the simulations, which would take all cores from them.
 processes=$(go list ./internal/app/command ./internal/fleet/owneragent ./internal/testbed/experiment/soak)
-others=$(go list ./... | grep -vxF "$drawn" | grep -vxF "$processes")
+# Hundreds of clients at full speed take all cores, and are measured too: they run alone.
+alone=$(go list ./internal/testbed/experiment/badclients)
+others=$(go list ./... | grep -vxF "$drawn" | grep -vxF "$processes" | grep -vxF "$alone")
 # Takes the packages, a line each, and flags for their tests.
 test_packages() {
     packages=$1
@@ -77,6 +79,7 @@
     return $bad
 }
 failed=0
+test_packages "$alone" || failed=1
 test_packages "$processes" || failed=1
 test_packages "$others" || failed=1
 test_packages "$drawn" -rapid.seed=1 || failed=1
