Experiment bad-clients: make the fields of long first lines once

Cause: beside four busy processes TestBadClientsHarmNoOthers failed in 2 of 2 runs: "a line's answer after 2215 ms, at most 1s". Each bad client made the 600 fields of its line anew each time, with the race detector: the clients' process, which measures, had no cores left.

Change: the fields are made once. Bounds and clients are the same.

--- a/internal/testbed/experiment/badclientkinds.go
+++ b/internal/testbed/experiment/badclientkinds.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -164,15 +165,19 @@
 
 // longLine returns a valid first line of nearly the longest length, with some 600 short fields.
 func longLine() string {
-	const longest = 4060
-	var line strings.Builder
-	fmt.Fprintf(&line, "OPEN %s %s c=%s,d=4000", fake.NewID(), fake.NewID(), requestClass)
-	for i := 0; line.Len() < longest; i++ {
-		fmt.Fprintf(&line, ",%xz=1", i)
-	}
-	return line.String() + "\r\n"
+	return fmt.Sprintf("OPEN %s %s c=%s,d=4000%s\r\n", fake.NewID(), fake.NewID(), requestClass, manyFields())
 }
 
+// manyFields returns the fields of longLine. They are made once: clients must not be slower than the proxy.
+var manyFields = sync.OnceValue(func() string {
+	const length = 4000
+	var fields strings.Builder
+	for i := 0; fields.Len() < length; i++ {
+		fmt.Fprintf(&fields, ",%xz=1", i)
+	}
+	return fields.String()
+})
+
 // freshNames returns a first line with a class, a tenant and a group that no line had before.
 func (c *badClient) freshNames() string {
 	n := c.counts.ids.Add(1)
