Tidy the ledger and used-ID changes after a second read

Cause: a comment of assignHost described an earlier form of it; each query counted all followers though that matters only while a host is in slow start; the condition under which an ID must not run again stood twice.

No behaviour changes.

--- a/internal/balancer/ledgerassign.go
+++ b/internal/balancer/ledgerassign.go
@@ -34,14 +34,17 @@
 // assignHost returns the ledger server's choice for a query of the balancer with number from: the
 // assignable host with the lowest assignCost, or no host if none is assignable. It adds the load of
 // the query to the ledger and records the assignment, so that a warming host's budget is counted for
-// all balancers together. It counts a query that is no retry as a fresh request. If there is a warming
-// host and this balancer may not give out any of its budget, no host is assigned: the balancers place
-// their requests themselves, each by its own part of the budget.
+// all balancers together. It counts a query that is no retry as a fresh request. If this balancer may
+// not give out any budget and only warming hosts are left, the budgets do not count as considered: the
+// balancers place such requests themselves, each by its own part.
 func (b *Balancer) assignHost(from int, q ledger.Query) assignment {
 	if !q.Retry {
 		b.ledger.freshRequests.Add(b.now, freshRequestWindow, 1)
 	}
-	warming, budgetShare := b.hasWarmingHost(), b.followerShare()
+	warming, budgetShare := b.hasWarmingHost(), 0.0
+	if warming {
+		budgetShare = b.followerShare()
+	}
 	full := b.meanLedgerLoad() * assignLoadSlack
 	var best *host
 	least := math.Inf(1)
--- a/internal/dataplane/proxy/usedids.go
+++ b/internal/dataplane/proxy/usedids.go
@@ -99,7 +99,13 @@
 func (c *Core) mustNotRunAgain(o *Opening) bool {
 	class := &c.opt.Settings.Classes[c.names.classes[o.Class]]
 	_, ran := c.earlierRun(o.ID, class)
-	return ran && (class.Idempotency == balancer.NotIdempotent || o.StickyHost != "")
+	return ran && runsOnce(class, o.StickyHost != "")
+}
+
+// runsOnce reports whether a request of a class that may have run must not run again at any host. adopting is
+// set if its client names the host at which it was open.
+func runsOnce(class *balancer.Class, adopting bool) bool {
+	return class.Idempotency == balancer.NotIdempotent || adopting
 }
 
 // mayReject reports whether a request may get the answer that a retry is harmless, before anything but its
@@ -117,7 +123,7 @@
 		proceed()
 		return
 	}
-	if r.class().Idempotency == balancer.NotIdempotent || r.adopting {
+	if runsOnce(r.class(), r.adopting) {
 		r.core.ReportInvalidRequest(&InvalidRequestError{IDUsed, r.attributes.ID})
 		r.fail(metrics.InvalidRequest, idUsed)
 		return
